frame: shared types, schema, declarations, platform seams and stand-ins

Cause: the parts need one clock, one size, one table of codes, one schema and one picture of the platform before they can be built beside each other.

--- /dev/null
+++ b/declarer/calendar.go
@@ -0,0 +1,67 @@
+package declarer
+
+import "time"
+
+type (
+	// Every is how often a job runs by itself.
+	Every string
+
+	// Calendar says when a job runs by itself, in the operator's time zone.
+	Calendar struct {
+		Every Every `json:"every"`
+		// Day is the day of the month from 1, or of the week from 1 for
+		// Monday.
+		Day int `json:"day"`
+		// Hour is the hour of the day, 0 to 23.
+		Hour int `json:"hour"`
+		// Terms are the spans of days in which the job runs; none for always.
+		Terms []Term `json:"terms,omitempty"`
+	}
+
+	// Term is a span of days, both ends included.
+	Term struct {
+		From  string `json:"from"`
+		Until string `json:"until"`
+	}
+)
+
+// How often a job runs by itself.
+const (
+	EveryNone  Every = "none"
+	EveryDay   Every = "day"
+	EveryWeek  Every = "week"
+	EveryMonth Every = "month"
+)
+
+// DateLayout is the form of days in declarations.
+const DateLayout = "2006-01-02"
+
+func (c Calendar) validate(v *Validator) {
+	switch c.Every {
+	case EveryNone, EveryDay:
+	case EveryWeek:
+		v.between("calendar.day", int64(c.Day), 1, 7)
+	case EveryMonth:
+		v.between("calendar.day", int64(c.Day), 1, 28)
+	default:
+		v.badFormat("calendar.every", "%q is none of none, day, week and month", c.Every)
+	}
+	v.between("calendar.hour", int64(c.Hour), 0, 23)
+	for i, t := range c.Terms {
+		t.validate(v.at("calendar.terms", i))
+	}
+}
+
+func (t Term) validate(v *Validator) {
+	f, ferr := time.Parse(DateLayout, t.From)
+	u, uerr := time.Parse(DateLayout, t.Until)
+	if ferr != nil {
+		v.badFormat("from", "%q is not a day, such as 2026-09-01", t.From)
+	}
+	if uerr != nil {
+		v.badFormat("until", "%q is not a day, such as 2026-09-01", t.Until)
+	}
+	if ferr == nil && uerr == nil && u.Before(f) {
+		v.badFormat("until", "%s is before %s", t.Until, t.From)
+	}
+}
--- /dev/null
+++ b/declarer/item.go
@@ -0,0 +1,120 @@
+package declarer
+
+import (
+	"encoding/json"
+
+	"galenawharf.example/galenawharf/coder"
+	"galenawharf.example/galenawharf/decoder"
+)
+
+type (
+	// Item is one declaration with the version that it has.
+	Item struct {
+		key      Key
+		version  int64
+		document []byte
+		value    any
+	}
+
+	// declaration is what every kind of declaration does.
+	declaration interface {
+		Validate(v *Validator)
+	}
+)
+
+// Key gives the declaration's kind and name.
+func (i Item) Key() Key { return i.key }
+
+// Version gives the log offset of the change that set it, plus one; 0 where it
+// was never set.
+func (i Item) Version() int64 { return i.version }
+
+// Document gives the declaration in JSON, with defaults filled in.
+func (i Item) Document() []byte { return i.document }
+
+// Value gives the declaration as its type, such as Service.
+func (i Item) Value() any { return i.value }
+
+// ParseItem reads a declaration of a kind and name from JSON at a path, fills
+// its defaults and checks it by itself.
+func ParseItem(k Kind, name string, document []byte, path string) (Item, coder.Errors) {
+	value, faults := parseValue(k, document, path)
+	if len(faults) > 0 {
+		return Item{}, faults
+	}
+	n := nameOf(value)
+	if n != name {
+		return Item{}, coder.Errors{coder.At(coder.BadFormat, path+".name", "%q is not the name %q of the change", n, name)}
+	}
+	return newItem(k, value), nil
+}
+
+func newItem(k Kind, value any) Item {
+	document, err := json.Marshal(value)
+	if err != nil {
+		document = nil
+	}
+	return Item{key: KeyOf(k, nameOf(value)), document: document, value: value}
+}
+
+func parseValue(k Kind, document []byte, path string) (any, coder.Errors) {
+	switch k {
+	case KindOperator:
+		return parseAs[Operator](document, path)
+	case KindDataCentre:
+		return parseAs[DataCentre](document, path)
+	case KindTeam:
+		return parseAs[Team](document, path)
+	case KindService:
+		return parseAs[Service](document, path)
+	case KindBatchJob:
+		return parseAs[BatchJob](document, path)
+	case KindWatchJob:
+		return parseAs[WatchJob](document, path)
+	case KindPrice:
+		return parseAs[Price](document, path)
+	case KindDrain:
+		return parseAs[Drain](document, path)
+	}
+	return nil, coder.Errors{coder.At(coder.UnknownName, path+".kind", "there is no kind of declaration %q", k)}
+}
+
+func parseAs[T declaration](document []byte, path string) (any, coder.Errors) {
+	var value T
+	faults := decoder.Strict(document, &value)
+	if len(faults) > 0 {
+		return nil, faults.Under(path)
+	}
+	return finish(value, path)
+}
+
+func finish[T declaration](value T, path string) (any, coder.Errors) {
+	if d, ok := any(&value).(interface{ Defaults() }); ok {
+		d.Defaults()
+	}
+	v := NewValidator(path)
+	value.Validate(v)
+	return value, v.Faults()
+}
+
+func nameOf(value any) string {
+	switch d := value.(type) {
+	case Operator:
+		return d.Name
+	case DataCentre:
+		return d.Name
+	case Team:
+		return d.Name
+	case Service:
+		return d.Name
+	case BatchJob:
+		return d.Name
+	case WatchJob:
+		return d.Name
+	case Price:
+		return d.Name
+	case Drain:
+		return d.Name
+	}
+	return ""
+}
--- /dev/null
+++ b/declarer/service.go
@@ -0,0 +1,69 @@
+package declarer
+
+import (
+	"galenawharf.example/galenawharf/clock"
+	"galenawharf.example/galenawharf/sizer"
+)
+
+type (
+	// Service is latency-critical work that runs until it is deleted.
+	Service struct {
+		Name     string         `json:"name"`
+		Team     string         `json:"team"`
+		Replicas int            `json:"replicas"`
+		Size     sizer.Document `json:"size"`
+		// LatencyTarget is the latency that 99% of requests stay under.
+		LatencyTarget clock.Millis `json:"latency-target"`
+		// Class names the kind of work whose disturbance is learnt together.
+		Class    string `json:"class"`
+		Priority int    `json:"priority"`
+		// Limits bound the requests to the service.
+		Limits RequestLimits `json:"request-limits"`
+	}
+
+	// RequestLimits bound the requests to a service at one daemon.
+	RequestLimits struct {
+		// Concurrent is the most requests in flight.
+		Concurrent int `json:"concurrent"`
+		// PerSecond is the most requests accepted in a second.
+		PerSecond int `json:"per-second"`
+		// Queue is the most requests that wait.
+		Queue int `json:"queue"`
+	}
+)
+
+const (
+	// MaxReplicas is the most replicas of one service.
+	MaxReplicas = 10_000
+	// MaxPriority is the highest priority; 0 is the lowest.
+	MaxPriority = 100
+
+	defaultConcurrent = 256
+	defaultPerSecond  = 2_000
+	defaultQueue      = 512
+	defaultPriority   = 50
+)
+
+// Defaults fills what was left out.
+func (s *Service) Defaults() {
+	setDefault(&s.Class, "service")
+	setDefault(&s.Replicas, 1)
+	setDefault(&s.Priority, defaultPriority)
+	setDefault(&s.Limits.Concurrent, defaultConcurrent)
+	setDefault(&s.Limits.PerSecond, defaultPerSecond)
+	setDefault(&s.Limits.Queue, defaultQueue)
+}
+
+// Validate gives every fault of s.
+func (s Service) Validate(v *Validator) {
+	v.name("name", s.Name)
+	v.name("team", s.Team)
+	v.name("class", s.Class)
+	v.between("replicas", int64(s.Replicas), 1, MaxReplicas)
+	v.taskSize("size", s.Size)
+	v.atLeast("latency-target", int64(s.LatencyTarget), 1)
+	v.between("priority", int64(s.Priority), 0, MaxPriority)
+	v.atLeast("request-limits.concurrent", int64(s.Limits.Concurrent), 1)
+	v.atLeast("request-limits.per-second", int64(s.Limits.PerSecond), 1)
+	v.atLeast("request-limits.queue", int64(s.Limits.Queue), 1)
+}
--- /dev/null
+++ b/imitator/worker_test.go
@@ -0,0 +1,59 @@
+package imitator
+
+import (
+	"context"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"galenawharf.example/galenawharf/clock"
+	"galenawharf.example/galenawharf/coder"
+	"galenawharf.example/galenawharf/provider"
+	"galenawharf.example/galenawharf/sizer"
+)
+
+func start(sequence int64, task string, lease int64) provider.StartOrder {
+	return provider.StartOrder{
+		Fence:       provider.Fence{Shard: "s", Epoch: 1, Sequence: sequence},
+		Incarnation: provider.Incarnation{Task: task, Number: 1},
+		Size:        sizer.DocumentOf(sizer.New(1000, 1, 0)),
+		Boot:        "0",
+		LeaseUntil:  lease,
+		RunTime:     int64(clock.Minute),
+	}
+}
+
+func TestWorkerLife(t *testing.T) {
+	ctx := context.Background()
+	c := clock.NewManual(1000)
+	w := NewWorker(sizer.New(1000, 10, 0), c.Now, AsDeclared)
+	p := WorkersOf(func(string) *Worker { return w })
+
+	_, err := p.Start(ctx, "", start(1, "a", 5000))
+	must.NoError(t, err)
+	_, err = p.Start(ctx, "", start(1, "b", 5000))
+	must.Eq(t, coder.Fenced, coder.Of(err))
+	must.Eq(t, 0, w.Overcommits())
+	_, err = p.Start(ctx, "", start(2, "b", 5000))
+	must.NoError(t, err)
+	must.Eq(t, 1, w.Overcommits())
+
+	c.Advance(4000)
+	_, err = p.Extend(ctx, "", provider.LeaseOrder{Fence: provider.Fence{Shard: "s", Epoch: 1, Sequence: 3}, Boot: "0", Tasks: []provider.Incarnation{{Task: "a", Number: 1}}, LeaseUntil: 100_000})
+	must.NoError(t, err)
+	c.Advance(2000)
+	names, _ := w.Running()
+	must.Eq(t, []provider.Incarnation{{Task: "a", Number: 1}}, names)
+
+	w.SetFaults(WorkerFaults{LoseAnswers: 1})
+	_, err = p.Stop(ctx, "", provider.TaskOrder{Fence: provider.Fence{Shard: "s", Epoch: 1, Sequence: 4}, Incarnation: names[0]})
+	must.Eq(t, coder.Internal, coder.Of(err))
+	inv, err := p.Inventory(ctx, "", provider.Fence{Shard: "s", Epoch: 2})
+	must.NoError(t, err)
+	must.Len(t, 2, inv.Tasks)
+	must.Eq(t, provider.PhaseStopped, inv.Tasks[0].Phase)
+	must.Eq(t, "ran-6000", inv.Tasks[0].Checkpoint)
+	must.Eq(t, provider.PhaseLapsed, inv.Tasks[1].Phase)
+	_, err = p.Start(ctx, "", start(99, "c", 100_000))
+	must.Eq(t, coder.Fenced, coder.Of(err))
+}
--- /dev/null
+++ b/placer/firstfit.go
@@ -0,0 +1,28 @@
+package placer
+
+import (
+	"galenawharf.example/galenawharf/clock"
+	"galenawharf.example/galenawharf/sizer"
+)
+
+// FirstFit puts each waiting task, in the order given, on the first worker with
+// room for its declared size. It is the baseline that others are measured
+// against.
+func FirstFit(_ clock.Millis, waiting []Task, workers []Worker) []Decision {
+	free := make([]sizer.Size, len(workers))
+	for i, w := range workers {
+		free[i] = w.free
+	}
+	var out []Decision
+	for _, t := range waiting {
+		for i, w := range workers {
+			if w.closed || !t.size.Fits(free[i]) {
+				continue
+			}
+			free[i] = free[i].Sub(t.size)
+			out = append(out, NewDecision(t.id, w.name))
+			break
+		}
+	}
+	return out
+}
