--- a/declarer/batchjob.go
+++ b/declarer/batchjob.go
@@ -1,6 +1,8 @@
 package declarer
 
 import (
+	"cmp"
+
 	"galenawharf.example/galenawharf/clock"
 	"galenawharf.example/galenawharf/sizer"
 )
@@ -40,10 +42,10 @@
 
 // Defaults fills what was left out.
 func (b *BatchJob) Defaults() {
-	setDefault(&b.Class, "batch")
-	setDefault(&b.Tasks, 1)
-	setDefault(&b.Priority, defaultPriority)
-	setDefault(&b.Calendar.Every, EveryNone)
+	b.Class = cmp.Or(b.Class, "batch")
+	b.Tasks = cmp.Or(b.Tasks, 1)
+	b.Priority = cmp.Or(b.Priority, defaultPriority)
+	b.Calendar.Every = cmp.Or(b.Calendar.Every, EveryNone)
 }
 
 // Validate gives every fault of b.
--- a/declarer/price.go
+++ b/declarer/price.go
@@ -1,6 +1,9 @@
 package declarer
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 type (
 	// Resource is what a price is for.
@@ -35,7 +38,7 @@
 
 // Defaults fills what was left out.
 func (p *Price) Defaults() {
-	setDefault(&p.Name, p.DataCentre+"."+string(p.Resource)+"."+p.From)
+	p.Name = cmp.Or(p.Name, p.DataCentre+"."+string(p.Resource)+"."+p.From)
 }
 
 // Validate gives every fault of p.
--- a/declarer/service.go
+++ b/declarer/service.go
@@ -1,6 +1,8 @@
 package declarer
 
 import (
+	"cmp"
+
 	"galenawharf.example/galenawharf/clock"
 	"galenawharf.example/galenawharf/sizer"
 )
@@ -46,12 +48,12 @@
 
 // Defaults fills what was left out.
 func (s *Service) Defaults() {
-	setDefault(&s.Class, "service")
-	setDefault(&s.Replicas, 1)
-	setDefault(&s.Priority, defaultPriority)
-	setDefault(&s.Limits.Concurrent, defaultConcurrent)
-	setDefault(&s.Limits.PerSecond, defaultPerSecond)
-	setDefault(&s.Limits.Queue, defaultQueue)
+	s.Class = cmp.Or(s.Class, "service")
+	s.Replicas = cmp.Or(s.Replicas, 1)
+	s.Priority = cmp.Or(s.Priority, defaultPriority)
+	s.Limits.Concurrent = cmp.Or(s.Limits.Concurrent, defaultConcurrent)
+	s.Limits.PerSecond = cmp.Or(s.Limits.PerSecond, defaultPerSecond)
+	s.Limits.Queue = cmp.Or(s.Limits.Queue, defaultQueue)
 }
 
 // Validate gives every fault of s.
--- a/declarer/validator.go
+++ b/declarer/validator.go
@@ -88,10 +88,3 @@
 		v.missing(path + ".memory")
 	}
 }
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
--- a/declarer/watchjob.go
+++ b/declarer/watchjob.go
@@ -1,6 +1,8 @@
 package declarer
 
 import (
+	"cmp"
+
 	"galenawharf.example/galenawharf/clock"
 	"galenawharf.example/galenawharf/sizer"
 )
@@ -24,8 +26,8 @@
 
 // Defaults fills what was left out.
 func (w *WatchJob) Defaults() {
-	setDefault(&w.Class, "watch")
-	setDefault(&w.Priority, defaultPriority)
+	w.Class = cmp.Or(w.Class, "watch")
+	w.Priority = cmp.Or(w.Priority, defaultPriority)
 }
 
 // Validate gives every fault of w.
