--- /dev/null
+++ b/coder/list.go
@@ -0,0 +1,14 @@
+package coder
+
+var (
+	codes = []Code{
+		OK, Internal, Usage, Unreachable,
+		Malformed, UnknownField, Missing, OutOfRange, Duplicate, UnknownName, BadFormat, TooLarge, NeverFits, BadPrice,
+		StaleVersion, NotFound, NotAccepted, InUse,
+		NotRun, Unknown, Overloaded, DeadlineTooShort, ShuttingDown, QuotaExceeded, KeyTaken, Incomplete, Cancelled, Parked, Pending, NoBackend, Failed,
+		LogDown, LogHole, NoAuthority, NotReady, CorruptRecord, Fenced, LeaseLapsed, RateLimited,
+	}
+)
+
+// Codes gives every code. The list is not to be changed.
+func Codes() []Code { return codes }
--- /dev/null
+++ b/measurer/metrics_test.go
@@ -0,0 +1,45 @@
+package measurer
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"regexp"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"go.uber.org/goleak"
+
+	"galenawharf.example/galenawharf/coder"
+)
+
+func TestPageHasEveryMetric(t *testing.T) {
+	page, err := os.ReadFile("../docs/METRICS.md")
+	must.NoError(t, err)
+	source, err := os.ReadFile("names.go")
+	must.NoError(t, err)
+	var names, rows []string
+	for _, m := range regexp.MustCompile(` = "(\w+)"`).FindAllStringSubmatch(string(source), -1) {
+		names = append(names, m[1])
+	}
+	for _, m := range regexp.MustCompile(`(?m)^\| galenawharf_(\w+) \|`).FindAllStringSubmatch(string(page), -1) {
+		rows = append(rows, m[1])
+	}
+	must.SliceContainsAll(t, names, rows)
+	must.Len(t, len(counters)+len(gauges)+len(timers)+1, names)
+}
+
+func TestScrape(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	m := New("entry-1", "a")
+	m.Add(Starts, 3)
+	m.Set(OwnedShards, 2)
+	m.Result(coder.NotRun)
+	m.Result(coder.Code(-1))
+	m.Close()
+	w := httptest.NewRecorder()
+	m.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	must.StrContains(t, w.Body.String(), `galenawharf_task_starts{daemon="entry-1",data_centre="a"} 3`)
+	must.StrContains(t, w.Body.String(), `galenawharf_owned_shards{daemon="entry-1",data_centre="a"} 2`)
+	must.StrContains(t, w.Body.String(), `galenawharf_request_results{code="GW3001",daemon="entry-1",data_centre="a"} 1`)
+}
