claimer: ledger of claims that all readers agree on

Cause: whether a claim has lapsed is judged by clocks, which differ. Change: a claim names the last renewal that its writer had read; one that another renewal came before doesn't count, so order in the log decides and every reader has the same verdict. Renewals are numbered. Data centres get a fixed number of shards.

--- /dev/null
+++ b/claimer/ledger_test.go
@@ -0,0 +1,95 @@
+package claimer
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"galenawharf.example/galenawharf/provider"
+	"galenawharf.example/galenawharf/schema"
+)
+
+func claimOf(holder string, epoch, sequence int64) *schema.Record {
+	return &schema.Record{Body: &schema.Record_Claim{Claim: &schema.Claim{Shard: "a/0", PreviousEpoch: epoch, PreviousSequence: sequence, Holder: holder}}}
+}
+
+func renewalOf(epoch, sequence int64) *schema.Record {
+	return &schema.Record{Body: &schema.Record_Renewal{Renewal: &schema.Renewal{Shard: "a/0", Epoch: epoch, Sequence: sequence}}}
+}
+
+func releaseOf(epoch int64) *schema.Record {
+	return &schema.Record{Body: &schema.Record_Release{Release: &schema.Release{Shard: "a/0", Epoch: epoch}}}
+}
+
+func taskOf(epoch int64) *schema.Record {
+	return &schema.Record{Body: &schema.Record_Task{Task: &schema.TaskEvent{Shard: "a/0", Epoch: epoch}}}
+}
+
+func TestLedger(t *testing.T) {
+	tests := map[string]struct {
+		records []*schema.Record
+		counts  []bool
+		epoch   int64
+		holder  string
+	}{
+		"first claim wins":          {records: []*schema.Record{claimOf("x", -1, 0), claimOf("y", -1, 0), taskOf(1), taskOf(0)}, counts: []bool{true, false, false, true}, epoch: 0, holder: "x"},
+		"lapse":                     {records: []*schema.Record{claimOf("x", -1, 0), renewalOf(0, 1), claimOf("y", 0, 1), renewalOf(0, 2), taskOf(0)}, counts: []bool{true, true, true, false, false}, epoch: 2, holder: "y"},
+		"renewal overrules a lapse": {records: []*schema.Record{claimOf("x", -1, 0), renewalOf(0, 1), claimOf("y", 0, 0), taskOf(0)}, counts: []bool{true, true, false, true}, epoch: 0, holder: "x"},
+		"renewal sent twice":        {records: []*schema.Record{claimOf("x", -1, 0), renewalOf(0, 1), renewalOf(0, 1)}, counts: []bool{true, true, false}, epoch: 0, holder: "x"},
+		"release":                   {records: []*schema.Record{claimOf("x", -1, 0), releaseOf(0), releaseOf(0), renewalOf(0, 1), taskOf(0)}, counts: []bool{true, true, false, false, false}, epoch: NoEpoch},
+		"claim after release":       {records: []*schema.Record{claimOf("x", -1, 0), renewalOf(0, 1), releaseOf(0), claimOf("y", 0, 0)}, counts: []bool{true, true, true, true}, epoch: 3, holder: "y"},
+		"claim before any":          {records: []*schema.Record{claimOf("x", 5, 0), releaseOf(-1), renewalOf(-1, 1), taskOf(-1)}, counts: []bool{false, false, false, false}, epoch: NoEpoch},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			l := NewLedger()
+			for n, r := range tc.records {
+				must.Eq(t, tc.counts[n], l.Observe(provider.Offset(n), r), must.Sprint(n))
+			}
+			must.Eq(t, tc.epoch, l.Epoch("a/0"))
+			must.Eq(t, tc.holder, l.Holder("a/0"))
+			must.False(t, l.Observe(0, claimOf("z", tc.epoch, 0)))
+		})
+	}
+}
+
+// TestLedgerRestored: a ledger restored at any point ends as one that read all.
+func TestLedgerRestored(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		whole := NewLedger()
+		records := drawRecords(t)
+		cut := rapid.IntRange(0, len(records)).Draw(t, "cut")
+		part := NewLedger()
+		for n, r := range records {
+			if n == cut {
+				for _, s := range whole.Shards() {
+					part.Restore(whole.Ownership(s), provider.Offset(n))
+				}
+			}
+			a := whole.Observe(provider.Offset(n), r)
+			if n >= cut {
+				must.Eq(t, a, part.Observe(provider.Offset(n), r))
+			}
+		}
+		if cut < len(records) {
+			must.Eq(t, whole.Epoch("a/0"), part.Epoch("a/0"))
+		}
+	})
+}
+
+func drawRecords(t *rapid.T) []*schema.Record {
+	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) *schema.Record {
+		e := rapid.Int64Range(-1, 6).Draw(t, "epoch")
+		s := rapid.Int64Range(0, 3).Draw(t, "sequence")
+		switch rapid.IntRange(0, 3).Draw(t, "kind") {
+		case 0:
+			return claimOf("x", e, s)
+		case 1:
+			return renewalOf(e, s)
+		case 2:
+			return releaseOf(e)
+		}
+		return taskOf(e)
+	}), 0, 30).Draw(t, "records")
+}
--- a/declarer/state.go
+++ b/declarer/state.go
@@ -103,11 +103,24 @@
 	if len(faults) > 0 {
 		return faults
 	}
+	if faults := fixedFields(s.items[k], item); len(faults) > 0 {
+		return faults
+	}
 	item.version = offset + 1
 	s.items[k] = item
 	return nil
 }
 
+// fixedFields gives a fault for every field that may not change.
+func fixedFields(before, after Item) coder.Errors {
+	b, had := before.value.(DataCentre)
+	a, has := after.value.(DataCentre)
+	if had && has && a.Shards != b.Shards {
+		return coder.Errors{coder.At(coder.InUse, after.key.String()+".shards", "can't change from %d to %d, since work has its home in the shards", b.Shards, a.Shards)}
+	}
+	return nil
+}
+
 func (s *State) remove(k Key) coder.Errors {
 	if _, known := s.items[k]; !known {
 		return coder.Errors{coder.At(coder.NotFound, k.String(), "is not declared")}
--- a/declarer/state_test.go
+++ b/declarer/state_test.go
@@ -43,6 +43,9 @@
 		"unknown kind":        {change: change(item("group", "billing", 0, billing)), want: coder.UnknownName},
 		"malformed":           {change: change(item(KindTeam, "billing", 0, "{")), want: coder.Malformed},
 		"drain of nothing":    {change: change(item(KindDrain, "data-centre.a", 0, `{"name":"data-centre.a"}`)), want: coder.UnknownName},
+		"shards changed":      {before: []*schema.Change{change(item(KindDataCentre, "a", 0, `{"name":"a","region":"r"}`))}, change: change(item(KindDataCentre, "a", 1, `{"name":"a","region":"r","shards":2}`)), want: coder.InUse},
+		"shards kept":         {before: []*schema.Change{change(item(KindDataCentre, "a", 0, `{"name":"a","region":"r"}`))}, change: change(item(KindDataCentre, "a", 1, `{"name":"a","region":"q","shards":1}`)), want: coder.OK},
+		"too many shards":     {change: change(item(KindDataCentre, "a", 0, `{"name":"a","region":"r","shards":65}`)), want: coder.OutOfRange},
 		"drain of a host":     {change: change(item(KindDrain, "host.w1", 0, `{"name":"host.w1"}`)), want: coder.OK},
 		"one name, two kinds": {change: change(team, item(KindBatchJob, "invoice", 0, invoice), item(KindWatchJob, "invoice", 0, `{"name":"invoice","team":"billing","size":{"processors":1,"memory":"1GiB"},"period":"1m","tracks":"stock"}`)), want: coder.Duplicate},
 	}
