--- a/declarer/datacentre.go
+++ b/declarer/datacentre.go
@@ -1,5 +1,7 @@
 package declarer
 
+import "cmp"
+
 type (
 	// DataCentre is a place with its own entry hosts and workers.
 	DataCentre struct {
@@ -17,7 +19,7 @@
 )
 
 // Defaults fills what was left out.
-func (d *DataCentre) Defaults() { setDefault(&d.Shards, 1) }
+func (d *DataCentre) Defaults() { d.Shards = cmp.Or(d.Shards, 1) }
 
 // Validate gives every fault of d.
 func (d DataCentre) Validate(v *Validator) {
