--- a/coder/codes.go
+++ b/coder/codes.go
@@ -99,3 +99,24 @@
 	// RateLimited is an append over the log's rate.
 	RateLimited Code = 4008
 )
+
+// Faults in the bill.
+const (
+	// UsageDiffers is a second usage record of an hour that says otherwise
+	// than the first, which counts.
+	UsageDiffers Code = 5001
+	// UsageMissing is an hour without a usage record.
+	UsageMissing Code = 5002
+	// ClockStep is a record whose time is out of line with those before it.
+	ClockStep Code = 5003
+	// OutOfOrder is an end of a lease that had no start.
+	OutOfOrder Code = 5004
+	// PriceMissing is usage for which no price is declared.
+	PriceMissing Code = 5005
+	// OverBudget is a team on course to pass its budget.
+	OverBudget Code = 5006
+	// HistoryShort is work with too little history to forecast from.
+	HistoryShort Code = 5007
+	// UsageTooOld is a usage record of a time before the ledger's.
+	UsageTooOld Code = 5008
+)
