--- a/coder/list.go
+++ b/coder/list.go
@@ -7,6 +7,7 @@
 		StaleVersion, NotFound, NotAccepted, InUse,
 		NotRun, Unknown, Overloaded, DeadlineTooShort, ShuttingDown, QuotaExceeded, KeyTaken, Incomplete, Cancelled, Parked, Pending, NoBackend, Failed,
 		LogDown, LogHole, NoAuthority, NotReady, CorruptRecord, Fenced, LeaseLapsed, RateLimited,
+		UsageDiffers, UsageMissing, ClockStep, OutOfOrder, PriceMissing, OverBudget, HistoryShort, UsageTooOld,
 	}
 )
 
