--- /dev/null
+++ b/auditor/trail_test.go
@@ -0,0 +1,44 @@
+package auditor
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"galenawharf.example/galenawharf/coder"
+	"galenawharf.example/galenawharf/declarer"
+	"galenawharf.example/galenawharf/provider"
+	"galenawharf.example/galenawharf/schema"
+)
+
+func TestTrail(t *testing.T) {
+	tr := New(3)
+	s := declarer.NewState()
+	change := func(offset int64, expected int64, budget string) {
+		c := &schema.Change{Operator: "ana", Items: []*schema.ChangeItem{{Kind: "team", Name: "a", ExpectedVersion: expected, Document: []byte(`{"name":"a","budget":` + budget + `}`)}}}
+		var o declarer.Outcome
+		s, o = s.Apply(offset, c)
+		tr.Add(provider.Offset(offset), 1000, c, o)
+	}
+	change(0, 0, "1")
+	change(1, 0, "2")
+	change(2, 1, "3")
+	must.Len(t, 3, tr.From(0, 10))
+	raced := tr.From(1, 1)[0]
+	must.Eq(t, int32(coder.StaleVersion), raced.GetResultCode())
+	must.Eq(t, "ana", raced.GetOperator())
+	must.StrContains(t, raced.GetFrom(), `"budget":1`)
+	must.StrContains(t, raced.GetTo(), `"budget":2`)
+	last := tr.Newest(1)[0]
+	must.Eq(t, int32(coder.OK), last.GetResultCode())
+	must.StrContains(t, last.GetFrom(), `"budget":1`)
+
+	change(3, 3, "4")
+	must.Len(t, 3, tr.From(0, 10))
+	must.Eq(t, int64(1), tr.From(0, 1)[0].GetOffset())
+	c, known := tr.ResultOf(3)
+	must.True(t, known)
+	must.Eq(t, coder.OK, c)
+	_, known = tr.ResultOf(9)
+	must.False(t, known)
+}
