--- /dev/null
+++ b/daemon/backend.go
@@ -0,0 +1,67 @@
+package daemon
+
+import (
+	"context"
+
+	"galenawharf.example/galenawharf/clock"
+	"galenawharf.example/galenawharf/coder"
+	"galenawharf.example/galenawharf/measurer"
+	"galenawharf.example/galenawharf/provider"
+	"galenawharf.example/galenawharf/schema"
+	"galenawharf.example/galenawharf/server"
+)
+
+const (
+	defaultAudit = 50
+)
+
+// backend is what callers and operators can ask.
+func (d *Daemon) backend() server.Backend {
+	return server.Backend{
+		Check:    d.check,
+		Submit:   d.submit,
+		Await:    d.await,
+		Apply:    d.apply,
+		Get:      d.get,
+		Cancel:   d.cancel,
+		Drain:    d.drain,
+		Forecast: d.forecast,
+		Explain:  d.explain,
+		Audit:    d.audit,
+	}
+}
+
+func (d *Daemon) check(ctx context.Context, r *schema.CheckRequest) *schema.Answer {
+	if e := d.codeOfLeaving(); e != nil {
+		return refusal(r.GetRequestId(), e, 0)
+	}
+	if r.GetTimeoutMillis() == 0 {
+		r.TimeoutMillis = int64(d.settings.Timing.Check)
+	}
+	d.begin()
+	defer d.end()
+	began := d.now()
+	a := d.dispatcher.Check(ctx, r)
+	d.metrics.Record(measurer.CheckTime, d.now().Sub(began).Duration())
+	return a
+}
+
+func (d *Daemon) begin() { d.metrics.Set(measurer.InFlight, float64(d.inFlight.Add(1))) }
+
+func (d *Daemon) end() { d.metrics.Set(measurer.InFlight, float64(d.inFlight.Add(-1))) }
+
+// refusal is the answer to a request that was not run.
+func refusal(id string, e *coder.Error, retryAfter clock.Millis) *schema.Answer {
+	return &schema.Answer{RequestId: id, ResultCode: int32(e.Code()), Reason: e.Text(), RetryAfterMillis: int64(retryAfter)}
+}
+
+func (d *Daemon) audit(_ context.Context, r *schema.AuditRequest) (*schema.AuditResponse, error) {
+	limit := int(r.GetLimit())
+	if limit == 0 {
+		limit = defaultAudit
+	}
+	if r.GetFromOffset() == 0 {
+		return &schema.AuditResponse{Entries: d.trail.Newest(limit)}, nil
+	}
+	return &schema.AuditResponse{Entries: d.trail.From(provider.Offset(r.GetFromOffset()), limit)}, nil
+}
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,264 @@
+// Package daemon is the process of an entry host: the shell around the
+// decision cores, which reads the log, carries out what they decide and answers
+// callers, operators and peers.
+package daemon
+
+import (
+	"context"
+	"io"
+	"os"
+	"sync"
+	"sync/atomic"
+
+	"github.com/pkg/errors"
+
+	"galenawharf.example/galenawharf/auditor"
+	"galenawharf.example/galenawharf/claimer"
+	"galenawharf.example/galenawharf/clock"
+	"galenawharf.example/galenawharf/coder"
+	"galenawharf.example/galenawharf/configurer"
+	"galenawharf.example/galenawharf/declarer"
+	"galenawharf.example/galenawharf/dialer"
+	"galenawharf.example/galenawharf/dispatcher"
+	"galenawharf.example/galenawharf/logger"
+	"galenawharf.example/galenawharf/measurer"
+	"galenawharf.example/galenawharf/messenger"
+	"galenawharf.example/galenawharf/provider"
+	"galenawharf.example/galenawharf/server"
+)
+
+type (
+	// Daemon is one running daemon.
+	Daemon struct {
+		settings    configurer.Settings
+		incarnation int64
+		now         func() clock.Millis
+		logOutput   io.Writer
+		logger      *logger.Logger
+		metrics     *measurer.Metrics
+		platform    Platform
+		client      *dialer.Client
+		dispatcher  *dispatcher.Dispatcher
+		trail       *auditor.Trail
+		outbox      *outbox
+		peers       []*peer
+		messenger   *messenger.Server
+		server      *server.Server
+		state       atomic.Pointer[declarer.State]
+		leaving     atomic.Bool
+		inFlight    atomic.Int64
+		sequence    atomic.Int64
+		// mailbox carries work to the goroutine that owns the core.
+		mailbox chan func(*core)
+		orders  chan struct{}
+		stop    context.CancelFunc
+		ctx     context.Context
+		loops   sync.WaitGroup
+	}
+)
+
+const (
+	mailboxSize = 1024
+	readLimit   = 2000
+)
+
+// New starts a daemon.
+func New(s configurer.Settings, opts ...Option) (*Daemon, error) {
+	d := &Daemon{
+		settings:  s,
+		now:       clock.NewSteady(),
+		logOutput: os.Stderr,
+		trail:     auditor.New(auditor.DefaultLimit),
+		outbox:    newOutbox(),
+		mailbox:   make(chan func(*core), mailboxSize),
+		orders:    make(chan struct{}, s.Limits.Orders),
+	}
+	for _, o := range opts {
+		o(d)
+	}
+	d.incarnation = int64(d.now())
+	d.ctx, d.stop = context.WithCancel(context.Background())
+	if err := d.build(); err != nil {
+		d.stop()
+		return nil, errors.Wrap(err, "daemon.New")
+	}
+	return d, nil
+}
+
+func (d *Daemon) build() error {
+	var err error
+	d.logger, err = logger.New(d.logOutput, d.settings.LogLevel, logger.String("daemon", d.settings.Name), logger.String("data-centre", d.settings.DataCentre))
+	if err != nil {
+		return err
+	}
+	d.metrics = measurer.New(d.settings.Name, d.settings.DataCentre)
+	d.reachPlatform()
+	d.state.Store(declarer.NewState())
+	d.dispatcher, err = dispatcher.New(
+		dispatcher.WithExecutors(d.platform.Executors),
+		dispatcher.WithNow(d.now),
+		dispatcher.WithSeed(d.settings.Seed),
+		dispatcher.WithName(d.settings.Name),
+		dispatcher.WithDataCentre(d.settings.DataCentre),
+	)
+	if err != nil {
+		return err
+	}
+	c, err := claimer.New(d.settings.Name, d.incarnation, d.settings.DataCentre, claimer.WithLapse(d.settings.Timing.Claim, d.settings.Timing.Claim/renewalsPerClaim))
+	if err != nil {
+		return err
+	}
+	d.reachPeers()
+	return d.listen(newCore(d, c))
+}
+
+const renewalsPerClaim = 4
+
+func (d *Daemon) reachPlatform() {
+	if d.platform.Log.Append != nil {
+		return
+	}
+	t := d.settings.Timing
+	d.client = dialer.New(dialer.WithTimeout(t.PlatformCall), dialer.WithConnectionsPerHost(d.settings.Limits.Orders))
+	d.platform = Platform{
+		Log:       d.client.Log(d.settings.Platform.Log),
+		Hosts:     d.client.Hosts(d.settings.Platform.Hosts),
+		Workers:   d.client.Workers(),
+		Executors: d.client.Executors(),
+	}
+}
+
+func (d *Daemon) listen(c *core) error {
+	var err error
+	d.messenger, err = messenger.Listen(d.settings.Listen.Peers, d.handlers())
+	if err != nil {
+		return err
+	}
+	d.start(c)
+	d.server, err = server.Listen(d.backend(), server.Options{
+		Callers:    d.settings.Listen.Callers,
+		Status:     d.settings.Listen.Status,
+		MaxBody:    int(d.settings.Limits.Body),
+		MaxPayload: int(d.settings.Limits.Payload),
+		Result:     d.metrics.Result,
+		Panicked:   func(what any) { d.logger.Emit(logger.Panicked, logger.Text("what", what)) },
+		Health: server.Health{
+			Ready:     d.readyReason,
+			Status:    func() any { return d.status() },
+			Metrics:   d.metrics.Handler(),
+			Profiling: d.settings.Profiling,
+		},
+	})
+	if err != nil {
+		d.halt()
+		return err
+	}
+	d.logger.Emit(logger.Started, logger.String("callers", d.server.CallersAddress()), logger.Int("incarnation", d.incarnation))
+	return nil
+}
+
+// start begins the loops.
+func (d *Daemon) start(c *core) {
+	d.loops.Go(func() { d.runCore(c) })
+	for _, s := range d.streams() {
+		d.loops.Go(func() { d.readStream(s) })
+	}
+	d.every(d.settings.Timing.HostPoll, d.readHosts)
+	d.every(d.settings.Timing.Tick, d.flush)
+	for _, p := range d.peers {
+		d.every(d.settings.Timing.Heartbeat, func() { d.exchange(p) })
+	}
+}
+
+// streams are those that the daemon reads.
+func (d *Daemon) streams() []string {
+	return []string{provider.StreamConfig, provider.StreamIntents, provider.StreamOf(d.settings.DataCentre)}
+}
+
+func (d *Daemon) runCore(c *core) {
+	for {
+		select {
+		case <-d.ctx.Done():
+			return
+		case f := <-d.mailbox:
+			f(c)
+		}
+	}
+}
+
+// post hands work to the core, and gives false where the daemon has stopped.
+func (d *Daemon) post(f func(*core)) bool {
+	select {
+	case d.mailbox <- f:
+		return true
+	case <-d.ctx.Done():
+		return false
+	}
+}
+
+// CallersAddress gives where callers and operators reach the daemon.
+func (d *Daemon) CallersAddress() string { return d.server.CallersAddress() }
+
+// StatusAddress gives where health checks reach the daemon.
+func (d *Daemon) StatusAddress() string { return d.server.StatusAddress() }
+
+// Shutdown ends the daemon gracefully: it is no longer ready, refuses new
+// requests as not run, answers those in flight, releases its shards and stops.
+// It gives an error where that took longer than the settings allow.
+func (d *Daemon) Shutdown() error {
+	d.leaving.Store(true)
+	d.logger.Emit(logger.Leaving)
+	limit := d.now().Add(d.settings.Timing.Shutdown)
+	err := d.server.Shutdown(d.settings.Timing.Shutdown)
+	if err != nil {
+		d.logger.Emit(logger.StopOverdue, logger.Err(err))
+	}
+	d.release(limit)
+	d.halt()
+	d.logger.Emit(logger.Stopped)
+	return err
+}
+
+// Kill ends the daemon at once, as the loss of its host would.
+func (d *Daemon) Kill() {
+	d.server.Close()
+	d.halt()
+}
+
+func (d *Daemon) halt() {
+	d.stop()
+	d.messenger.Close()
+	for _, p := range d.peers {
+		p.client.Close()
+	}
+	d.loops.Wait()
+	if d.client != nil {
+		d.client.Close()
+	}
+	d.metrics.Close()
+}
+
+// release gives up the daemon's shards and waits until the log shows it.
+func (d *Daemon) release(limit clock.Millis) {
+	d.post(func(c *core) { c.claimer.Leave() })
+	for d.now().Before(limit) {
+		left := make(chan bool, 1)
+		if !d.post(func(c *core) { left <- c.claimer.Left() }) || <-left {
+			return
+		}
+		if !d.sleep(d.settings.Timing.Tick) {
+			return
+		}
+	}
+}
+
+func (d *Daemon) id() string {
+	return d.settings.Name + "/" + formatInt(d.incarnation) + "/" + formatInt(d.sequence.Add(1))
+}
+
+func (d *Daemon) codeOfLeaving() *coder.Error {
+	if d.leaving.Load() {
+		return coder.New(coder.ShuttingDown, "the daemon is shutting down: ask another entry host")
+	}
+	return nil
+}
--- /dev/null
+++ b/daemon/loops.go
@@ -0,0 +1,220 @@
+package daemon
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"galenawharf.example/galenawharf/claimer"
+	"galenawharf.example/galenawharf/clock"
+	"galenawharf.example/galenawharf/coder"
+	"galenawharf.example/galenawharf/dispatcher"
+	"galenawharf.example/galenawharf/keeper"
+	"galenawharf.example/galenawharf/logger"
+	"galenawharf.example/galenawharf/measurer"
+	"galenawharf.example/galenawharf/provider"
+	"galenawharf.example/galenawharf/schema"
+
+	"galenawharf.example/galenawharf/declarer"
+)
+
+func formatInt(n int64) string { return strconv.FormatInt(n, 10) }
+
+// sleep waits, and gives false where the daemon has stopped.
+func (d *Daemon) sleep(m clock.Millis) bool {
+	t := time.NewTimer(m.Duration())
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-d.ctx.Done():
+		return false
+	}
+}
+
+// every calls f again and again until the daemon stops.
+func (d *Daemon) every(period clock.Millis, f func()) {
+	d.loops.Go(func() {
+		for {
+			f()
+			if !d.sleep(period) {
+				return
+			}
+		}
+	})
+}
+
+// readStream follows one stream of the log.
+func (d *Daemon) readStream(stream string) {
+	var next provider.Offset
+	down := false
+	for {
+		began := d.now()
+		ctx, cancel := d.platformContext()
+		p, err := d.platform.Log.Read(ctx, stream, next, readLimit)
+		cancel()
+		if (err != nil) != down {
+			down = err != nil
+			d.noteLog(stream, err)
+		}
+		if err == nil {
+			if n := len(p.Entries); n > 0 {
+				next = p.Entries[n-1].Offset + 1
+			}
+			d.post(func(c *core) { c.page(stream, p, began) })
+		} else {
+			d.metrics.Add(measurer.LogErrors, 1)
+		}
+		if (err != nil || next >= p.Next) && !d.sleep(d.settings.Timing.LogPoll) {
+			return
+		}
+		if d.ctx.Err() != nil {
+			return
+		}
+	}
+}
+
+func (d *Daemon) noteLog(stream string, err error) {
+	if err != nil {
+		d.logger.Emit(logger.LogDown, logger.String("stream", stream), logger.Err(err))
+		return
+	}
+	d.logger.Emit(logger.LogUp, logger.String("stream", stream))
+}
+
+func (d *Daemon) platformContext() (context.Context, context.CancelFunc) {
+	return context.WithTimeout(d.ctx, d.settings.Timing.PlatformCall.Duration())
+}
+
+func (d *Daemon) readHosts() {
+	ctx, cancel := d.platformContext()
+	defer cancel()
+	hosts, err := d.platform.Hosts.List(ctx)
+	if err != nil {
+		d.logger.Emit(logger.HostsDown, logger.Err(err))
+		return
+	}
+	d.post(func(c *core) { c.setHosts(hosts) })
+}
+
+// flush lets the core decide and appends what waits.
+func (d *Daemon) flush() {
+	done := make(chan struct{})
+	if !d.post(func(c *core) {
+		began := d.now()
+		c.step(began)
+		d.metrics.Record(measurer.StepTime, d.now().Sub(began).Duration())
+		close(done)
+	}) {
+		return
+	}
+	select {
+	case <-done:
+	case <-d.ctx.Done():
+		return
+	}
+	for _, s := range d.outbox.streams() {
+		d.appendBatch(s)
+	}
+}
+
+func (d *Daemon) appendBatch(stream string) {
+	batch := d.outbox.take(stream)
+	records := make([][]byte, 0, len(batch))
+	for _, p := range batch {
+		records = append(records, p.data)
+	}
+	_, err := d.append(d.ctx, stream, records)
+	if err == nil {
+		return
+	}
+	if nothingAdded(err) {
+		d.outbox.again(batch)
+		return
+	}
+	d.loops.Go(func() {
+		if d.sleep(settleAfter * d.settings.Timing.LogPoll) {
+			d.outbox.again(batch)
+		}
+	})
+}
+
+// settleAfter is how many polls of the log a lost answer is given to be read
+// back.
+const settleAfter = 4
+
+func (d *Daemon) append(ctx context.Context, stream string, records [][]byte) (provider.Offset, error) {
+	ctx, cancel := context.WithTimeout(ctx, d.settings.Timing.PlatformCall.Duration())
+	defer cancel()
+	began := d.now()
+	o, err := d.platform.Log.Append(ctx, stream, records)
+	d.metrics.Record(measurer.AppendTime, d.now().Sub(began).Duration())
+	d.metrics.Add(measurer.Appends, 1)
+	for _, r := range records {
+		d.metrics.Add(measurer.AppendedBytes, int64(len(r)))
+	}
+	if err != nil {
+		d.metrics.Add(measurer.LogErrors, 1)
+	}
+	return o, err
+}
+
+// nothingAdded tells whether a failed append certainly added nothing.
+func nothingAdded(err error) bool {
+	switch coder.Of(err) {
+	case coder.LogDown, coder.RateLimited, coder.TooLarge:
+		return true
+	}
+	return false
+}
+
+// appendClaims appends records of the claimer, and tells it what came of it.
+func (d *Daemon) appendClaims(records []*schema.Record) {
+	data, err := claimer.Encode(records)
+	if err != nil {
+		return
+	}
+	d.loops.Go(func() {
+		_, err := d.append(d.ctx, provider.StreamOf(d.settings.DataCentre), data)
+		d.post(func(c *core) { c.claimer.Appended(records, err) })
+	})
+}
+
+// send carries an order out beside others, at most as many as the settings
+// allow at a time.
+func (d *Daemon) send(k *keeper.Keeper, o *keeper.Order) {
+	d.loops.Go(func() {
+		select {
+		case d.orders <- struct{}{}:
+		case <-d.ctx.Done():
+			return
+		}
+		defer func() { <-d.orders }()
+		ctx, cancel := d.platformContext()
+		defer cancel()
+		began := d.now()
+		r := o.Do(ctx, d.platform.Workers)
+		d.metrics.Add(measurer.Orders, 1)
+		d.metrics.Record(measurer.OrderTime, d.now().Sub(began).Duration())
+		if r.Err() != nil {
+			d.metrics.Add(measurer.OrderErrors, 1)
+			d.logger.Emit(logger.OrderFailed, logger.String("worker", o.Worker()), logger.Err(r.Err()))
+		}
+		d.post(func(c *core) { k.Done(d.now(), r) })
+	})
+}
+
+// setView shows the request path what executors and services there are.
+func (d *Daemon) setView(hosts []provider.Host, s *declarer.State) {
+	var executors, entries []provider.Host
+	for _, h := range hosts {
+		switch h.Role {
+		case provider.RoleExecutor:
+			executors = append(executors, h)
+		case provider.RoleEntry:
+			entries = append(entries, h)
+		case provider.RoleWorker:
+		}
+	}
+	d.dispatcher.SetView(dispatcher.NewView(executors, entries, s.Services(), s.DataCentres()))
+}
--- /dev/null
+++ b/daemon/requests.go
@@ -0,0 +1,198 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"galenawharf.example/galenawharf/clock"
+	"galenawharf.example/galenawharf/coder"
+	"galenawharf.example/galenawharf/declarer"
+	"galenawharf.example/galenawharf/keeper"
+	"galenawharf.example/galenawharf/provider"
+	"galenawharf.example/galenawharf/schema"
+)
+
+const (
+	// remotePoll is how often work at home in another data centre is asked for.
+	remotePoll = 500 * clock.Millis(1)
+)
+
+// submit puts work into the log under its key, and waits for its end as long
+// as the caller wishes. The first submission of a key counts.
+func (d *Daemon) submit(ctx context.Context, r *schema.SubmitRequest) *schema.Answer {
+	if e := d.codeOfLeaving(); e != nil {
+		return refusal(r.GetKey(), e, 0)
+	}
+	d.begin()
+	defer d.end()
+	job, e := d.submittable(r)
+	if e != nil {
+		return refusal(r.GetKey(), e, 0)
+	}
+	home, err := within(ctx, d, func(c *core) string { return c.home(r.GetKey()) })
+	if err != nil {
+		return refusal(r.GetKey(), coder.New(coder.NotRun, "%v", err), d.settings.Timing.Heartbeat)
+	}
+	if home == "" {
+		if a := d.putIntent(ctx, r, job); a != nil {
+			return a
+		}
+	}
+	return d.await(ctx, &schema.AwaitRequest{Key: r.GetKey(), WaitMillis: r.GetWaitMillis()})
+}
+
+// submittable gives the job that a submission names, or why it can't be run.
+func (d *Daemon) submittable(r *schema.SubmitRequest) (declarer.BatchJob, *coder.Error) {
+	s := d.state.Load()
+	job, known := s.BatchJob(r.GetJob())
+	switch {
+	case !known:
+		return job, coder.At(coder.UnknownName, "job", "no batch job %q is declared", r.GetJob())
+	case job.Team != r.GetTeam():
+		return job, coder.At(coder.UnknownName, "team", "job %q is not of team %q", r.GetJob(), r.GetTeam())
+	case keeper.ReservedKey(r.GetKey()):
+		return job, coder.At(coder.BadFormat, "key", "%q begins with a reserved word", r.GetKey())
+	}
+	return job, nil
+}
+
+// putIntent gives an answer where the work could not be handed in.
+func (d *Daemon) putIntent(ctx context.Context, r *schema.SubmitRequest, job declarer.BatchJob) *schema.Answer {
+	home := keeper.HomeOf(d.state.Load(), r.GetKey())
+	if home == "" {
+		return refusal(r.GetKey(), coder.New(coder.NotRun, "every data centre is taken out"), clock.Minute)
+	}
+	i := &schema.Intent{
+		Key: r.GetKey(), Team: r.GetTeam(), Job: r.GetJob(), Shard: home, Payload: r.GetPayload(),
+		Idempotent: job.Idempotent, ExclusiveKey: job.ExclusiveKey,
+	}
+	if r.GetTimeoutMillis() > 0 {
+		i.DeadlineMillis = int64(d.now()) + r.GetTimeoutMillis()
+	}
+	_, err := d.put(ctx, provider.StreamIntents, &schema.Record{Body: &schema.Record_Intent{Intent: i}})
+	switch coder.Of(err) {
+	case coder.OK:
+		return nil
+	case coder.LogDown, coder.ShuttingDown:
+		return refusal(r.GetKey(), coder.New(coder.NotRun, "%v", err), d.settings.Timing.PlatformCall)
+	}
+	return refusal(r.GetKey(), coder.New(coder.Unknown, "%v: await the key", err), d.settings.Timing.PlatformCall)
+}
+
+// home gives the shard that a key is at home in, "" where it isn't known.
+func (c *core) home(key string) string {
+	home, _ := c.register.Home(key)
+	return home
+}
+
+// await waits for the end of submitted work.
+func (d *Daemon) await(ctx context.Context, r *schema.AwaitRequest) *schema.Answer {
+	if d.inFlight.Load() > int64(d.settings.Limits.Waiters) {
+		return refusal(r.GetKey(), coder.New(coder.Overloaded, "too many callers wait here"), clock.Second)
+	}
+	wait := min(clock.Millis(r.GetWaitMillis()), d.settings.Timing.Wait)
+	end := d.now().Add(wait)
+	w := make(chan keeper.Outcome, 1)
+	defer d.post(func(c *core) { c.forget(r.GetKey(), w) })
+	for {
+		home, err := within(ctx, d, func(c *core) string { return c.listen(r.GetKey(), w) })
+		if err != nil {
+			return refusal(r.GetKey(), coder.New(coder.Unknown, "%v", err), d.settings.Timing.Heartbeat)
+		}
+		a := d.look(ctx, r.GetKey(), home, w)
+		if left := end.Sub(d.now()); a != nil || left <= 0 || !d.pause(ctx, min(left, remotePoll), w) {
+			return finalOrPending(r.GetKey(), a)
+		}
+	}
+}
+
+func finalOrPending(key string, a *schema.Answer) *schema.Answer {
+	if a != nil {
+		return a
+	}
+	return &schema.Answer{RequestId: key, ResultCode: int32(coder.Pending), State: "pending", Reason: "the work has not ended yet: await its key", RetryAfterMillis: int64(clock.Second)}
+}
+
+// listen has the core tell w of the end of a key's work, at once where it has
+// ended, and gives its home.
+func (c *core) listen(key string, w chan keeper.Outcome) string {
+	c.forget(key, w)
+	c.waiters[key] = append(c.waiters[key], w)
+	c.wake(key)
+	return c.home(key)
+}
+
+func (c *core) forget(key string, w chan keeper.Outcome) {
+	kept := c.waiters[key][:0]
+	for _, o := range c.waiters[key] {
+		if o != w {
+			kept = append(kept, o)
+		}
+	}
+	if len(kept) == 0 {
+		delete(c.waiters, key)
+		return
+	}
+	c.waiters[key] = kept
+}
+
+// look gives the answer of a key's work, if it has ended.
+func (d *Daemon) look(ctx context.Context, key, home string, w chan keeper.Outcome) *schema.Answer {
+	select {
+	case o := <-w:
+		return answer(key, int32(o.Code()), o.Answer(), o.State())
+	default:
+	}
+	if home == "" {
+		return refusal(key, coder.New(coder.NotFound, "no work was submitted under %q", key), 0)
+	}
+	if o, known := d.askOutcome(ctx, home, key); known && coder.Code(o.GetResultCode()) != coder.Pending {
+		return answer(key, o.GetResultCode(), o.GetAnswer(), o.GetState())
+	}
+	return nil
+}
+
+// pause waits, shorter where w is told, and gives false where the caller left.
+func (d *Daemon) pause(ctx context.Context, m clock.Millis, w chan keeper.Outcome) bool {
+	t := time.NewTimer(m.Duration())
+	defer t.Stop()
+	select {
+	case o := <-w:
+		w <- o
+		return true
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	case <-d.ctx.Done():
+		return false
+	}
+}
+
+func ended(o keeper.Outcome) bool { return o.Known() && o.Code() != coder.Pending }
+
+func answer(key string, code int32, payload []byte, state string) *schema.Answer {
+	return &schema.Answer{
+		RequestId: key, ResultCode: code, Payload: payload, State: state,
+		Length: int64(len(payload)), Digest: fmt.Sprintf("%016x", xxhash.Sum64(payload)),
+	}
+}
+
+// cancel asks for the end of submitted work.
+func (d *Daemon) cancel(ctx context.Context, r *schema.CancelRequest) (*schema.CancelResponse, error) {
+	home, err := within(ctx, d, func(c *core) string { return c.home(r.GetKey()) })
+	if err != nil {
+		return nil, err
+	}
+	if home == "" {
+		return nil, coder.New(coder.NotFound, "no work was submitted under %q", r.GetKey())
+	}
+	c := &schema.CancelIntent{Key: r.GetKey(), Operator: r.GetOperator()}
+	if _, err := d.put(ctx, provider.StreamIntents, &schema.Record{Body: &schema.Record_Cancel{Cancel: c}}); err != nil {
+		return nil, err
+	}
+	return &schema.CancelResponse{}, nil
+}
--- /dev/null
+++ b/daemon/status.go
@@ -0,0 +1,110 @@
+package daemon
+
+import (
+	"galenawharf.example/galenawharf/clock"
+	"galenawharf.example/galenawharf/provider"
+)
+
+type (
+	// Status is the status page of a daemon.
+	Status struct {
+		Daemon      string        `json:"daemon"`
+		DataCentre  string        `json:"data-centre"`
+		Incarnation int64         `json:"incarnation"`
+		Ready       bool          `json:"ready"`
+		Waiting     string        `json:"waiting-for,omitempty"`
+		Leaving     bool          `json:"leaving"`
+		Config      int64         `json:"config-next-offset"`
+		InFlight    int64         `json:"requests-in-flight"`
+		Shards      []ShardStatus `json:"shards"`
+		Peers       []PeerStatus  `json:"peers"`
+		Hosts       int           `json:"hosts"`
+	}
+
+	// ShardStatus is a shard of the own data centre.
+	ShardStatus struct {
+		Name    string `json:"name"`
+		Epoch   int64  `json:"epoch"`
+		Holder  string `json:"holder"`
+		Owned   bool   `json:"owned-here"`
+		Running int    `json:"running"`
+		Waiting int    `json:"waiting"`
+	}
+
+	// PeerStatus is a peer as the daemon sees it.
+	PeerStatus struct {
+		Name       string       `json:"name"`
+		DataCentre string       `json:"data-centre"`
+		Live       bool         `json:"live"`
+		Silent     clock.Millis `json:"silent-for"`
+		Config     int64        `json:"config-next-offset"`
+	}
+)
+
+func (d *Daemon) status() Status {
+	s, err := within(d.ctx, d, func(c *core) Status { return c.status() })
+	if err != nil {
+		return Status{Daemon: d.settings.Name, DataCentre: d.settings.DataCentre, Waiting: err.Error()}
+	}
+	s.Waiting = d.readyReason()
+	s.Ready = s.Waiting == ""
+	for _, p := range d.peers {
+		s.Peers = append(s.Peers, PeerStatus{
+			Name: p.settings.Name, DataCentre: p.settings.DataCentre, Live: d.live(p),
+			Silent: d.now().Sub(clock.Millis(p.heard.Load())), Config: p.last.Load().GetView().GetNextOffset(),
+		})
+	}
+	return s
+}
+
+func (c *core) status() Status {
+	s := Status{
+		Daemon: c.d.settings.Name, DataCentre: c.d.settings.DataCentre, Incarnation: c.d.incarnation,
+		Leaving: c.d.leaving.Load(), Config: c.state.Next(), InFlight: c.d.inFlight.Load(), Hosts: len(c.hosts),
+	}
+	for _, name := range c.shards() {
+		running, waiting := c.keepers[name].Counts()
+		_, owned := c.claimer.Authority(name, c.d.now())
+		s.Shards = append(s.Shards, ShardStatus{
+			Name: name, Epoch: c.claimer.Ledger().Epoch(name), Holder: c.claimer.Ledger().Holder(name),
+			Owned: owned, Running: running, Waiting: waiting,
+		})
+	}
+	return s
+}
+
+// readyReason gives for what the daemon waits before it serves, or "".
+func (d *Daemon) readyReason() string {
+	if d.leaving.Load() {
+		return "the daemon is leaving"
+	}
+	missing, err := within(d.ctx, d, func(c *core) string {
+		for _, s := range d.streams() {
+			if !c.caughtUp[s] {
+				return s
+			}
+		}
+		return ""
+	})
+	switch {
+	case err != nil:
+		return err.Error()
+	case missing == provider.StreamConfig:
+		return "the declarations have not been read to their end"
+	case missing != "":
+		return "the stream " + missing + " has not been read to its end"
+	}
+	return ""
+}
+
+// workStates gives the state of services and jobs in the own data centre, by
+// name, in words.
+func (c *core) workStates() map[string]string {
+	states := map[string]string{}
+	for _, name := range c.shards() {
+		for work, s := range c.keepers[name].WorkStates() {
+			states[work] = s
+		}
+	}
+	return states
+}
--- a/declarer/item.go
+++ b/declarer/item.go
@@ -118,3 +118,9 @@
 	}
 	return ""
 }
+
+// AtVersion gives the declaration with a version, as a daemon stated it.
+func (i Item) AtVersion(version int64) Item {
+	i.version = version
+	return i
+}
