placer: a Placer that learns

Three-dimensional fit over an index in buckets, spread of replicas, room for urgent work, preemption by least lost work, kept workers for large tasks, quotas and ageing, interference, estimates, quarantine and throttling, each of which can be switched off.

--- /dev/null
+++ b/placer/control.go
@@ -0,0 +1,52 @@
+package placer
+
+import (
+	"cmp"
+	"slices"
+
+	"galenawharf.example/galenawharf/clock"
+	"galenawharf.example/galenawharf/throttler"
+)
+
+// Control gives what relieves services that are disturbed, on the workers as
+// they were at the last call of Place.
+func (p *Placer) Control(now clock.Millis) []throttler.Action {
+	if !p.mechanisms.has(Throttling) {
+		return nil
+	}
+	views := make([]throttler.View, 0, len(p.index.byName))
+	for name, e := range p.index.byName {
+		if s := p.sights[name]; s != nil {
+			views = append(views, throttler.NewView(name, s.pressure, s.until, p.culprits(now, e)))
+		}
+	}
+	slices.SortFunc(views, func(a, b throttler.View) int { return cmp.Compare(a.Worker(), b.Worker()) })
+	return p.throttler.Step(now, views)
+}
+
+// culprits gives the batch tasks of a worker with what the removal of each
+// would do for its services.
+func (p *Placer) culprits(now clock.Millis, e *entry) []throttler.Candidate {
+	var out []throttler.Candidate
+	load := e.load(0)
+	for _, t := range e.worker.residents {
+		r := p.runs[t.id]
+		if t.kind != Batch || r == nil || r.ended != 0 {
+			continue
+		}
+		part := coresOf(t.size) / coresOf(e.worker.capacity) * float64(r.permille) / wholeShare
+		out = append(out, throttler.NewCandidate(t.id, p.relief(e, part, t.class, load), t.lost(now), r.permille))
+	}
+	return out
+}
+
+// relief gives the largest part of a tolerance that a class takes up.
+func (p *Placer) relief(e *entry, part float64, class string, load float64) float64 {
+	most := 0.0
+	for _, v := range e.loads {
+		if v.services > 0 {
+			most = max(most, part*p.effect(v.class, p.learner.Class(class), load).Mean()/v.tolerance)
+		}
+	}
+	return most
+}
--- /dev/null
+++ b/placer/feedback.go
@@ -0,0 +1,165 @@
+package placer
+
+import (
+	"galenawharf.example/galenawharf/clock"
+	"galenawharf.example/galenawharf/coder"
+	"galenawharf.example/galenawharf/learner"
+	"galenawharf.example/galenawharf/sizer"
+)
+
+type (
+	// Outcome is how a run of a task ended.
+	Outcome int
+
+	// Usage is what a task used in a span of time that lies back, by the
+	// owner's clock.
+	Usage struct {
+		task       string
+		from       clock.Millis
+		until      clock.Millis
+		millicores int64
+		memory     int64
+		progress   int64
+	}
+
+	// run is a task that runs or ended lately.
+	run struct {
+		task      Task
+		worker    string
+		began     clock.Millis
+		ended     clock.Millis
+		permille  int
+		changed   clock.Millis
+		maxMemory int64
+	}
+
+	// sight is what was last seen of a worker.
+	sight struct {
+		until    clock.Millis
+		pressure float64
+	}
+)
+
+// How a run of a task ended.
+const (
+	// Succeeded is a run that reported success.
+	Succeeded Outcome = iota
+	// Failed is a run that reported failure.
+	Failed
+	// Stopped is a run that ended by eviction, cancellation or a lapsed lease.
+	Stopped
+)
+
+const (
+	wholeShare = 1000
+	// endedKept is how long a run that ended waits for its last samples.
+	endedKept = 2 * clock.Minute
+)
+
+// NewUsage gives a sample. millicores and memory, in bytes, are means over the
+// span, and progress is in thousandths of what the task would have done alone.
+func NewUsage(task string, from, until clock.Millis, millicores, memory, progress int64) Usage {
+	return Usage{task: task, from: from, until: until, millicores: millicores, memory: memory, progress: progress}
+}
+
+// Started records that a task, with the size that it was granted, began on a
+// worker.
+func (p *Placer) Started(now clock.Millis, t Task, worker string) {
+	p.runs[t.id] = &run{task: t, worker: worker, began: now, permille: wholeShare}
+	p.learner.Started(now, worker, t.id, p.learner.Class(t.class), coresOf(t.size))
+	p.quarantine.Started(now, worker, t.id)
+}
+
+// Ended records how a run of a task ended. whole is how long the task ran from
+// its beginning, over all its runs; code and reason are those of a failure.
+func (p *Placer) Ended(now clock.Millis, task string, o Outcome, whole clock.Millis, code coder.Code, reason string) {
+	r := p.runs[task]
+	if r == nil || r.ended != 0 {
+		return
+	}
+	p.retire(now, r)
+	p.learner.Ended(now, r.worker, task)
+	switch {
+	case o == Succeeded:
+		p.quarantine.Succeeded(r.worker, task, r.task.work)
+		p.estimator.Ran(now, r.task.work, whole)
+	case o == Failed && r.maxMemory > r.task.size.MemoryBytes():
+		p.quarantine.Left(r.worker, task)
+		p.estimator.Overran(now, r.task.work, r.maxMemory)
+	case o == Failed:
+		p.quarantine.Failed(now, r.worker, task, r.task.work, code, reason)
+	default:
+		p.quarantine.Left(r.worker, task)
+		p.estimator.RanAtLeast(now, r.task.work, whole)
+	}
+}
+
+// retire keeps a run that ended until its last samples have come.
+func (p *Placer) retire(now clock.Millis, r *run) {
+	r.ended = now
+	p.ended = append(p.ended, r)
+	for len(p.ended) > 0 && p.ended[0].ended < now-endedKept {
+		old := p.ended[0]
+		p.ended = p.ended[1:]
+		if p.runs[old.task.id] == old {
+			delete(p.runs, old.task.id)
+		}
+	}
+}
+
+// Lost records that a worker is gone with all that ran on it.
+func (p *Placer) Lost(now clock.Millis, worker string) {
+	for id, r := range p.runs {
+		if r.worker == worker {
+			p.Ended(now, id, Stopped, 0, coder.OK, "")
+		}
+	}
+	p.learner.Forget(worker)
+	p.quarantine.Forget(worker)
+	p.throttler.Forget(worker)
+	delete(p.sights, worker)
+}
+
+// Throttled records the share of its processors, in thousandths, that a task
+// may use from now on.
+func (p *Placer) Throttled(now clock.Millis, task string, permille int) {
+	if r := p.runs[task]; r != nil && r.ended == 0 {
+		r.permille = permille
+		r.changed = now
+	}
+}
+
+// Observe learns from the samples of a worker of a capacity.
+func (p *Placer) Observe(now clock.Millis, worker string, capacity sizer.Size, usages []Usage) {
+	samples := make([]learner.Sample, 0, len(usages))
+	for _, u := range usages {
+		r := p.runs[u.task]
+		clean := r != nil && r.permille == wholeShare && u.from >= r.changed && u.from >= r.began
+		samples = append(samples, learner.NewSample(u.task, u.from, u.until, float64(u.millicores)/1000, float64(u.progress)/wholeShare, clean))
+		if r == nil {
+			continue
+		}
+		r.maxMemory = max(r.maxMemory, u.memory)
+		if r.permille == wholeShare {
+			p.estimator.Used(now, r.task.work, u.millicores, u.memory)
+		}
+	}
+	p.see(worker, p.learner.Report(now, worker, coresOf(capacity), samples))
+}
+
+// see notes how hard pressed the services of a worker were.
+func (p *Placer) see(worker string, samples []learner.Sample) {
+	s := p.sights[worker]
+	if s == nil {
+		s = &sight{}
+		p.sights[worker] = s
+	}
+	pressure := 0.0
+	for _, u := range samples {
+		s.until = max(s.until, u.Until())
+		if r := p.runs[u.Task()]; r != nil && r.task.kind == Service {
+			pressure = max(pressure, u.Slowdown()/r.task.tolerance)
+		}
+	}
+	s.pressure = pressure
+}
--- /dev/null
+++ b/placer/placer_bench_test.go
@@ -0,0 +1,70 @@
+package placer
+
+import (
+	"fmt"
+	"strconv"
+	"testing"
+
+	"galenawharf.example/galenawharf/clock"
+)
+
+// benchCluster gives workers that hold about 11 tasks each, 12,200 on 1,100.
+func benchCluster(n int) []Worker {
+	workers := make([]Worker, 0, n)
+	for i := range n {
+		var residents []Task
+		for r := range 11 + i%2 {
+			id := strconv.Itoa(i) + "/" + strconv.Itoa(r)
+			team := "team" + strconv.Itoa((i*11+r)%280)
+			class := "class" + strconv.Itoa((i+r)%12)
+			k, cores := Batch, int64(2+r%2)
+			if r%5 < 2 {
+				k, cores = Service, 1
+			}
+			residents = append(residents, NewTask(id, team, "w"+strconv.Itoa((i+r)%400), class, k, gib(cores, 4, 0)))
+		}
+		capacity := gib(32, 125, int64(i%2)*4)
+		workers = append(workers, workerOf("w"+strconv.Itoa(i), "r"+strconv.Itoa(i/16), capacity, residents...).WithRevision(int64(i+1)))
+	}
+	return workers
+}
+
+// BenchmarkPlace gives the cost of one start, in calls of 20 as they come in a
+// quarter of a second at 78 starts a second, with each task's worker changed
+// before the next call.
+func BenchmarkPlace(b *testing.B) {
+	const perCall = 20
+	for _, backlog := range []int{0, 1000} {
+		for _, n := range []int{50, 138, 1100} {
+			b.Run(fmt.Sprintf("backlog=%d/workers=%d", backlog, n), func(b *testing.B) {
+				p := newPlacer(b)
+				workers := benchCluster(n)
+				for i := range 280 {
+					p.SetQuota("team"+strconv.Itoa(i), gib(2000, 8000, 100))
+				}
+				var stuck []Task
+				for i := range backlog {
+					stuck = append(stuck, NewTask("s"+strconv.Itoa(i), "team"+strconv.Itoa(i%280), "stuck"+strconv.Itoa(i%50), "class1", Batch, gib(31, 120, 0)))
+				}
+				p.Place(1, nil, workers)
+				revision := int64(n + 1)
+				b.ReportAllocs()
+				b.ResetTimer()
+				for done := 0; done < b.N; done += perCall {
+					waiting := make([]Task, 0, perCall+backlog)
+					for i := range perCall {
+						id := strconv.Itoa(done + i)
+						waiting = append(waiting, NewTask(id, "team"+strconv.Itoa((done+i)%280), "j"+id, "class"+strconv.Itoa(i%12), Batch, gib(1, 2, 0)))
+					}
+					waiting = append(waiting, stuck...)
+					p.Place(clock.Millis(done+2), waiting, workers)
+					for i := range perCall {
+						at := (done + i) % n
+						revision++
+						workers[at] = workers[at].WithRevision(revision)
+					}
+				}
+			})
+		}
+	}
+}
--- /dev/null
+++ b/placer/placer_test.go
@@ -0,0 +1,343 @@
+package placer
+
+import (
+	"fmt"
+	"strconv"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"galenawharf.example/galenawharf/clock"
+	"galenawharf.example/galenawharf/coder"
+	"galenawharf.example/galenawharf/quarantiner"
+	"galenawharf.example/galenawharf/sizer"
+)
+
+func newPlacer(t testing.TB, opts ...Option) *Placer {
+	t.Helper()
+	p, err := New(opts...)
+	must.NoError(t, err)
+	return p
+}
+
+func gib(cores, memory, accelerators int64) sizer.Size {
+	return sizer.New(cores*1000, memory*sizer.GiB, accelerators)
+}
+
+// workerOf gives a worker whose free room follows from its residents.
+func workerOf(name, rack string, capacity sizer.Size, residents ...Task) Worker {
+	free := capacity
+	for _, r := range residents {
+		free = free.Sub(r.size)
+	}
+	return NewWorker(name, "a", rack, capacity, free, residents, false)
+}
+
+func batchOf(id string, size sizer.Size, opts ...TaskOption) Task {
+	return NewTask(id, "team", "job-"+id, "batch", Batch, size, opts...)
+}
+
+func serviceOf(id string, size sizer.Size) Task {
+	return NewTask(id, "team", "checks", "check", Service, size)
+}
+
+func TestPlace(t *testing.T) {
+	whole := gib(32, 125, 0)
+	tests := map[string]struct {
+		waiting []Task
+		workers []Worker
+		want    map[string]string
+	}{
+		"the fuller of two": {
+			waiting: []Task{batchOf("1", gib(2, 2, 0))},
+			workers: []Worker{workerOf("x", "r", whole), workerOf("y", "r", whole, batchOf("0", gib(16, 60, 0)))},
+			want:    map[string]string{"1": "y"},
+		},
+		"memory decides": {
+			waiting: []Task{batchOf("1", gib(1, 100, 0))},
+			workers: []Worker{workerOf("x", "r", whole, batchOf("0", gib(1, 60, 0))), workerOf("y", "r", whole)},
+			want:    map[string]string{"1": "y"},
+		},
+		"accelerators are kept": {
+			waiting: []Task{batchOf("1", gib(2, 2, 0)), batchOf("2", gib(2, 2, 2))},
+			workers: []Worker{workerOf("x", "r", gib(32, 125, 2)), workerOf("y", "r", whole)},
+			want:    map[string]string{"1": "y", "2": "x"},
+		},
+		"accelerators in small groups first": {
+			waiting: []Task{batchOf("1", gib(2, 2, 1))},
+			workers: []Worker{workerOf("x", "r", gib(32, 125, 4)), workerOf("y", "r", gib(32, 125, 1))},
+			want:    map[string]string{"1": "y"},
+		},
+		"replicas apart": {
+			waiting: []Task{serviceOf("1", gib(2, 2, 0)), serviceOf("2", gib(2, 2, 0))},
+			workers: []Worker{workerOf("x", "r", whole, serviceOf("0", gib(2, 2, 0))), workerOf("y", "r", whole), workerOf("z", "s", whole)},
+			want:    map[string]string{"1": "z", "2": "y"},
+		},
+		"room is left for urgent work": {
+			waiting: []Task{batchOf("1", gib(1, 1, 0)), serviceOf("2", gib(1, 1, 0))},
+			workers: []Worker{workerOf("x", "r", whole, batchOf("0", gib(30, 60, 0)))},
+			want:    map[string]string{"2": "x"},
+		},
+		"closed takes nothing": {
+			waiting: []Task{serviceOf("1", gib(1, 1, 0))},
+			workers: []Worker{NewWorker("x", "a", "r", whole, whole, nil, true)},
+			want:    map[string]string{},
+		},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			got := map[string]string{}
+			for _, d := range newPlacer(t, Without(Interference)).Place(clock.Hour, tc.waiting, tc.workers) {
+				got[d.Task()] = d.Worker()
+			}
+			must.Eq(t, tc.want, got)
+		})
+	}
+}
+
+// TestNeverOverCapacity places random work again and again, executes some of
+// the decisions, and checks that what is granted fits; it also checks that
+// nothing waits that the naive version would have placed on an idle worker.
+func TestNeverOverCapacity(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		p := newPlacer(t)
+		free := map[string]sizer.Size{}
+		residents := map[string][]Task{}
+		revisions := map[string]int64{}
+		capacity := gib(16, 60, 2)
+		n := rapid.IntRange(1, 20).Draw(rt, "workers")
+		for i := range n {
+			free["w"+strconv.Itoa(i)] = capacity
+		}
+		for call := range 8 {
+			var waiting []Task
+			for i := range rapid.IntRange(0, 30).Draw(rt, "tasks") {
+				size := gib(rapid.Int64Range(1, 16).Draw(rt, "c"), rapid.Int64Range(1, 60).Draw(rt, "m"), rapid.Int64Range(0, 2).Draw(rt, "a"))
+				k := rapid.SampledFrom([]Kind{Service, Exclusive, Watch, Batch}).Draw(rt, "kind")
+				waiting = append(waiting, NewTask(fmt.Sprintf("%d/%d", call, i), "t", "j", "c", k, size))
+			}
+			var workers []Worker
+			for i := range n {
+				name := "w" + strconv.Itoa(i)
+				workers = append(workers, NewWorker(name, "a", "r"+strconv.Itoa(i%3), capacity, free[name], residents[name], false).WithRevision(revisions[name]+1))
+			}
+			decided := map[string]sizer.Size{}
+			for _, d := range p.Place(clock.Millis(call+1)*clock.Second, waiting, workers) {
+				if len(d.Victims()) > 0 {
+					continue
+				}
+				decided[d.Worker()] = decided[d.Worker()].Add(d.Size())
+				must.True(rt, decided[d.Worker()].Fits(free[d.Worker()]))
+				if rapid.Bool().Draw(rt, "executed") {
+					residents[d.Worker()] = append(residents[d.Worker()], NewTask(d.Task(), "t", "j", "c", Batch, d.Size()))
+				}
+			}
+			for name, r := range residents {
+				left := capacity
+				for _, x := range r {
+					left = left.Sub(x.size)
+				}
+				must.False(rt, left.IsNegative())
+				free[name] = left
+				revisions[name] = int64(len(r))
+			}
+		}
+	})
+}
+
+// TestPlacesWhatFirstFitPlaces has urgent tasks one at a time: whenever the
+// naive version finds room, so does Place, without evicting anything.
+func TestPlacesWhatFirstFitPlaces(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		p := newPlacer(t)
+		var workers []Worker
+		for i := range rapid.IntRange(1, 80).Draw(rt, "workers") {
+			held := gib(rapid.Int64Range(0, 15).Draw(rt, "c"), rapid.Int64Range(0, 59).Draw(rt, "m"), 0)
+			workers = append(workers, workerOf("w"+strconv.Itoa(i), "r", gib(16, 60, 0), batchOf(strconv.Itoa(i), held)))
+		}
+		size := gib(rapid.Int64Range(1, 16).Draw(rt, "tc"), rapid.Int64Range(1, 60).Draw(rt, "tm"), 0)
+		waiting := []Task{NewTask("u", "t", "j", "c", Exclusive, size)}
+		naive := FirstFit(1, waiting, workers)
+		got := p.Place(1, waiting, workers)
+		if len(naive) > 0 {
+			must.Len(rt, 1, got)
+			must.Len(rt, 0, got[0].Victims())
+		}
+	})
+}
+
+func TestPreemptsForUrgentWork(t *testing.T) {
+	const now = clock.Hour
+	old := batchOf("old", gib(16, 60, 0), WithStarted(0))
+	fresh := batchOf("fresh", gib(16, 60, 0), WithStarted(now-clock.Second))
+	saved := batchOf("saved", gib(16, 60, 0), WithStarted(0), WithCheckpoint(now))
+	tests := map[string]struct {
+		opts    []Option
+		waiting Task
+		want    []string
+	}{
+		"the least lost work": {waiting: serviceOf("s", gib(8, 8, 0)), want: []string{"saved"}},
+		"as many as needed":   {waiting: serviceOf("s", gib(32, 120, 0)), want: []string{"saved", "fresh"}},
+		"not for batch":       {waiting: batchOf("b", gib(8, 8, 0))},
+		"switched off":        {opts: []Option{Without(Preemption)}, waiting: serviceOf("s", gib(8, 8, 0))},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			workers := []Worker{workerOf("x", "r", gib(32, 120, 0), old, old), workerOf("y", "r", gib(32, 120, 0), fresh, saved)}
+			got := newPlacer(t, tc.opts...).Place(now, []Task{tc.waiting}, workers)
+			if tc.want == nil {
+				must.Len(t, 0, got)
+				return
+			}
+			must.Len(t, 1, got)
+			must.Eq(t, "y", got[0].Worker())
+			must.Eq(t, tc.want, got[0].Victims())
+		})
+	}
+}
+
+// TestLargeTaskIsNotStarved has small tasks arrive for ever on full workers: a
+// worker is kept for the large one.
+func TestLargeTaskIsNotStarved(t *testing.T) {
+	for name, tc := range map[string]struct {
+		opts []Option
+		want bool
+	}{"kept": {want: true}, "switched off": {opts: []Option{Without(Holding)}}} {
+		t.Run(name, func(t *testing.T) {
+			must.Eq(t, tc.want, largeTaskRuns(newPlacer(t, tc.opts...)))
+		})
+	}
+}
+
+func largeTaskRuns(p *Placer) bool {
+	capacity := gib(16, 60, 0)
+	running := map[string][]Task{}
+	for i := range 10 {
+		w := []string{"x", "y"}[i%2]
+		running[w] = append(running[w], batchOf("first"+strconv.Itoa(i), gib(3, 4, 0), WithDeadline(clock.Millis(i+1)*10*clock.Second)))
+	}
+	next := 0
+	for now := clock.Second; now < clock.Hour; now += 10 * clock.Second {
+		waiting := []Task{batchOf("large", gib(12, 40, 0), WithSubmitted(1))}
+		for range 2 {
+			next++
+			waiting = append(waiting, batchOf(strconv.Itoa(next), gib(3, 4, 0), WithPriority(100), WithSubmitted(now)))
+		}
+		for w, tasks := range running {
+			var left []Task
+			for _, t := range tasks {
+				if now < t.deadline {
+					left = append(left, t)
+				}
+			}
+			running[w] = left
+		}
+		workers := []Worker{workerOf("x", "r", capacity, running["x"]...), workerOf("y", "r", capacity, running["y"]...)}
+		for _, d := range p.Place(now, waiting, workers) {
+			if d.Task() == "large" {
+				return true
+			}
+			running[d.Worker()] = append(running[d.Worker()], batchOf(d.Task(), d.Size(), WithDeadline(now+clock.Minute+clock.Millis(len(d.Task())+next%7)*10*clock.Second)))
+		}
+	}
+	return false
+}
+
+// TestAvoidsKnownBadPair teaches that hogs disturb checks and calm tasks don't.
+func TestAvoidsKnownBadPair(t *testing.T) {
+	p := newPlacer(t)
+	capacity := gib(16, 60, 0)
+	check := NewTask("c", "t", "checks", "check", Service, gib(4, 4, 0))
+	p.Started(1, check, "x")
+	now := clock.Millis(1)
+	for i := range 60 {
+		class, progress := "hog", int64(400)
+		if i%2 == 0 {
+			class, progress = "calm", 1000
+		}
+		b := NewTask("b"+strconv.Itoa(i), "t", class, class, Batch, gib(6, 6, 0))
+		p.Started(now, b, "x")
+		from := now
+		now += 10 * clock.Second
+		p.Observe(now, "x", capacity, []Usage{NewUsage("c", from, now, 4000, 1, progress), NewUsage(b.id, from, now, 6000, 1, 1000)})
+		p.Ended(now, b.id, Succeeded, 10*clock.Second, coder.OK, "")
+	}
+	workers := []Worker{workerOf("x", "r", capacity, check), workerOf("y", "r", capacity, batchOf("other", gib(2, 2, 0)))}
+	waiting := []Task{NewTask("1", "t", "new-hog", "hog", Batch, gib(6, 6, 0), WithSubmitted(now)), NewTask("2", "t", "new-calm", "calm", Batch, gib(6, 6, 0), WithSubmitted(now))}
+	got := map[string]string{}
+	for _, d := range p.Place(now, waiting, workers) {
+		got[d.Task()] = d.Worker()
+	}
+	must.Eq(t, "y", got["1"])
+	got = map[string]string{}
+	for _, d := range p.Place(now, waiting, workers[:1]) {
+		got[d.Task()] = d.Worker()
+	}
+	must.Eq(t, map[string]string{"2": "x"}, got)
+}
+
+func TestControlThrottlesTheCulprit(t *testing.T) {
+	p := newPlacer(t)
+	capacity := gib(16, 60, 0)
+	check := NewTask("c", "t", "checks", "check", Service, gib(4, 4, 0))
+	hog := NewTask("hog", "t", "hogs", "hog", Batch, gib(6, 6, 0))
+	now := clock.Second
+	p.Started(now, check, "x")
+	p.Started(now, hog, "x")
+	p.Place(now, nil, []Worker{workerOf("x", "r", capacity, check, hog)})
+	must.Len(t, 0, p.Control(now))
+	p.Observe(now+20*clock.Second, "x", capacity, []Usage{NewUsage("c", now, now+10*clock.Second, 4000, 1, 500)})
+	got := p.Control(now + 20*clock.Second)
+	must.Len(t, 1, got)
+	must.Eq(t, "hog", got[0].Task())
+	must.Eq(t, 500, got[0].Permille())
+	p.Throttled(now+21*clock.Second, "hog", 500)
+	must.Len(t, 0, p.Control(now+22*clock.Second))
+}
+
+// TestFailuresReachTheQuarantine parks a job that fails everywhere, and holds
+// back a worker that fails everything.
+func TestFailuresReachTheQuarantine(t *testing.T) {
+	p := newPlacer(t)
+	fail := func(worker, job string) {
+		task := NewTask(job+worker, "t", job, "c", Batch, gib(1, 1, 0))
+		p.Started(1, task, worker)
+		p.Ended(2, task.id, Failed, 1, coder.Failed, "exit 1")
+	}
+	for _, w := range []string{"x", "y", "z"} {
+		fail(w, "bad")
+	}
+	parking, parked := p.Parked("bad")
+	must.True(t, parked)
+	must.Eq(t, coder.Failed, parking.Code())
+	for _, j := range []string{"a", "b", "c"} {
+		fail("v", j)
+	}
+	must.Eq(t, quarantiner.Quarantined, p.WorkerState("v"))
+	waiting := []Task{NewTask("1", "t", "bad", "c", Batch, gib(1, 1, 0)), serviceOf("2", gib(1, 1, 0))}
+	must.Len(t, 0, p.Place(3, waiting, []Worker{workerOf("v", "r", gib(16, 60, 0))}))
+	p.Unpark("bad")
+	must.Len(t, 1, p.Place(3, waiting[:1], []Worker{workerOf("u", "r", gib(16, 60, 0))}))
+}
+
+func TestQuotaHoldsOverWorkers(t *testing.T) {
+	p := newPlacer(t)
+	p.SetQuota("team", gib(10, 100, 0))
+	workers := []Worker{workerOf("x", "r", gib(16, 60, 0), batchOf("0", gib(6, 6, 0))), workerOf("y", "r", gib(16, 60, 0))}
+	var waiting []Task
+	for i := range 6 {
+		waiting = append(waiting, batchOf("t"+strconv.Itoa(i), gib(2, 2, 0)))
+	}
+	must.Len(t, 2, p.Place(1, waiting, workers))
+	must.Len(t, 2, p.Place(2, waiting, workers))
+	p.ClearQuota("team")
+	must.Len(t, 6, p.Place(3, waiting, workers))
+}
+
+func TestMechanismNames(t *testing.T) {
+	must.Eq(t, len(mechanismNames), 10)
+	must.Eq(t, "interference", Interference.String())
+	must.Eq(t, "holding", Holding.String())
+	must.Eq(t, uint(1)<<len(mechanismNames)-1, uint(allMechanisms))
+}
--- a/placer/task.go
+++ b/placer/task.go
@@ -24,6 +24,7 @@
 		runTime    clock.Millis
 		checkpoint clock.Millis
 		started    clock.Millis
+		tolerance  float64
 	}
 
 	// TaskOption sets up a Task.
@@ -42,9 +43,11 @@
 	Batch
 )
 
+const defaultTolerance = 0.3
+
 // NewTask gives a task of a team's service or job.
 func NewTask(id, team, work, class string, k Kind, size sizer.Size, opts ...TaskOption) Task {
-	t := Task{id: id, team: team, work: work, class: class, kind: k, size: size, deadline: clock.Never}
+	t := Task{id: id, team: team, work: work, class: class, kind: k, size: size, deadline: clock.Never, tolerance: defaultTolerance}
 	for _, o := range opts {
 		o(&t)
 	}
@@ -69,6 +72,10 @@
 // WithStarted sets when a running task began.
 func WithStarted(at clock.Millis) TaskOption { return func(t *Task) { t.started = at } }
 
+// WithTolerance sets the slowdown by neighbours under which a service holds its
+// latency target: 0.25 for a quarter longer than alone.
+func WithTolerance(slowdown float64) TaskOption { return func(t *Task) { t.tolerance = slowdown } }
+
 // ID gives the unique name.
 func (t Task) ID() string { return t.id }
 
@@ -104,3 +111,16 @@
 
 // Started gives when it began to run, 0 while it waits.
 func (t Task) Started() clock.Millis { return t.started }
+
+// Tolerance gives the slowdown that a service bears, 0.25 for a quarter longer
+// than alone.
+func (t Task) Tolerance() float64 { return t.tolerance }
+
+// urgent tells whether the task goes before batch tasks.
+func (t Task) urgent() bool { return t.kind != Batch }
+
+// lost gives the core-seconds that an eviction at a moment loses.
+func (t Task) lost(now clock.Millis) float64 {
+	since := max(t.started, t.checkpoint)
+	return coresOf(t.size) * float64(max(now-since, 0)) / float64(clock.Second)
+}
--- a/placer/worker.go
+++ b/placer/worker.go
@@ -12,6 +12,7 @@
 		free       sizer.Size
 		residents  []Task
 		closed     bool
+		revision   int64
 	}
 
 	// Decision is that a task goes to a worker. Where victims are named, they
@@ -20,6 +21,7 @@
 		task    string
 		worker  string
 		victims []string
+		size    sizer.Size
 	}
 )
 
@@ -34,6 +36,20 @@
 	return Decision{task: task, worker: worker, victims: victims}
 }
 
+// WithRevision gives the worker with a number that changes whenever anything
+// else of it does. A Placer looks again only at workers whose number changed;
+// 0 is never taken as unchanged.
+func (w Worker) WithRevision(n int64) Worker {
+	w.revision = n
+	return w
+}
+
+// WithSize gives the decision with the size to grant.
+func (d Decision) WithSize(s sizer.Size) Decision {
+	d.size = s
+	return d
+}
+
 // Name gives the host's name.
 func (w Worker) Name() string { return w.name }
 
@@ -63,3 +79,7 @@
 
 // Victims gives the tasks to evict first.
 func (d Decision) Victims() []string { return d.victims }
+
+// Size gives the size to grant, which may differ from what is declared; zero
+// for the declared size.
+func (d Decision) Size() sizer.Size { return d.size }
--- a/throttler/view.go
+++ b/throttler/view.go
@@ -43,6 +43,9 @@
 	return Candidate{task: task, relief: relief, cost: cost, permille: permille}
 }
 
+// Worker gives the worker's name.
+func (v View) Worker() string { return v.worker }
+
 // worth gives the relief for the cost: throttling loses little.
 func (c Candidate) worth() float64 {
 	if c.permille > secondStep {
