meter: hourly usage records that add up to the leases, and a ledger of them

Cause: a bill needs every lease's time exactly once, though owners take over, appends are tried twice and answers get lost. Change: an hour's record is what is owed up to its end less what the records before it say; the first record of a shard and hour counts.

--- /dev/null
+++ b/meter/ledger_test.go
@@ -0,0 +1,206 @@
+package meter
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"galenawharf.example/galenawharf/clock"
+	"galenawharf.example/galenawharf/coder"
+	"galenawharf.example/galenawharf/schema"
+)
+
+func zoneOf(t testing.TB, name string) *time.Location {
+	z, err := time.LoadLocation(name)
+	must.NoError(t, err)
+	return z
+}
+
+func usageOf(shard string, hour clock.Millis, held ...int64) *schema.Usage {
+	u := &schema.Usage{Shard: shard, HourMillis: int64(hour)}
+	for n, h := range held {
+		u.Lines = append(u.Lines, &schema.UsageLine{Team: "a", Work: fmt.Sprint("w", n), ReservedMillicoreMillis: h, TaskMillis: 1})
+	}
+	return u
+}
+
+func TestLedgerAdd(t *testing.T) {
+	hour := clock.Millis(epoch)
+	tests := map[string]struct {
+		records []*schema.Usage
+		offsets []int64
+		want    []coder.Code
+		total   int64
+	}{
+		"two hours":       {records: []*schema.Usage{usageOf(shard, hour, 3), usageOf(shard, hour+clock.Hour, 4)}, want: []coder.Code{coder.OK, coder.OK}, total: 7},
+		"twice":           {records: []*schema.Usage{usageOf(shard, hour, 3), usageOf(shard, hour, 3)}, want: []coder.Code{coder.OK, coder.OK}, total: 3},
+		"differs":         {records: []*schema.Usage{usageOf(shard, hour, 3), usageOf(shard, hour, 4)}, want: []coder.Code{coder.OK, coder.UsageDiffers}, total: 3},
+		"out of order":    {records: []*schema.Usage{usageOf(shard, hour+clock.Hour, 3), usageOf(shard, hour, 4)}, want: []coder.Code{coder.OK, coder.OK}, total: 7},
+		"too old":         {records: []*schema.Usage{usageOf(shard, hour, 3), usageOf(shard, hour-500*clock.Day, 4)}, want: []coder.Code{coder.OK, coder.UsageTooOld}, total: 3},
+		"offset replayed": {records: []*schema.Usage{usageOf(shard, hour, 3), usageOf(shard, hour+clock.Hour, 4)}, offsets: []int64{5, 5}, want: []coder.Code{coder.OK, coder.OK}, total: 3},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			l := NewLedger(zoneOf(t, "Europe/Ljubljana"))
+			for n, u := range tc.records {
+				offset := int64(n)
+				if tc.offsets != nil {
+					offset = tc.offsets[n]
+				}
+				_, f := l.Add(offset, u)
+				got := coder.OK
+				if f != nil {
+					got = f.Code()
+				}
+				must.Eq(t, tc.want[n], got)
+			}
+			must.Eq(t, tc.total, totalOf(l))
+		})
+	}
+}
+
+func totalOf(l *Ledger) int64 {
+	total := int64(0)
+	for _, d := range l.Days(0, clock.Never) {
+		for _, c := range d.Cells() {
+			total += d.Amounts(c)[ReservedProcessors]
+		}
+	}
+	return total
+}
+
+// TestLedgerKeepsNothingTwice: records that come twice, late and out of order,
+// over days that are packed meanwhile and snapshots, add up once.
+func TestLedgerKeepsNothingTwice(t *testing.T) {
+	zone := zoneOf(t, "America/Port_of_Spain")
+	rapid.Check(t, func(t *rapid.T) {
+		l := NewLedger(zone)
+		want := map[clock.Millis]map[Cell]Amounts{}
+		seen := map[string]bool{}
+		for n := range rapid.IntRange(1, 60).Draw(t, "records") {
+			s := fmt.Sprint("dc-", rapid.IntRange(0, 2).Draw(t, "dc"), "/", rapid.IntRange(0, 1).Draw(t, "shard"))
+			h := clock.Millis(epoch) + clock.Millis(rapid.IntRange(0, 240).Draw(t, "hour"))*clock.Hour
+			u := usageOf(s, h, rapid.Int64Range(-5, 1<<50).Draw(t, "a"), rapid.Int64Range(0, 9).Draw(t, "b"))
+			l.Add(int64(n), u)
+			if k := fmt.Sprint(s, h); !seen[k] {
+				seen[k] = true
+				addNaive(want, DayOf(h, zone), u)
+			}
+			if rapid.IntRange(0, 9).Draw(t, "restart") == 0 {
+				l = RestoreLedger(l.Snapshot(), zone)
+			}
+		}
+		got := map[clock.Millis]map[Cell]Amounts{}
+		for _, d := range l.Days(0, clock.Never) {
+			got[d.Start()] = d.cells
+		}
+		must.Eq(t, want, got)
+	})
+}
+
+func addNaive(sums map[clock.Millis]map[Cell]Amounts, day clock.Millis, u *schema.Usage) {
+	if sums[day] == nil {
+		sums[day] = map[Cell]Amounts{}
+	}
+	for _, l := range u.GetLines() {
+		c := NewCell(dataCentreOf(u.GetShard()), l.GetTeam(), l.GetWork())
+		s := sums[day][c]
+		s.Add(AmountsOf(l))
+		sums[day][c] = s
+	}
+}
+
+func TestDayOf(t *testing.T) {
+	tests := map[string]struct {
+		zone  string
+		at    string
+		start string
+	}{
+		"summer begins": {"Europe/Ljubljana", "2026-03-29T20:00:00Z", "2026-03-28T23:00:00Z"},
+		"summer":        {"Europe/Ljubljana", "2026-03-29T22:00:00Z", "2026-03-29T22:00:00Z"},
+		"summer ends":   {"Europe/Ljubljana", "2026-10-25T22:59:59Z", "2026-10-24T22:00:00Z"},
+		"leap day":      {"Europe/Ljubljana", "2028-02-29T22:00:00Z", "2028-02-28T23:00:00Z"},
+		"west":          {"America/Port_of_Spain", "2026-01-01T03:59:59Z", "2025-12-31T04:00:00Z"},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			at, err := time.Parse(time.RFC3339, tc.at)
+			must.NoError(t, err)
+			got := DayOf(clock.FromTime(at), zoneOf(t, tc.zone))
+			must.Eq(t, tc.start, got.Time().Format(time.RFC3339))
+		})
+	}
+}
+
+func TestGaps(t *testing.T) {
+	l := NewLedger(time.UTC)
+	for n, h := range []clock.Millis{0, 1, 4, 5} {
+		l.Add(int64(2*n), usageOf("a/0", epoch+h*clock.Hour, 1))
+	}
+	l.Add(100, usageOf("b/0", epoch, 1))
+	gaps := l.Gaps(epoch, l.Until(), 2*clock.Hour)
+	must.Eq(t, []Gap{
+		{shard: "a/0", from: epoch + 2*clock.Hour, until: epoch + 4*clock.Hour},
+		{shard: "b/0", from: epoch + clock.Hour, until: epoch + 6*clock.Hour},
+	}, gaps)
+}
+
+func FuzzUnpack(f *testing.F) {
+	l := NewLedger(time.UTC)
+	l.Add(0, usageOf(shard, epoch, 3, 4))
+	s := l.Snapshot()
+	f.Add(s.GetDays()[0].GetSums())
+	f.Fuzz(func(_ *testing.T, packed []byte) {
+		l.unpack(epoch, packed)
+	})
+}
+
+// BenchmarkLedger gives the bytes and time of 13 months by day at the size of
+// the target: 8 data centres, 280 teams and the given number of works.
+func BenchmarkLedger(b *testing.B) {
+	for _, works := range []int{250, 500, 1000} {
+		b.Run(fmt.Sprint(works, "-works"), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				l := yearOf(works)
+				s, err := proto.Marshal(l.Snapshot())
+				must.NoError(b, err)
+				packed := 0
+				for _, d := range l.days {
+					packed += len(d.packed)
+				}
+				b.ReportMetric(float64(len(s)), "snapshot-bytes")
+				b.ReportMetric(float64(packed), "packed-bytes")
+			}
+		})
+	}
+}
+
+// yearOf gives 13 months of daily sums: each work in 3 of 8 data centres, half
+// of them standing, with hours that differ by a few seconds from day to day.
+func yearOf(works int) *Ledger {
+	l := NewLedger(time.UTC)
+	for day := range 395 {
+		at := clock.Millis(epoch) + clock.Millis(day)*clock.Day
+		d := newDay(at)
+		for w := range works {
+			for k := range 3 {
+				c := NewCell(fmt.Sprint("dc-", (w+k)%8), fmt.Sprint("team-", w%280), fmt.Sprint("work-", w))
+				l.intern(c)
+				held := int64(24 * clock.Hour)
+				if w%2 == 0 {
+					held = int64(day*7919+w*104729+k*1299709) % int64(clock.Hour)
+				}
+				d.add(at, c, Amounts{held * 2000, held * 4096, 0, held * 1013, held * 2017, 0, 0, 0, 0, held, 1})
+			}
+		}
+		l.last = max(l.last, at+clock.Day)
+		l.store(d)
+		l.tidy()
+	}
+	return l
+}
