--- a/meter/ledger_test.go
+++ b/meter/ledger_test.go
@@ -29,7 +29,7 @@
 }
 
 func TestLedgerAdd(t *testing.T) {
-	hour := clock.Millis(epoch)
+	hour := epoch
 	tests := map[string]struct {
 		records []*schema.Usage
 		offsets []int64
@@ -83,7 +83,7 @@
 		seen := map[string]bool{}
 		for n := range rapid.IntRange(1, 60).Draw(t, "records") {
 			s := fmt.Sprint("dc-", rapid.IntRange(0, 2).Draw(t, "dc"), "/", rapid.IntRange(0, 1).Draw(t, "shard"))
-			h := clock.Millis(epoch) + clock.Millis(rapid.IntRange(0, 240).Draw(t, "hour"))*clock.Hour
+			h := epoch + clock.Millis(rapid.IntRange(0, 240).Draw(t, "hour"))*clock.Hour
 			u := usageOf(s, h, rapid.Int64Range(-5, 1<<50).Draw(t, "a"), rapid.Int64Range(0, 9).Draw(t, "b"))
 			l.Add(int64(n), u)
 			if k := fmt.Sprint(s, h); !seen[k] {
@@ -185,7 +185,7 @@
 func yearOf(works int) *Ledger {
 	l := NewLedger(time.UTC)
 	for day := range 395 {
-		at := clock.Millis(epoch) + clock.Millis(day)*clock.Day
+		at := epoch + clock.Millis(day)*clock.Day
 		d := newDay(at)
 		for w := range works {
 			for k := range 3 {
