--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -262,3 +262,6 @@
 	}
 	return nil
 }
+
+// NoteSecondSignal notes that the daemon was told again to stop.
+func (d *Daemon) NoteSecondSignal() { d.logger.Emit(logger.StopRepeated) }
--- a/logger/event.go
+++ b/logger/event.go
@@ -35,6 +35,9 @@
 // String gives a detail that is a text.
 func String(name, value string) Field { return Field{name: name, value: value} }
 
+// Text gives a detail of any kind, written as text.
+func Text(name string, value any) Field { return Field{name: name, value: fmt.Sprint(value)} }
+
 // Int gives a detail that is a whole number.
 func Int(name string, value int64) Field { return Field{name: name, value: value} }
 
