keeper: the lives of a shard's tasks, thin

Cause: nothing decided yet what runs where. The keeper is a pure core: it follows intents and valid task events, and under an authority gives records, orders and events. A start leaves only after its record was read back; what another owner granted is unclear until inventory or lapse.

A worker's answer says how many ended tasks wait to be fetched, so that a heartbeat finds ends without listing everything.

--- a/imitator/worker.go
+++ b/imitator/worker.go
@@ -211,6 +211,17 @@
 	return provider.Stamp{Boot: strconv.Itoa(w.boot), Reading: int64(w.reading())}
 }
 
+// reply gives an answer that says how many of the shard's tasks have ended.
+func (w *Worker) reply(f provider.Fence) provider.Reply {
+	r := provider.Reply{Stamp: w.stamp()}
+	for _, t := range w.tasks {
+		if t.order.Fence.Shard == f.Shard && t.phase != provider.PhaseRunning {
+			r.Ended++
+		}
+	}
+	return r
+}
+
 // settle brings tasks that have ended or lapsed up to date.
 func (w *Worker) settle() {
 	now := w.reading()
@@ -278,7 +289,7 @@
 	w.starts = append(w.starts, o.Incarnation)
 	w.settle()
 	w.watch()
-	return provider.Reply{Stamp: w.stamp()}, nil
+	return w.reply(o.Fence), nil
 }
 
 func (w *Worker) begin(o provider.StartOrder) *task {
@@ -325,7 +336,7 @@
 			t.leaseUntil = max(t.leaseUntil, clock.Millis(o.LeaseUntil))
 		}
 	}
-	return provider.Reply{Stamp: w.stamp()}, nil
+	return w.reply(o.Fence), nil
 }
 
 func (w *Worker) running(o provider.TaskOrder) (*task, error) {
--- /dev/null
+++ b/keeper/config.go
@@ -0,0 +1,129 @@
+package keeper
+
+import (
+	"strings"
+
+	"galenawharf.example/galenawharf/declarer"
+	"galenawharf.example/galenawharf/placer"
+	"galenawharf.example/galenawharf/schema"
+)
+
+// SetConfig sets the declarations in force.
+func (k *Keeper) SetConfig(s *declarer.State) {
+	if s == k.config {
+		return
+	}
+	k.config = s
+	k.readSpecs()
+	k.wantReplicas()
+	for _, t := range k.tasks {
+		k.resolve(t)
+		k.touch(t)
+	}
+	was := k.drained
+	k.drained = s.DataCentreDrained(k.dataCentre)
+	if !was && k.drained {
+		k.drainedAt = k.now
+	}
+	if was && !k.drained {
+		k.ramp.begin(k.now)
+	}
+	k.proposeAt = 0
+}
+
+func (k *Keeper) readSpecs() {
+	clear(k.specs)
+	for _, s := range k.config.Services() {
+		k.specs[declarer.KeyOf(declarer.KindService, s.Name)] = &spec{
+			team: s.Team, work: s.Name, class: s.Class, kind: placer.Service,
+			size: s.Size.Size(), priority: s.Priority, idempotent: true,
+		}
+	}
+	for _, b := range k.config.BatchJobs() {
+		kind := placer.Batch
+		if b.ExclusiveKey != "" || !b.Idempotent {
+			kind = placer.Exclusive
+		}
+		k.specs[declarer.KeyOf(declarer.KindBatchJob, b.Name)] = &spec{
+			team: b.Team, work: b.Name, class: b.Class, kind: kind,
+			size: b.Size.Size(), priority: b.Priority, runTime: b.RunTime,
+			checkpoint: b.CheckpointInterval, idempotent: b.Idempotent,
+		}
+	}
+	for _, w := range k.config.WatchJobs() {
+		k.specs[declarer.KeyOf(declarer.KindWatchJob, w.Name)] = &spec{
+			team: w.Team, work: w.Name, class: w.Class, kind: placer.Watch,
+			size: w.Size.Size(), priority: w.Priority, checkpoint: w.Period, idempotent: true,
+		}
+	}
+}
+
+// resolve sets what the declarations say of a task. Work whose job is no
+// longer declared keeps what it had, save that standing work is not wanted.
+func (k *Keeper) resolve(t *task) {
+	if t.intent == nil {
+		return
+	}
+	name := t.intent.GetJob()
+	if s, known := k.specs[declarer.KeyOf(declarer.KindWatchJob, name)]; known {
+		t.spec = s
+		t.wanted = true
+		return
+	}
+	if s, known := k.specs[declarer.KeyOf(declarer.KindBatchJob, name)]; known {
+		t.spec = s
+		t.wanted = true
+		return
+	}
+	t.wanted = !strings.HasPrefix(t.id, prefixWatch)
+}
+
+func (k *Keeper) wantReplicas() {
+	wanted := map[string]bool{}
+	for _, s := range k.config.Services() {
+		sp := k.specs[declarer.KeyOf(declarer.KindService, s.Name)]
+		for n := range s.Replicas {
+			if homeOfReplica(k.config, s.Name, n) != k.shard {
+				continue
+			}
+			id := replicaName(s.Name, n)
+			wanted[id] = true
+			t := k.replica(id)
+			t.spec = sp
+			t.wanted = true
+		}
+	}
+	for id, t := range k.tasks {
+		if strings.HasPrefix(id, prefixService) && !wanted[id] {
+			t.wanted = false
+		}
+	}
+}
+
+func (k *Keeper) replica(id string) *task {
+	t, known := k.tasks[id]
+	if !known {
+		t = &task{id: id, state: stateWaiting, submitted: k.now}
+		k.tasks[id] = t
+		k.waiting[id] = t
+	}
+	return t
+}
+
+// propose submits the watch jobs that have no home yet. Several keepers may;
+// the first counts.
+func (k *Keeper) propose() {
+	if k.now < k.proposeAt {
+		return
+	}
+	k.proposeAt = k.now + proposeInterval
+	for _, w := range k.config.WatchJobs() {
+		key := prefixWatch + w.Name
+		if _, known := k.register.Home(key); known || HomeOf(k.config, key) != k.shard {
+			continue
+		}
+		k.append(intentsStream, &schema.Record{Body: &schema.Record_Intent{Intent: &schema.Intent{
+			Key: key, Team: w.Team, Job: w.Name, Shard: k.shard, Idempotent: true, ExclusiveKey: key,
+		}}})
+	}
+}
--- /dev/null
+++ b/keeper/keeper_test.go
@@ -0,0 +1,117 @@
+package keeper
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"galenawharf.example/galenawharf/clock"
+	"galenawharf.example/galenawharf/coder"
+	"galenawharf.example/galenawharf/declarer"
+	"galenawharf.example/galenawharf/schema"
+	"galenawharf.example/galenawharf/sizer"
+)
+
+func TestSubmittedWorkRunsOnce(t *testing.T) {
+	w := newWorld(2, sizer.New(4000, 8*sizer.GiB, 0))
+	w.declareUsual(t)
+	n := w.add("d1")
+	n.claim(clock.Minute)
+	w.submit("july", "invoice", nil)
+	w.submit("july", "invoice", nil)
+	w.submit("monday", "roster", nil)
+	w.run(5*clock.Second, 100)
+	must.Eq(t, coder.Pending, n.keeper.Outcome("july").Code())
+	w.run(30*clock.Second, 100)
+	must.Eq(t, coder.OK, n.keeper.Outcome("july").Code())
+	must.Eq(t, "done: july", string(n.keeper.Outcome("july").Answer()))
+	must.Eq(t, coder.OK, n.keeper.Outcome("monday").Code())
+	must.False(t, n.keeper.Outcome("august").Known())
+	must.Eq(t, 1, w.starts("july"))
+	must.Eq(t, 1, w.starts("monday"))
+}
+
+func TestReplicasRunAndMove(t *testing.T) {
+	w := newWorld(2, sizer.New(4000, 8*sizer.GiB, 0))
+	w.declareUsual(t)
+	w.declare(t, declarer.KindService, "faults", `{"name":"faults","team":"billing","replicas":3,"size":{"processors":1,"memory":"1GiB"},"latency-target":"50ms"}`)
+	n := w.add("d1")
+	n.claim(clock.Minute)
+	w.run(2*clock.Second, 100)
+	must.Eq(t, 3, w.starts("service/faults/"))
+	w.declare(t, declarer.KindDrain, "host.w0000", `{"name":"host.w0000"}`)
+	w.run(5*clock.Second, 100)
+	on0, _ := w.workers["w0000"].Running()
+	on1, _ := w.workers["w0001"].Running()
+	must.Len(t, 0, on0)
+	must.Len(t, 3, on1)
+}
+
+func TestCancelled(t *testing.T) {
+	tests := map[string]struct {
+		before clock.Millis
+		starts int
+	}{
+		"before the start": {before: 0, starts: 0},
+		"while it runs":    {before: 5 * clock.Second, starts: 1},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(1, sizer.New(4000, 8*sizer.GiB, 0))
+			w.declareUsual(t)
+			n := w.add("d1")
+			n.claim(clock.Minute)
+			w.submit("july", "invoice", nil)
+			w.run(tc.before, 100)
+			w.cancel("july")
+			w.run(10*clock.Second, 100)
+			must.Eq(t, coder.Cancelled, n.keeper.Outcome("july").Code())
+			must.Eq(t, tc.starts > 0, n.keeper.Outcome("july").Ran())
+			must.Eq(t, tc.starts, w.starts("july"))
+			on, _ := w.workers["w0000"].Running()
+			must.Len(t, 0, on)
+		})
+	}
+}
+
+func TestTakeoverAdopts(t *testing.T) {
+	w := newWorld(2, sizer.New(4000, 8*sizer.GiB, 0))
+	w.declareUsual(t)
+	a := w.add("d1")
+	b := w.add("d2")
+	a.claim(clock.Minute)
+	w.submit("july", "invoice", nil)
+	w.run(2*clock.Second, 100)
+	delete(w.nodes, "d1")
+	b.claim(clock.Minute)
+	w.run(30*clock.Second, 100)
+	must.Eq(t, coder.OK, b.keeper.Outcome("july").Code())
+	must.Eq(t, 1, w.starts("july"))
+}
+
+func TestExclusiveKeyRunsAlone(t *testing.T) {
+	w := newWorld(2, sizer.New(4000, 8*sizer.GiB, 0))
+	w.declareUsual(t)
+	n := w.add("d1")
+	n.claim(clock.Minute)
+	for _, key := range []string{"a", "b"} {
+		w.submit(key, "roster", func(i *schema.Intent) { i.ExclusiveKey = "crossing-7" })
+	}
+	w.run(10*clock.Second, 100)
+	must.Eq(t, 1, w.starts("a")+w.starts("b"))
+	w.run(40*clock.Second, 100)
+	must.Eq(t, coder.OK, n.keeper.Outcome("a").Code())
+	must.Eq(t, coder.OK, n.keeper.Outcome("b").Code())
+}
+
+func TestNeverFits(t *testing.T) {
+	w := newWorld(1, sizer.New(4000, 8*sizer.GiB, 0))
+	w.declareUsual(t)
+	w.declare(t, declarer.KindBatchJob, "huge", `{"name":"huge","team":"billing","size":{"processors":64,"memory":"1GiB"},"run-time":"20s","idempotent":true}`)
+	n := w.add("d1")
+	n.claim(clock.Minute)
+	w.submit("x", "huge", nil)
+	w.run(40*clock.Second, 100)
+	must.Eq(t, coder.NeverFits, n.keeper.Outcome("x").Code())
+	must.False(t, n.keeper.Outcome("x").Ran())
+}
--- a/provider/worker.go
+++ b/provider/worker.go
@@ -74,6 +74,9 @@
 		Stamp Stamp `json:"stamp"`
 		// Checkpoint is the state that a checkpoint or stop saved.
 		Checkpoint string `json:"checkpoint,omitempty"`
+		// Ended is the number of the shard's tasks that have ended and were
+		// not forgotten.
+		Ended int `json:"ended,omitempty"`
 	}
 
 	// TaskPhase is where a task on a worker is in its life.
