--- a/keeper/apply.go
+++ b/keeper/apply.go
@@ -8,6 +8,7 @@
 	"galenawharf.example/galenawharf/coder"
 	"galenawharf.example/galenawharf/provider"
 	"galenawharf.example/galenawharf/schema"
+	"galenawharf.example/galenawharf/sizer"
 )
 
 const (
@@ -188,6 +189,8 @@
 	t.incarnation = e.GetIncarnation()
 	t.worker = e.GetWorker()
 	t.boot = e.GetBoot()
+	r := e.GetReservation()
+	t.reserved = sizer.New(r.GetMillicores(), r.GetMemoryBytes(), r.GetAccelerators())
 	t.ran = true
 	delete(k.waiting, t.id)
 	if x := t.intent.GetExclusiveKey(); x != "" {
--- a/keeper/placing.go
+++ b/keeper/placing.go
@@ -175,7 +175,7 @@
 	}
 	k.record(t, &schema.TaskEvent{
 		Task: t.id, Incarnation: l.incarnation.Number, State: schema.TaskState_TASK_STATE_STARTING,
-		Worker: h.name, Boot: l.boot, Checkpoint: t.checkpoint,
+		Worker: h.name, Boot: l.boot, Checkpoint: t.checkpoint, Reservation: t.reservation(),
 	})
 	if t.service() {
 		k.startReplica(t, h, l)
@@ -188,6 +188,7 @@
 	t.state = stateGranted
 	t.worker = h.name
 	t.boot = l.boot
+	t.reserved = l.size
 	delete(k.waiting, t.id)
 	k.move(l, leaseRecord)
 }
--- a/keeper/step.go
+++ b/keeper/step.go
@@ -83,9 +83,7 @@
 		boot:        t.boot,
 		lapseBy:     k.now + ShortLease + 2*ShortLease*provider.RateMarginPermille/1000,
 		granted:     k.now,
-	}
-	if t.spec != nil {
-		l.size = t.spec.size
+		size:        t.reserved,
 	}
 	if t.service() {
 		l.lapseBy = clock.Never
--- a/keeper/task.go
+++ b/keeper/task.go
@@ -32,17 +32,19 @@
 		// incarnation is the number of the last run, 0 for none.
 		incarnation int64
 		worker      string
-		boot        string
-		checkpoint  string
-		failures    int
-		code        coder.Code
-		answer      []byte
-		endedAt     clock.Millis
-		submitted   clock.Millis
-		notBefore   clock.Millis
-		cancelled   bool
-		wanted      bool
-		ran         bool
+		// reserved is the size of the run that the log has.
+		reserved   sizer.Size
+		boot       string
+		checkpoint string
+		failures   int
+		code       coder.Code
+		answer     []byte
+		endedAt    clock.Millis
+		submitted  clock.Millis
+		notBefore  clock.Millis
+		cancelled  bool
+		wanted     bool
+		ran        bool
 		// pending is the id of the record that a decision waits for.
 		pending string
 		lease   *lease
@@ -74,6 +76,18 @@
 	return t.spec.kind == placer.Watch || t.intent.GetIdempotent()
 }
 
+// reservation gives what a run that begins now holds, and who pays for it.
+func (t *task) reservation() *schema.Reservation {
+	return &schema.Reservation{
+		Team:         t.spec.team,
+		Work:         t.spec.work,
+		Millicores:   t.spec.size.Millicores(),
+		MemoryBytes:  t.spec.size.MemoryBytes(),
+		Accelerators: t.spec.size.Accelerators(),
+		Standing:     t.spec.kind == placer.Service || t.spec.kind == placer.Watch,
+	}
+}
+
 // waitingTask gives what the next home of the task has to know.
 func (t *task) waitingTask() *schema.WaitingTask {
 	return &schema.WaitingTask{
