--- a/daemon/core.go
+++ b/daemon/core.go
@@ -12,6 +12,7 @@
 	"galenawharf.example/galenawharf/keeper"
 	"galenawharf.example/galenawharf/logger"
 	"galenawharf.example/galenawharf/measurer"
+	"galenawharf.example/galenawharf/meter"
 	"galenawharf.example/galenawharf/provider"
 	"galenawharf.example/galenawharf/schema"
 )
@@ -23,6 +24,9 @@
 		claimer  *claimer.Claimer
 		register *keeper.Register
 		keepers  map[string]*keeper.Keeper
+		meters   map[string]*meter.Meter
+		// ledger is nil until an operator, and so a time zone, is declared.
+		ledger *meter.Ledger
 		state    *declarer.State
 		hosts    []provider.Host
 		caughtUp map[string]bool
@@ -31,6 +35,9 @@
 		confirmations map[string]func(confirmation)
 		waiters       map[string][]chan keeper.Outcome
 		held          []string
+		// billAt is when a shard's next usage record may be written.
+		billAt map[string]clock.Millis
+		faults []meter.Fault
 	}
 
 	// confirmation is what a record came to.
@@ -47,11 +54,13 @@
 		claimer:       c,
 		register:      keeper.NewRegister(),
 		keepers:       map[string]*keeper.Keeper{},
+		meters:        map[string]*meter.Meter{},
 		state:         declarer.NewState(),
 		caughtUp:      map[string]bool{},
 		next:          map[string]provider.Offset{},
 		confirmations: map[string]func(confirmation){},
 		waiters:       map[string][]chan keeper.Outcome{},
+		billAt:        map[string]clock.Millis{},
 	}
 }
 
@@ -82,6 +91,8 @@
 		c.change(o, r)
 	case provider.StreamIntents:
 		c.intent(o, r)
+	case provider.StreamUsage:
+		c.usage(o, r)
 	default:
 		c.event(o, r)
 	}
@@ -116,6 +127,7 @@
 	c.d.state.Store(s)
 	c.d.metrics.Set(measurer.ConfigOffset, float64(s.Next()))
 	c.setShards()
+	c.setZone()
 	for _, k := range c.keepers {
 		k.SetConfig(s)
 	}
@@ -143,6 +155,7 @@
 	k := keeper.New(shard, c.d.settings.DataCentre, c.d.settings.Name, c.register)
 	k.SetConfig(c.state)
 	c.keepers[shard] = k
+	c.meters[shard] = meter.New(shard)
 	return k
 }
 
@@ -162,6 +175,7 @@
 	for _, k := range c.keepers {
 		k.ApplyEvent(r)
 	}
+	c.meterEvent(o, r)
 	if t := r.GetTask(); t != nil {
 		c.wake(t.GetTask())
 	}
@@ -231,16 +245,16 @@
 	for _, ask := range a.Asks() {
 		c.d.askPromise(ask)
 	}
-	running, waiting := 0, 0
+	var sum keeper.Count
 	for _, shard := range c.shards() {
 		k := c.keepers[shard]
-		c.carryOut(k, k.Step(now, c.authority(shard, now)))
-		r, w := k.Counts()
-		running += r
-		waiting += w
+		a := c.authority(shard, now)
+		c.carryOut(k, k.Step(now, a))
+		c.bill(shard, now, a)
+		sum = sum.Add(k.Count())
 	}
-	c.d.metrics.Set(measurer.RunningTasks, float64(running))
-	c.d.metrics.Set(measurer.WaitingTasks, float64(waiting))
+	c.d.metrics.Set(measurer.RunningTasks, float64(sum.Running()))
+	c.d.metrics.Set(measurer.WaitingTasks, float64(sum.Waiting()))
 	c.noteHeld(c.claimer.Held(now))
 }
 
@@ -295,6 +309,7 @@
 	case keeper.EventEnded:
 		c.d.logger.Emit(logger.TaskEnded, logger.String("task", e.Task().ID()), logger.String("worker", e.Worker()), logger.String("code", e.Code().String()))
 	case keeper.EventUsage:
+		c.sampled(e)
 	}
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -48,6 +48,8 @@
 		leaving     atomic.Bool
 		inFlight    atomic.Int64
 		sequence    atomic.Int64
+		// rewound are streams that are to be read again from the start.
+		rewound sync.Map
 		// mailbox carries work to the goroutine that owns the core.
 		mailbox chan func(*core)
 		orders  chan struct{}
@@ -172,7 +174,7 @@
 
 // streams are those that the daemon reads.
 func (d *Daemon) streams() []string {
-	return []string{provider.StreamConfig, provider.StreamIntents, provider.StreamOf(d.settings.DataCentre)}
+	return []string{provider.StreamConfig, provider.StreamIntents, provider.StreamUsage, d.ownStream()}
 }
 
 func (d *Daemon) runCore(c *core) {
--- a/daemon/loops.go
+++ b/daemon/loops.go
@@ -49,6 +49,9 @@
 	var next provider.Offset
 	down := false
 	for {
+		if _, again := d.rewound.LoadAndDelete(stream); again {
+			next = 0
+		}
 		began := d.now()
 		ctx, cancel := d.platformContext()
 		p, err := d.platform.Log.Read(ctx, stream, next, readLimit)
@@ -74,6 +77,9 @@
 	}
 }
 
+// rewind has a stream read again from the start.
+func (d *Daemon) rewind(stream string) { d.rewound.Store(stream, true) }
+
 func (d *Daemon) noteLog(stream string, err error) {
 	if err != nil {
 		d.logger.Emit(logger.LogDown, logger.String("stream", stream), logger.Err(err))
--- a/daemon/status.go
+++ b/daemon/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"galenawharf.example/galenawharf/clock"
+	"galenawharf.example/galenawharf/keeper"
 	"galenawharf.example/galenawharf/provider"
 )
 
@@ -29,6 +30,7 @@
 		Owned   bool   `json:"owned-here"`
 		Running int    `json:"running"`
 		Waiting int    `json:"waiting"`
+		Unknown int    `json:"unknown"`
 	}
 
 	// PeerStatus is a peer as the daemon sees it.
@@ -63,11 +65,11 @@
 		Leaving: c.d.leaving.Load(), Config: c.state.Next(), InFlight: c.d.inFlight.Load(), Hosts: len(c.hosts),
 	}
 	for _, name := range c.shards() {
-		running, waiting := c.keepers[name].Counts()
+		n := c.keepers[name].Count()
 		_, owned := c.claimer.Authority(name, c.d.now())
 		s.Shards = append(s.Shards, ShardStatus{
 			Name: name, Epoch: c.claimer.Ledger().Epoch(name), Holder: c.claimer.Ledger().Holder(name),
-			Owned: owned, Running: running, Waiting: waiting,
+			Owned: owned, Running: n.Running(), Waiting: n.Waiting(), Unknown: n.Unknown(),
 		})
 	}
 	return s
@@ -100,11 +102,15 @@
 // workStates gives the state of services and jobs in the own data centre, by
 // name, in words.
 func (c *core) workStates() map[string]string {
-	states := map[string]string{}
+	counts := map[string]keeper.Count{}
 	for _, name := range c.shards() {
-		for work, s := range c.keepers[name].WorkStates() {
-			states[work] = s
+		for work, n := range c.keepers[name].Counts() {
+			counts[work] = counts[work].Add(n)
 		}
 	}
+	states := map[string]string{}
+	for work, n := range counts {
+		states[work] = n.String() + " in " + c.d.settings.DataCentre
+	}
 	return states
 }
--- a/keeper/actions.go
+++ b/keeper/actions.go
@@ -34,7 +34,9 @@
 		task   placer.Task
 		code   coder.Code
 		usage  provider.UsageSample
-		ranFor clock.Millis
+		// reading is that of the worker's clock at the time of at.
+		reading int64
+		ranFor  clock.Millis
 	}
 )
 
@@ -83,5 +85,10 @@
 // Usage gives the sample of an EventUsage.
 func (e Event) Usage() provider.UsageSample { return e.usage }
 
+// Span gives when the sample of an EventUsage was taken, by the owner's clock.
+func (e Event) Span() (from, until clock.Millis) {
+	return e.at - clock.Millis(e.reading-e.usage.From), e.at - clock.Millis(e.reading-e.usage.Until)
+}
+
 // RanFor gives how long the worker says that the run took.
 func (e Event) RanFor() clock.Millis { return e.ranFor }
--- a/keeper/count.go
+++ b/keeper/count.go
@@ -46,6 +46,15 @@
 	return counts
 }
 
+// Count gives the tasks that the shard has.
+func (k *Keeper) Count() Count {
+	var sum Count
+	for _, t := range k.tasks {
+		sum = sum.Add(countOf(t))
+	}
+	return sum
+}
+
 func countOf(t *task) Count {
 	switch t.state {
 	case stateGranted:
--- a/keeper/results.go
+++ b/keeper/results.go
@@ -202,7 +202,7 @@
 	for _, s := range u.Samples {
 		h.usageSince = max(h.usageSince, s.Until)
 		if t, known := k.placedTask(s.Incarnation.Task); known {
-			k.tell(Event{kind: EventUsage, worker: h.name, task: t, usage: s})
+			k.tell(Event{kind: EventUsage, worker: h.name, task: t, usage: s, reading: u.Stamp.Reading})
 		}
 	}
 }
--- a/provider/log.go
+++ b/provider/log.go
@@ -43,6 +43,8 @@
 	StreamConfig = "config"
 	// StreamIntents carries submissions and cancellations.
 	StreamIntents = "intents"
+	// StreamUsage carries what work used, by the hour.
+	StreamUsage = "usage"
 )
 
 // StreamOf names the stream of one data centre's shards.
