--- a/claimer/ledger.go
+++ b/claimer/ledger.go
@@ -38,10 +38,11 @@
 // Next gives the first offset that was not observed.
 func (l *Ledger) Next() provider.Offset { return l.next }
 
-// Observe takes in the record at an offset and tells whether it counts.
-// Offsets must not go back; a record that was observed before doesn't count.
+// Observe takes in the record at an offset and tells whether it counts. One at
+// any offset but Next is passed over, and doesn't count: it was observed before,
+// or a hole lies between, which Restore or Skip must bridge.
 func (l *Ledger) Observe(offset provider.Offset, r *schema.Record) bool {
-	if offset < l.next {
+	if offset != l.next {
 		return false
 	}
 	l.next = offset + 1
--- a/claimer/ledger_test.go
+++ b/claimer/ledger_test.go
@@ -49,7 +49,9 @@
 			}
 			must.Eq(t, tc.epoch, l.Epoch("a/0"))
 			must.Eq(t, tc.holder, l.Holder("a/0"))
-			must.False(t, l.Observe(0, claimOf("z", tc.epoch, 0)))
+			for _, o := range []provider.Offset{0, l.Next() - 1, l.Next() + 1} {
+				must.False(t, l.Observe(o, claimOf("z", tc.epoch, 0)), must.Sprint("before or after a hole"))
+			}
 		})
 	}
 }
@@ -63,6 +65,7 @@
 		part := NewLedger()
 		for n, r := range records {
 			if n == cut {
+				part.Skip(provider.Offset(n))
 				for _, s := range whole.Shards() {
 					part.Restore(whole.Ownership(s), provider.Offset(n))
 				}
