--- a/dispatcher/stats.go
+++ b/dispatcher/stats.go
@@ -1,5 +1,13 @@
 package dispatcher
 
+import (
+	"slices"
+	"strings"
+
+	"galenawharf.example/galenawharf/ejector"
+	"galenawharf.example/galenawharf/router"
+)
+
 type (
 	// Stats are counts for the status page and for metrics.
 	Stats struct {
@@ -61,3 +69,40 @@
 
 // Share gives how many of its slots this entry host may use.
 func (s ExecutorStats) Share() int { return s.share }
+
+// Stats gives counts, and how each executor stands.
+func (d *Dispatcher) Stats() Stats {
+	s := Stats{
+		inFlight: d.inFlight.Load(),
+		answered: d.counts.answered.Load(),
+		refused:  d.counts.refused.Load(),
+		unknown:  d.counts.unknown.Load(),
+		retries:  d.counts.retries.Load(),
+		hedges:   d.counts.hedges.Load(),
+	}
+	for _, r := range d.snapshot.Load().routes {
+		s.waiting += r.waiting.Load()
+		for _, t := range r.pool.Targets() {
+			s.executors = append(s.executors, statsOf(t))
+		}
+	}
+	slices.SortFunc(s.executors, func(a, b ExecutorStats) int { return strings.Compare(a.address, b.address) })
+	return s
+}
+
+func statsOf(t *router.Target) ExecutorStats {
+	h := t.Host()
+	return ExecutorStats{address: h.Address, service: h.Service, state: stateOf(t), inFlight: t.InFlight(), share: t.Share()}
+}
+
+func stateOf(t *router.Target) string {
+	switch {
+	case t.Leaving():
+		return "leaving"
+	case t.Mode() == router.Closed:
+		return ejector.Ejected
+	case t.Mode() == router.Probing:
+		return ejector.Probing
+	}
+	return ejector.Healthy
+}
