--- a/declarer/calendar.go
+++ b/declarer/calendar.go
@@ -1,6 +1,10 @@
 package declarer
 
-import "time"
+import (
+	"time"
+
+	"galenawharf.example/galenawharf/clock"
+)
 
 type (
 	// Every is how often a job runs by itself.
@@ -65,3 +69,48 @@
 		v.badFormat("until", "%s is before %s", t.Until, t.From)
 	}
 }
+
+// Occurrences gives the times in [from, until) at which the job runs by itself,
+// in a time zone. An hour that the clocks skip becomes the one after it; an
+// hour that comes twice counts at its first coming.
+func (c Calendar) Occurrences(from, until clock.Millis, zone *time.Location) []clock.Millis {
+	var times []clock.Millis
+	at := from.Time().In(zone)
+	for n := 0; ; n++ {
+		day := time.Date(at.Year(), at.Month(), at.Day()+n, c.Hour, 0, 0, 0, zone)
+		if earlier := day.Add(-time.Hour); earlier.Hour() == day.Hour() {
+			day = earlier
+		}
+		t := clock.FromTime(day)
+		if t >= until {
+			return times
+		}
+		if t >= from && c.on(day) && c.InTerm(t, zone) {
+			times = append(times, t)
+		}
+	}
+}
+
+// on tells whether the job runs by itself on a day, terms aside.
+func (c Calendar) on(day time.Time) bool {
+	switch c.Every {
+	case EveryDay:
+		return true
+	case EveryWeek:
+		return (int(day.Weekday())+6)%7+1 == c.Day
+	case EveryMonth:
+		return day.Day() == c.Day
+	}
+	return false
+}
+
+// InTerm tells whether t lies in one of the terms; always where there are none.
+func (c Calendar) InTerm(t clock.Millis, zone *time.Location) bool {
+	day := t.Time().In(zone).Format(DateLayout)
+	for _, term := range c.Terms {
+		if term.From <= day && day <= term.Until {
+			return true
+		}
+	}
+	return len(c.Terms) == 0
+}
--- a/declarer/price.go
+++ b/declarer/price.go
@@ -3,6 +3,10 @@
 import (
 	"cmp"
 	"time"
+
+	"galenawharf.example/galenawharf/clock"
+	"galenawharf.example/galenawharf/coder"
+	"galenawharf.example/galenawharf/schema"
 )
 
 type (
@@ -58,3 +62,50 @@
 		v.badFormat("name", "must be %q", want)
 	}
 }
+
+// PastPrices gives every price of a change that would alter what days before
+// today cost: one that was in force and is changed or deleted, or a new one
+// from a day on which another was in force. The first price of a resource in a
+// data centre may begin in the past, since nothing was billed yet. It is
+// checked before a change is appended, since the log has no time of its own.
+func PastPrices(s *State, c *schema.Change, now clock.Millis) coder.Errors {
+	today := now.Time().In(s.zone()).Format(DateLayout)
+	var faults coder.Errors
+	for _, i := range c.GetItems() {
+		if Kind(i.GetKind()) != KindPrice {
+			continue
+		}
+		if f := s.pastPrice(i, today); f != nil {
+			faults = append(faults, f)
+		}
+	}
+	return faults
+}
+
+func (s *State) pastPrice(i *schema.ChangeItem, today string) *coder.Error {
+	k := KeyOf(KindPrice, i.GetName())
+	if old, declared := s.items[k].value.(Price); declared && old.From < today {
+		return coder.At(coder.BadPrice, k.String(), "was in force from %s on and can't be changed; declare one from today, %s, or later", old.From, today)
+	}
+	item, faults := ParseItem(KindPrice, i.GetName(), i.GetDocument(), k.String())
+	if i.GetDelete() || len(faults) > 0 {
+		return nil
+	}
+	p := item.value.(Price)
+	for _, other := range s.Prices() {
+		if other.DataCentre == p.DataCentre && other.Resource == p.Resource && other.From < today && p.From < today {
+			return coder.At(coder.BadPrice, k.String(), "begins on %s, before today, %s, and another price of it was in force", p.From, today)
+		}
+	}
+	return nil
+}
+
+// zone gives the operator's time zone, UTC where none is declared.
+func (s *State) zone() *time.Location {
+	o, _ := s.Operator()
+	z, err := time.LoadLocation(o.TimeZone)
+	if err != nil {
+		return time.UTC
+	}
+	return z
+}
