--- a/cmd/galenawharf/explain.go
+++ b/cmd/galenawharf/explain.go
@@ -8,6 +8,7 @@
 
 	"connectrpc.com/connect"
 
+	"galenawharf.example/galenawharf/demonstrator"
 	"galenawharf.example/galenawharf/schema"
 	"galenawharf.example/galenawharf/schema/schemaconnect"
 )
@@ -40,11 +41,11 @@
 }
 
 func explainRows(e *schema.ExplainResponse) []row {
-	rows := []row{{"from", "", money(e.GetFromMinor()), ""}}
+	rows := []row{{"from", "", demonstrator.Money(e.GetFromMinor()), ""}}
 	for _, c := range e.GetCauses() {
-		rows = append(rows, row{c.GetKind(), c.GetName(), money(c.GetAmountMinor()), offsets(c.GetOffsets())})
+		rows = append(rows, row{c.GetKind(), c.GetName(), demonstrator.Money(c.GetAmountMinor()), offsets(c.GetOffsets())})
 	}
-	return append(rows, row{"to", e.GetMonth() + " in " + e.GetCurrency(), money(e.GetToMinor()), ""})
+	return append(rows, row{"to", e.GetMonth() + " in " + e.GetCurrency(), demonstrator.Money(e.GetToMinor()), ""})
 }
 
 const maxOffsetsShown = 5
--- a/cmd/galenawharf/forecast.go
+++ b/cmd/galenawharf/forecast.go
@@ -6,6 +6,7 @@
 
 	"connectrpc.com/connect"
 
+	"galenawharf.example/galenawharf/demonstrator"
 	"galenawharf.example/galenawharf/schema"
 	"galenawharf.example/galenawharf/schema/schemaconnect"
 )
@@ -40,20 +41,10 @@
 func forecastRows(f *schema.ForecastResponse) []row {
 	rows := make([]row, 0, len(f.GetLines())+1)
 	for _, l := range f.GetLines() {
-		rows = append(rows, row{l.GetName(), money(l.GetToDateMinor()), money(l.GetP10Minor()), money(l.GetP50Minor()), money(l.GetP90Minor())})
+		rows = append(rows, row{l.GetName(), demonstrator.Money(l.GetToDateMinor()), demonstrator.Money(l.GetP10Minor()), demonstrator.Money(l.GetP50Minor()), demonstrator.Money(l.GetP90Minor())})
 	}
 	total := fmt.Sprintf("%s, all, in %s", f.GetMonth(), f.GetCurrency())
-	return append(rows, row{total, money(f.GetToDateMinor()), money(f.GetP10Minor()), money(f.GetP50Minor()), money(f.GetP90Minor())})
-}
-
-// money shows an amount in the smallest unit as one of the unit of a hundred.
-func money(minor int64) string {
-	sign := ""
-	if minor < 0 {
-		sign = "-"
-		minor = -minor
-	}
-	return fmt.Sprintf("%s%d.%02d", sign, minor/100, minor%100)
+	return append(rows, row{total, demonstrator.Money(f.GetToDateMinor()), demonstrator.Money(f.GetP10Minor()), demonstrator.Money(f.GetP50Minor()), demonstrator.Money(f.GetP90Minor())})
 }
 
 func forecastCall(c schemaconnect.OperatorsClient) func(context.Context, *connect.Request[schema.ForecastRequest]) (*connect.Response[schema.ForecastResponse], error) {
--- a/daemon/core.go
+++ b/daemon/core.go
@@ -26,7 +26,7 @@
 		keepers  map[string]*keeper.Keeper
 		meters   map[string]*meter.Meter
 		// ledger is nil until an operator, and so a time zone, is declared.
-		ledger *meter.Ledger
+		ledger   *meter.Ledger
 		state    *declarer.State
 		hosts    []provider.Host
 		caughtUp map[string]bool
@@ -211,7 +211,11 @@
 	}
 	delete(c.waiters, key)
 	for _, w := range waiters {
-		w <- o
+		// A waiter that was told before has its answer already.
+		select {
+		case w <- o:
+		default:
+		}
 	}
 }
 
--- a/daemon/requests.go
+++ b/daemon/requests.go
@@ -161,7 +161,10 @@
 	defer t.Stop()
 	select {
 	case o := <-w:
-		w <- o
+		select {
+		case w <- o:
+		default:
+		}
 		return true
 	case <-t.C:
 		return true
--- /dev/null
+++ b/demonstrator/demo.go
@@ -0,0 +1,308 @@
+package demonstrator
+
+import (
+	"context"
+	"embed"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+
+	"galenawharf.example/galenawharf/clock"
+	"galenawharf.example/galenawharf/coder"
+	"galenawharf.example/galenawharf/declarer"
+	"galenawharf.example/galenawharf/schema"
+	"galenawharf.example/galenawharf/sizer"
+)
+
+type (
+	// demo shows one user's deployment at work.
+	demo struct {
+		user       string
+		out        io.Writer
+		began      clock.Millis
+		deployment *Deployment
+		items      []declarer.Item
+		leaves     string
+		check      *schema.CheckRequest
+		work       []*schema.SubmitRequest
+	}
+)
+
+const (
+	demoLimit   = 40 * clock.Second
+	demoPoll    = 50 * clock.Millis(1)
+	demoHistory = 62 * clock.Day
+)
+
+var (
+	//go:embed declarations
+	declarations embed.FS
+
+	demoCapacity = sizer.New(32_000, 125*sizer.GiB, 0)
+)
+
+// Run shows both users' deployments at work, one after the other, and writes
+// what happens to out as it goes. Log lines go to log.
+func Run(out, log io.Writer) error {
+	for _, d := range demos(out) {
+		if err := d.run(log); err != nil {
+			return errors.Wrapf(err, "demonstrator.Run: %s", d.user)
+		}
+	}
+	return nil
+}
+
+func demos(out io.Writer) []*demo {
+	return []*demo{
+		{
+			user: "crossguard", out: out, leaves: "point-fortin",
+			check: &schema.CheckRequest{RequestId: "check-1", Team: "trackside", Service: "fault-reporting", Payload: []byte("barrier of crossing 7")},
+			work: []*schema.SubmitRequest{
+				{Key: "review-crossing-7", Team: "planning", Job: "fault-review", Payload: []byte("history of crossing 7")},
+				{Key: "statistics-2026-48", Team: "planning", Job: "crossing-statistics", Payload: []byte("week 48")},
+			},
+		},
+		{
+			user: "sorica", out: out, leaves: "ptuj",
+			check: &schema.CheckRequest{RequestId: "check-1", Team: "rosters", Service: "scheduling", Payload: []byte("shift of the clinic")},
+			work: []*schema.SubmitRequest{
+				{Key: "roster-2026-49", Team: "rosters", Job: "roster", Payload: []byte("week 49")},
+				{Key: "invoice-2026-11", Team: "billing", Job: "invoice", Payload: []byte("november")},
+			},
+		},
+	}
+}
+
+func (d *demo) run(log io.Writer) error {
+	d.began = clock.System()
+	ctx, cancel := context.WithTimeout(context.Background(), demoLimit.Duration())
+	defer cancel()
+	if err := d.start(log); err != nil {
+		return err
+	}
+	defer d.deployment.Close()
+	steps := []func(context.Context) error{d.apply, d.place, d.ask, d.submit, d.leave, d.comeBack, d.forecast, d.explain, d.audit}
+	for _, step := range steps {
+		if err := step(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *demo) say(format string, args ...any) {
+	spent := clock.System().Sub(d.began)
+	_, _ = fmt.Fprintf(d.out, "%5.1fs %-10s %s\n", spent.Duration().Seconds(), d.user, fmt.Sprintf(format, args...))
+}
+
+func (d *demo) start(log io.Writer) error {
+	data, err := declarations.ReadFile("declarations/" + d.user + ".json")
+	if err != nil {
+		return errors.Wrap(err, "demo.start")
+	}
+	items, faults := declarer.ParseFile(data)
+	if len(faults) > 0 {
+		return faults
+	}
+	d.items = items
+	dcs := dataCentres(items)
+	d.deployment, err = Start(Shape{
+		DataCentres: dcs, Daemons: []int{2, 1}, Workers: 4, Executors: 2,
+		Capacity: demoCapacity, Service: d.check.GetService(),
+	}, log)
+	if err != nil {
+		return err
+	}
+	d.say("three daemons in %s, 8 workers and 4 executors on loopback", strings.Join(dcs, " and "))
+	return SeedHistory(d.deployment.Log(), items, clock.System(), demoHistory)
+}
+
+func dataCentres(items []declarer.Item) []string {
+	var names []string
+	for _, i := range items {
+		if i.Key().Kind() == declarer.KindDataCentre {
+			names = append(names, i.Key().Name())
+		}
+	}
+	return names
+}
+
+func (d *demo) apply(ctx context.Context) error {
+	change := declarer.ChangeOf("demo", declarer.Plan(nil, d.items, false))
+	r, err := d.deployment.Operators(0).Apply(ctx, connect.NewRequest(&schema.ApplyRequest{Operator: "demo", Items: change.GetItems()}))
+	if err != nil {
+		return err
+	}
+	if c := coder.Code(r.Msg.GetResultCode()); c != coder.OK {
+		return coder.New(c, "%s", r.Msg.GetReason())
+	}
+	d.say("%d declarations in force at version %d", len(d.items), r.Msg.GetVersion())
+	return nil
+}
+
+// standing gives how many services' replicas and watch jobs are declared.
+func (d *demo) standing() int {
+	n := 0
+	for _, i := range d.items {
+		switch v := i.Value().(type) {
+		case declarer.Service:
+			n += v.Replicas
+		case declarer.WatchJob:
+			n++
+		}
+	}
+	return n
+}
+
+func (d *demo) place(ctx context.Context) error {
+	all := func() bool {
+		n := 0
+		for _, dc := range d.deployment.shape.DataCentres {
+			n += d.deployment.Running(dc)
+		}
+		return n >= d.standing()
+	}
+	if err := until(ctx, all); err != nil {
+		return errors.Wrap(err, "demo.place")
+	}
+	d.say("every replica and watch job runs:")
+	d.printPlacements()
+	return nil
+}
+
+func (d *demo) printPlacements() {
+	for _, w := range d.deployment.Workers() {
+		tasks, size := w.Running()
+		names := make([]string, 0, len(tasks))
+		for _, t := range tasks {
+			names = append(names, t.String())
+		}
+		if len(names) > 0 {
+			d.say("  %-24s %4.1f cores: %s", w.Name(), float64(size.Millicores())/1000, strings.Join(names, " "))
+		}
+	}
+}
+
+func (d *demo) ask(ctx context.Context) error {
+	a, err := d.deployment.Callers(2).Check(ctx, connect.NewRequest(d.check))
+	if err != nil {
+		return err
+	}
+	d.say("a caller asks %q and is answered %s %q", d.check.GetPayload(), coder.Code(a.Msg.GetResultCode()), a.Msg.GetPayload())
+	return nil
+}
+
+func (d *demo) submit(ctx context.Context) error {
+	for _, q := range d.work {
+		q.WaitMillis = int64(demoLimit)
+		a, err := d.deployment.Callers(1).Submit(ctx, connect.NewRequest(q))
+		if err != nil {
+			return err
+		}
+		d.say("%s under key %s: %s %q", q.GetJob(), q.GetKey(), coder.Code(a.Msg.GetResultCode()), a.Msg.GetPayload())
+	}
+	return nil
+}
+
+func (d *demo) leave(ctx context.Context) error {
+	r, err := d.deployment.Operators(0).Drain(ctx, connect.NewRequest(&schema.DrainRequest{Operator: "demo", Kind: "data-centre", Name: d.leaves}))
+	if err != nil {
+		return err
+	}
+	for _, v := range r.Msg.GetViews() {
+		d.say("%s is taken out; in force in %s: %t", d.leaves, v.GetDataCentre(), v.GetConfirmed())
+	}
+	if err := until(ctx, func() bool { return d.deployment.Running(d.leaves) == 0 }); err != nil {
+		return errors.Wrap(err, "demo.leave")
+	}
+	d.say("nothing runs in %s any more", d.leaves)
+	if err := d.place(ctx); err != nil {
+		return err
+	}
+	return d.askAgain(ctx)
+}
+
+func (d *demo) askAgain(ctx context.Context) error {
+	d.check.RequestId = "check-2"
+	return d.ask(ctx)
+}
+
+func (d *demo) comeBack(ctx context.Context) error {
+	_, err := d.deployment.Operators(2).Drain(ctx, connect.NewRequest(&schema.DrainRequest{Operator: "demo", Kind: "data-centre", Name: d.leaves, Restore: true}))
+	if err != nil {
+		return err
+	}
+	if err := until(ctx, func() bool { return d.deployment.Running(d.leaves) > 0 }); err != nil {
+		return errors.Wrap(err, "demo.comeBack")
+	}
+	d.say("%s is back and takes work again", d.leaves)
+	return nil
+}
+
+func (d *demo) forecast(ctx context.Context) error {
+	r, err := d.deployment.Operators(0).Forecast(ctx, connect.NewRequest(&schema.ForecastRequest{By: "work"}))
+	if err != nil {
+		return err
+	}
+	f := r.Msg
+	d.say("forecast of %s in %s, from two months of history made for this demo:", f.GetMonth(), f.GetCurrency())
+	for _, l := range append(f.GetLines(), &schema.ForecastLine{Name: "all", P10Minor: f.GetP10Minor(), P50Minor: f.GetP50Minor(), P90Minor: f.GetP90Minor()}) {
+		d.say("  %-22s %12s  (%s to %s)", l.GetName(), Money(l.GetP50Minor()), Money(l.GetP10Minor()), Money(l.GetP90Minor()))
+	}
+	for _, l := range f.GetLeftOut() {
+		d.say("  left out: %s", l)
+	}
+	return nil
+}
+
+func (d *demo) explain(ctx context.Context) error {
+	r, err := d.deployment.Operators(0).Explain(ctx, connect.NewRequest(&schema.ExplainRequest{Against: "last-month"}))
+	if err != nil {
+		return err
+	}
+	e := r.Msg
+	d.say("why %s is not as last month, %s to %s %s:", e.GetMonth(), Money(e.GetFromMinor()), Money(e.GetToMinor()), e.GetCurrency())
+	for _, c := range e.GetCauses() {
+		d.say("  %-10s %-30s %12s", c.GetKind(), c.GetName(), Money(c.GetAmountMinor()))
+	}
+	return nil
+}
+
+func (d *demo) audit(ctx context.Context) error {
+	r, err := d.deployment.Operators(0).Audit(ctx, connect.NewRequest(&schema.AuditRequest{Limit: 2}))
+	if err != nil {
+		return err
+	}
+	d.say("the end of the audit trail:")
+	for _, e := range r.Msg.GetEntries() {
+		d.say("  offset %d: %s, %s/%s, %s", e.GetOffset(), e.GetOperator(), e.GetKind(), e.GetName(), coder.Code(e.GetResultCode()))
+	}
+	return nil
+}
+
+// Money shows an amount in the smallest unit as one of the unit of a hundred.
+func Money(minor int64) string {
+	sign := ""
+	if minor < 0 {
+		sign = "-"
+		minor = -minor
+	}
+	return fmt.Sprintf("%s%d.%02d", sign, minor/100, minor%100)
+}
+
+func until(ctx context.Context, done func() bool) error {
+	t := time.NewTicker(demoPoll.Duration())
+	defer t.Stop()
+	for !done() {
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
