--- a/schema/generate.sh
+++ b/schema/generate.sh
@@ -4,6 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 go=(--go_out=. --go_opt=paths=source_relative)
+protoc "${go[@]}" schema/config.proto
 protoc "${go[@]}" schema/journal.proto
 protoc "${go[@]}" schema/usage.proto
 protoc "${go[@]}" --go-drpc_out=. --go-drpc_opt=paths=source_relative schema/peer.proto
