replicator: configuration by offset, passed on between daemons, with a bound on its age

Cause: a configuration must be in force everywhere within seconds and never go back, and no work may start in a drained data centre, also where it is cut off. Change: each daemon applies the config stream in order; daemons pass on what the other lacks. A view is fresh from when a read of the log was asked for that reached its end, or a peer with such a view was asked, with the age added. With the log down for all, it is fresh from when every member said that it added nothing; who is a member stands in the stream, and a change counts only of a member, so that nobody outside that agreement can have accepted one. Found on the way: a member that had a new member's record on its way to the log went on by the word of the old ones; whoever has a record on its way now neither relies on the agreement nor gives its word.

--- /dev/null
+++ b/replicator/fleet_test.go
@@ -0,0 +1,332 @@
+package replicator
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"galenawharf.example/galenawharf/clock"
+	"galenawharf.example/galenawharf/coder"
+	"galenawharf.example/galenawharf/declarer"
+	"galenawharf.example/galenawharf/imitator"
+	"galenawharf.example/galenawharf/provider"
+	"galenawharf.example/galenawharf/schema"
+)
+
+const (
+	tick          = 100 * clock.Millis(1)
+	exchangeEvery = clock.Second
+)
+
+type (
+	// fleet is several daemons' replicators in virtual time, with a log and
+	// links that fail.
+	fleet struct {
+		rng      *rand.Rand
+		now      *clock.Manual
+		log      *imitator.Log
+		members  []*member
+		opts     []Option
+		queue    []message
+		lost     int
+		maxWait  clock.Millis
+		accepted map[provider.Offset]clock.Millis
+		digests  map[provider.Offset]uint64
+		faults   []string
+		tamper   func(*member)
+		seen     map[string]int
+	}
+
+	member struct {
+		*Replicator
+		name        string
+		dataCentre  string
+		incarnation int
+		rate        int64
+		offset      clock.Millis
+		dead        bool
+		diedAt      clock.Millis
+		pausedUntil clock.Millis
+		cutFromLog  bool
+		deaf        map[string]bool
+		reading     bool
+		exchangedAt clock.Millis
+		inbox       []func()
+		results     []Result
+		next        provider.Offset
+	}
+
+	message struct {
+		at clock.Millis
+		do func()
+	}
+)
+
+func newFleet(seed uint64, members, dataCentres int, opts ...Option) *fleet {
+	f := &fleet{
+		rng:      rand.New(rand.NewPCG(seed, 1)),
+		now:      clock.NewManual(clock.Hour),
+		opts:     opts,
+		accepted: map[provider.Offset]clock.Millis{},
+		digests:  map[provider.Offset]uint64{},
+		seen:     map[string]int{},
+	}
+	f.log = imitator.NewLog(imitator.WithLogClock(f.now.Now))
+	for i := range members {
+		m := &member{name: string(rune('p' + i)), dataCentre: string(rune('a' + i%dataCentres)), deaf: map[string]bool{}}
+		f.members = append(f.members, m)
+		f.boot(m)
+	}
+	return f
+}
+
+// boot makes a member a new process that knows nothing.
+func (f *fleet) boot(m *member) {
+	m.incarnation++
+	m.rate = 990 + f.rng.Int64N(21)
+	m.offset = clock.Millis(f.rng.Int64N(int64(clock.Day)))
+	m.dead = false
+	m.pausedUntil = 0
+	m.reading = false
+	m.inbox = nil
+	m.results = nil
+	m.exchangedAt = 0
+	m.next = 0
+	r, err := New(m.process(), m.name, m.dataCentre, f.local(m), f.opts...)
+	if err != nil {
+		panic(err)
+	}
+	m.Replicator = r
+}
+
+func (m *member) process() string { return fmt.Sprintf("%s#%d", m.name, m.incarnation) }
+
+func (f *fleet) local(m *member) clock.Millis {
+	return m.offset + f.now.Now()*clock.Millis(m.rate)/1000
+}
+
+func (f *fleet) running(m *member) bool { return !m.dead && m.pausedUntil <= f.now.Now() }
+
+func (f *fleet) kill(m *member) {
+	m.dead = true
+	m.diedAt = f.now.Now()
+}
+
+// send delivers after a random wait; a process that died meanwhile gets nothing,
+// one that is paused gets it when it goes on.
+func (f *fleet) send(to *member, process *Replicator, do func()) {
+	f.later(func() {
+		if to.Replicator == process && !to.dead {
+			to.inbox = append(to.inbox, do)
+		}
+	})
+}
+
+func (f *fleet) later(do func()) {
+	wait := clock.Millis(1)
+	if f.maxWait > 0 && f.rng.IntN(4) == 0 {
+		wait += clock.Millis(f.rng.Int64N(int64(f.maxWait)))
+	}
+	f.queue = append(f.queue, message{at: f.now.Now() + wait, do: do})
+}
+
+func (f *fleet) run(d clock.Millis, each func()) {
+	for end := f.now.Now() + d; f.now.Now() < end; {
+		f.now.Advance(tick)
+		f.deliver()
+		for _, m := range f.members {
+			f.step(m)
+		}
+		f.watch()
+		each()
+	}
+}
+
+func (f *fleet) deliver() {
+	slices.SortStableFunc(f.queue, func(a, b message) int { return cmp.Compare(a.at, b.at) })
+	for len(f.queue) > 0 && f.queue[0].at <= f.now.Now() {
+		next := f.queue[0]
+		f.queue = f.queue[1:]
+		next.do()
+	}
+}
+
+func (f *fleet) step(m *member) {
+	if !f.running(m) {
+		return
+	}
+	inbox := m.inbox
+	m.inbox = nil
+	for _, do := range inbox {
+		do()
+	}
+	m.SetPeers(f.peers(m))
+	if f.tamper != nil {
+		f.tamper(m)
+	}
+	f.read(m)
+	f.exchange(m)
+	if records := m.Step(f.local(m)); len(records) > 0 {
+		f.append(m, records)
+	}
+}
+
+// peers gives what m knows of the others: those of links that work are live,
+// the others dead after a while.
+func (f *fleet) peers(m *member) []Peer {
+	var peers []Peer
+	for _, p := range f.members {
+		if p == m {
+			continue
+		}
+		silent := p.dead && f.now.Now() > p.diedAt+DropAfter
+		peers = append(peers, Peer{Process: p.process(), DataCentre: p.dataCentre, Dead: silent})
+		for n := 1; n < p.incarnation; n++ {
+			peers = append(peers, Peer{Process: fmt.Sprintf("%s#%d", p.name, n), DataCentre: p.dataCentre, Dead: true})
+		}
+	}
+	return peers
+}
+
+func (f *fleet) reaches(m *member) bool { return !m.cutFromLog }
+
+func (f *fleet) append(m *member, records []*schema.Record) {
+	process := m.Replicator
+	if !f.reaches(m) {
+		f.send(m, process, func() { process.Appended(records, coder.New(coder.LogDown, "cut off")) })
+		return
+	}
+	var data [][]byte
+	for _, r := range records {
+		d, err := proto.Marshal(r)
+		if err != nil {
+			panic(err)
+		}
+		data = append(data, d)
+	}
+	f.later(func() {
+		_, err := f.log.Provider().Append(context.Background(), provider.StreamConfig, data)
+		if f.lost > 0 && f.rng.IntN(100) < f.lost {
+			return
+		}
+		f.send(m, process, func() { process.Appended(records, err) })
+	})
+}
+
+func (f *fleet) read(m *member) {
+	if m.reading || !f.reaches(m) {
+		return
+	}
+	m.reading = true
+	asked := f.local(m)
+	process := m.Replicator
+	from := process.Next()
+	f.later(func() {
+		if m.Replicator == process && !f.reaches(m) {
+			m.reading = false
+			return
+		}
+		page, err := f.log.Provider().Read(context.Background(), provider.StreamConfig, from, 100)
+		f.send(m, process, func() {
+			m.reading = false
+			if err == nil {
+				results, _ := process.Read(f.local(m), asked, page)
+				f.note(m, results)
+			}
+		})
+	})
+}
+
+func (f *fleet) exchange(m *member) {
+	now := f.local(m)
+	if now < m.exchangedAt+exchangeEvery {
+		return
+	}
+	m.exchangedAt = now
+	process := m.Replicator
+	for _, p := range f.members {
+		if p == m || p.deaf[m.name] {
+			continue
+		}
+		view := process.View(now)
+		asked := p.Replicator
+		f.send(p, asked, func() {
+			asked.Asked(f.local(p), m.process(), m.dataCentre, view)
+			v, entries, state := asked.Answer(f.local(p), view)
+			if m.deaf[p.name] {
+				return
+			}
+			name, answer := p.process(), &schema.ExchangeResponse{View: v, Entries: entries, State: state}
+			f.send(m, process, func() {
+				results, err := process.Answered(f.local(m), now, name, p.dataCentre, answer)
+				if err != nil {
+					f.faults = append(f.faults, err.Error())
+				}
+				f.note(m, results)
+			})
+		})
+	}
+}
+
+// note remembers when a change was first read back.
+func (f *fleet) note(m *member, results []Result) {
+	for _, r := range results {
+		m.results = append(m.results, r)
+		if r.Accepted() {
+			f.seen[r.ID()]++
+		}
+		if _, known := f.accepted[r.Offset()]; !known && r.Accepted() {
+			f.accepted[r.Offset()] = f.now.Now()
+		}
+	}
+}
+
+// propose has a member propose a change and gives the id of its record.
+func (f *fleet) propose(m *member, c *schema.Change) (string, error) {
+	r, err := m.Propose(f.local(m), c)
+	if err != nil {
+		return "", err
+	}
+	f.append(m, []*schema.Record{r})
+	return r.GetId(), nil
+}
+
+// watch checks what must always hold.
+func (f *fleet) watch() {
+	const bound = DefaultFreshFor + DefaultFreshFor/20 + tick
+	for _, m := range f.members {
+		if m.dead {
+			continue
+		}
+		next := m.replica.next()
+		if next < m.next {
+			f.faults = append(f.faults, m.name+" went back")
+		}
+		m.next = next
+		if d, known := f.digests[next]; known && d != m.replica.digest {
+			f.faults = append(f.faults, m.name+" has another configuration")
+		}
+		f.digests[next] = m.replica.digest
+		if !m.StartAllowed(f.local(m)) {
+			continue
+		}
+		for o, at := range f.accepted {
+			if o >= next && f.now.Now() > at+bound {
+				f.faults = append(f.faults, fmt.Sprintf("%s starts work without %d, accepted %d ms ago", m.name, o, f.now.Now()-at))
+			}
+		}
+	}
+}
+
+func team(name string, expected int64) *schema.Change {
+	return &schema.Change{Operator: "ana", Items: []*schema.ChangeItem{{
+		Kind:            string(declarer.KindTeam),
+		Name:            name,
+		ExpectedVersion: expected,
+		Document:        []byte(`{"name":"` + name + `","quota":{"processors":10,"memory":"10GiB"}}`),
+	}}}
+}
--- /dev/null
+++ b/replicator/suffix.go
@@ -0,0 +1,52 @@
+package replicator
+
+import (
+	"galenawharf.example/galenawharf/provider"
+	"galenawharf.example/galenawharf/schema"
+)
+
+type (
+	// suffix is the newest part of the config stream, kept for daemons that
+	// lack it.
+	suffix struct {
+		entries []*schema.StreamEntry
+		bytes   int
+	}
+)
+
+const (
+	maxSuffixBytes = 1 << 20
+	maxAnswerBytes = 256 << 10
+)
+
+func (s *suffix) add(e provider.Entry) {
+	s.entries = append(s.entries, &schema.StreamEntry{Offset: int64(e.Offset), Data: e.Data})
+	s.bytes += len(e.Data)
+	for s.bytes > maxSuffixBytes {
+		s.bytes -= len(s.entries[0].GetData())
+		s.entries[0] = nil
+		s.entries = s.entries[1:]
+	}
+}
+
+func (s *suffix) reset() { *s = suffix{} }
+
+// from gives entries from an offset on, and whether they begin there.
+func (s *suffix) from(next provider.Offset) ([]*schema.StreamEntry, bool) {
+	if len(s.entries) == 0 {
+		return nil, false
+	}
+	skip := int64(next) - s.entries[0].GetOffset()
+	if skip < 0 || skip > int64(len(s.entries)) {
+		return nil, false
+	}
+	bytes := 0
+	part := s.entries[skip:]
+	for n, e := range part {
+		bytes += len(e.GetData())
+		if bytes > maxAnswerBytes && n > 0 {
+			return part[:n], true
+		}
+	}
+	return part, true
+}
