--- a/declarer/calendar.go
+++ b/declarer/calendar.go
@@ -106,11 +106,14 @@
 
 // InTerm tells whether t lies in one of the terms; always where there are none.
 func (c Calendar) InTerm(t clock.Millis, zone *time.Location) bool {
+	if len(c.Terms) == 0 {
+		return true
+	}
 	day := t.Time().In(zone).Format(DateLayout)
 	for _, term := range c.Terms {
 		if term.From <= day && day <= term.Until {
 			return true
 		}
 	}
-	return len(c.Terms) == 0
+	return false
 }
--- /dev/null
+++ b/forecaster/forecast.go
@@ -0,0 +1,118 @@
+package forecaster
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"galenawharf.example/galenawharf/clock"
+	"galenawharf.example/galenawharf/meter"
+	"galenawharf.example/galenawharf/pricer"
+	"galenawharf.example/galenawharf/schema"
+)
+
+type (
+	// Forecast is what a month is expected to cost.
+	Forecast struct {
+		month    pricer.Month
+		made     clock.Millis
+		until    clock.Millis
+		toDate   *pricer.Bill
+		expected *pricer.Bill
+		errors   errors
+		// filled is the cost that is taken for hours without records.
+		filled  map[group]float64
+		leftOut []meter.Fault
+	}
+
+	// Line is a part of a forecast, in the smallest unit of the currency.
+	// Expected costs of the lines add up to the whole; the ends of bands don't.
+	Line struct {
+		name   string
+		toDate int64
+		p10    int64
+		p50    int64
+		p90    int64
+	}
+)
+
+// Month gives the month.
+func (f *Forecast) Month() pricer.Month { return f.month }
+
+// Made gives when the forecast was made.
+func (f *Forecast) Made() clock.Millis { return f.made }
+
+// Until gives the end of the records that it is made from.
+func (f *Forecast) Until() clock.Millis { return f.until }
+
+// ToDate gives the bill as far as there are records.
+func (f *Forecast) ToDate() *pricer.Bill { return f.toDate }
+
+// Expected gives the bill that is expected at the end of the month.
+func (f *Forecast) Expected() *pricer.Bill { return f.expected }
+
+// LeftOut gives what could not be taken into account, or was taken for what is
+// missing.
+func (f *Forecast) LeftOut() []meter.Fault { return f.leftOut }
+
+// Whole gives the whole month.
+func (f *Forecast) Whole() Line {
+	return f.line(group{}, f.toDate.TotalMinor(), f.expected.TotalMinor())
+}
+
+// Lines gives the groups of a kind, the dearest first.
+func (f *Forecast) Lines(by pricer.By) []Line {
+	toDate := f.toDate.GroupMinor(by)
+	var lines []Line
+	for name, expected := range f.expected.GroupMinor(by) {
+		lines = append(lines, f.line(group{by, name}, toDate[name], expected))
+	}
+	slices.SortFunc(lines, func(a, b Line) int { return cmp.Or(cmp.Compare(b.p50, a.p50), cmp.Compare(a.name, b.name)) })
+	return lines
+}
+
+func (f *Forecast) line(g group, toDate, expected int64) Line {
+	l := Line{name: g.name, toDate: toDate, p10: expected, p50: expected, p90: expected}
+	filled := f.filled[g]
+	open := math.Max(0, float64(expected-toDate)-filled)
+	if g.name == pricer.CommittedUnused {
+		open = 0
+	}
+	half := math.Hypot(open*f.errors.spread(g), filled*gapError*quantile(math.MaxInt32))
+	l.p10 = max(toDate, expected-int64(math.Round(half)))
+	l.p90 = expected + int64(math.Round(half))
+	return l
+}
+
+// Name gives the line's name, "" for the whole.
+func (l Line) Name() string { return l.name }
+
+// ToDate gives what there are records of.
+func (l Line) ToDate() int64 { return l.toDate }
+
+// P10 gives what the cost is above with a probability of nine in ten.
+func (l Line) P10() int64 { return l.p10 }
+
+// P50 gives what is expected.
+func (l Line) P50() int64 { return l.p50 }
+
+// P90 gives what the cost is below with a probability of nine in ten.
+func (l Line) P90() int64 { return l.p90 }
+
+// Response gives the forecast as the schema has it.
+func (f *Forecast) Response(by pricer.By) *schema.ForecastResponse {
+	w := f.Whole()
+	r := &schema.ForecastResponse{
+		Month: f.month.String(), Currency: f.expected.Currency(),
+		ToDateMinor: w.toDate, P10Minor: w.p10, P50Minor: w.p50, P90Minor: w.p90,
+	}
+	for _, l := range f.Lines(by) {
+		r.Lines = append(r.Lines, &schema.ForecastLine{
+			Name: l.name, ToDateMinor: l.toDate, P10Minor: l.p10, P50Minor: l.p50, P90Minor: l.p90,
+		})
+	}
+	for _, f := range f.leftOut {
+		r.LeftOut = append(r.LeftOut, f.String())
+	}
+	return r
+}
--- a/meter/cell.go
+++ b/meter/cell.go
@@ -33,8 +33,8 @@
 	return cmp.Or(cmp.Compare(c.dataCentre, d.dataCentre), cmp.Compare(c.team, d.team), cmp.Compare(c.work, d.work))
 }
 
-// dataCentreOf gives the data centre of a shard, "<data centre>/<number>".
-func dataCentreOf(shard string) string {
+// DataCentreOf gives the data centre of a shard, "<data centre>/<number>".
+func DataCentreOf(shard string) string {
 	dc, _, _ := strings.Cut(shard, "/")
 	return dc
 }
--- a/meter/ledger.go
+++ b/meter/ledger.go
@@ -20,6 +20,7 @@
 		zone   *time.Location
 		next   int64
 		last   clock.Millis
+		tidied clock.Millis
 		shards map[string]map[clock.Millis]mark
 		days   map[clock.Millis]*storedDay
 		cells  []Cell
@@ -110,15 +111,16 @@
 func (l *Ledger) count(h clock.Millis, u *schema.Usage) {
 	start := DayOf(h, l.zone)
 	day := l.unpacked(start)
-	dc := dataCentreOf(u.GetShard())
+	dc := DataCentreOf(u.GetShard())
 	for _, line := range u.GetLines() {
 		c := NewCell(dc, line.GetTeam(), line.GetWork())
 		l.intern(c)
 		day.add(h, c, AmountsOf(line))
 	}
 	l.store(day)
-	if h+clock.Hour > l.last {
-		l.last = h + clock.Hour
+	l.last = max(l.last, h+clock.Hour)
+	if start > l.tidied {
+		l.tidied = start
 		l.tidy()
 	}
 }
@@ -170,12 +172,18 @@
 // Days gives the days that begin in a span, in order.
 func (l *Ledger) Days(from, until clock.Millis) []*Day {
 	var days []*Day
+	l.Each(from, until, func(d *Day) { days = append(days, d) })
+	return days
+}
+
+// Each calls visit with each day that begins in a span, in order, without
+// holding more than one of them unpacked.
+func (l *Ledger) Each(from, until clock.Millis, visit func(*Day)) {
 	for _, start := range slices.Sorted(maps.Keys(l.days)) {
 		if start >= from && start < until {
-			days = append(days, l.unpacked(start))
+			visit(l.unpacked(start))
 		}
 	}
-	return days
 }
 
 // First gives the beginning of the first day that is kept, 0 for none.
@@ -197,7 +205,7 @@
 func (l *Ledger) Offsets(dataCentre string, from, until clock.Millis, limit int) []int64 {
 	var offsets []int64
 	for shard, hours := range l.shards {
-		if dataCentreOf(shard) != dataCentre {
+		if DataCentreOf(shard) != dataCentre {
 			continue
 		}
 		for h, m := range hours {
@@ -249,7 +257,7 @@
 func (g Gap) Shard() string { return g.shard }
 
 // DataCentre gives the shard's data centre.
-func (g Gap) DataCentre() string { return dataCentreOf(g.shard) }
+func (g Gap) DataCentre() string { return DataCentreOf(g.shard) }
 
 // From gives the beginning of the first hour without a record.
 func (g Gap) From() clock.Millis { return g.from }
--- a/meter/ledger_test.go
+++ b/meter/ledger_test.go
@@ -107,7 +107,7 @@
 		sums[day] = map[Cell]Amounts{}
 	}
 	for _, l := range u.GetLines() {
-		c := NewCell(dataCentreOf(u.GetShard()), l.GetTeam(), l.GetWork())
+		c := NewCell(DataCentreOf(u.GetShard()), l.GetTeam(), l.GetWork())
 		s := sums[day][c]
 		s.Add(AmountsOf(l))
 		sums[day][c] = s
--- a/pricer/bill.go
+++ b/pricer/bill.go
@@ -121,14 +121,14 @@
 
 // AddActual adds what the ledger knows of a month.
 func AddActual(b *Builder, l *meter.Ledger, m Month) {
-	days := map[clock.Millis]*meter.Day{}
-	for _, d := range l.Days(m.Start(), m.End()) {
-		days[d.Start()] = d
-	}
-	first := max(m.Start(), l.First())
+	seen := map[clock.Millis]bool{}
+	l.Each(m.Start(), m.End(), func(d *meter.Day) {
+		seen[d.Start()] = true
+		b.AddDay(d.Start(), d, l.Until())
+	})
 	for _, start := range m.Days() {
-		if start >= first && start < l.Until() {
-			b.AddDay(start, days[start], l.Until())
+		if !seen[start] && start >= l.First() && start < l.Until() {
+			b.AddDay(start, nil, l.Until())
 		}
 	}
 }
