--- a/forecaster/forecaster.go
+++ b/forecaster/forecaster.go
@@ -80,6 +80,18 @@
 	return f.forecast(m, changed, pricer.NewTable(after)), nil
 }
 
+// Plan gives what a month costs if everything holds what it declares, from its
+// first day to its last; work without a calendar has no plan.
+func (f *Forecaster) Plan(m pricer.Month) *pricer.Bill {
+	h := &history{zone: f.table.Zone(), until: m.Start()}
+	b := pricer.NewBuilder(f.table, m)
+	known := newModel(h, 0, f.state, true)
+	for _, s := range h.spansOf(m.Start(), m.End()) {
+		f.addSpan(b, known, f.table, s)
+	}
+	return b.Bill()
+}
+
 func (f *Forecaster) forecast(m pricer.Month, known *model, t *pricer.Table) *Forecast {
 	toDate := pricer.Actual(f.ledger, f.table, m)
 	b := pricer.NewBuilder(t, m)
--- a/forecaster/history.go
+++ b/forecaster/history.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -128,11 +129,13 @@
 	if p.sums[meter.ReservedProcessors] > 0 {
 		f := v[pricer.Processors] / float64(p.sums[meter.ReservedProcessors])
 		for n := range a {
-			a[n] = int64(f * float64(max(0, p.sums[n])))
+			a[n] = whole(f * float64(max(0, p.sums[n])))
 		}
 	}
 	for r := range v {
-		a[r] = int64(v[r])
+		a[r] = whole(v[r])
 	}
 	return a
 }
+
+func whole(f float64) int64 { return int64(math.Round(f)) }
--- a/forecaster/model.go
+++ b/forecaster/model.go
@@ -34,10 +34,16 @@
 		past  *past
 		kind  declarer.Kind
 		batch declarer.BatchJob
-		// rate is what standing work is declared to hold in a millisecond.
+		// unit is what one task is declared to hold in a millisecond, and rate
+		// what all replicas of standing work are.
+		unit   vector
 		rate   vector
 		expect func(day span) vector
 		shares map[string]float64
+		// sizeFactor and timeFactor are how much larger and longer tasks are
+		// than those that ran so far.
+		sizeFactor float64
+		timeFactor float64
 	}
 
 	// span is a day to come, or the part of today that has no records.
@@ -75,13 +81,15 @@
 
 func (m *model) declare() {
 	for _, s := range m.state.Services() {
-		m.add(&work{name: s.Name, team: s.Team, kind: declarer.KindService, rate: rateOf(s.Size.Size()).times(float64(s.Replicas))})
+		unit := rateOf(s.Size.Size())
+		m.add(&work{name: s.Name, team: s.Team, kind: declarer.KindService, unit: unit, rate: unit.times(float64(s.Replicas))})
 	}
 	for _, w := range m.state.WatchJobs() {
-		m.add(&work{name: w.Name, team: w.Team, kind: declarer.KindWatchJob, rate: rateOf(w.Size.Size())})
+		unit := rateOf(w.Size.Size())
+		m.add(&work{name: w.Name, team: w.Team, kind: declarer.KindWatchJob, unit: unit, rate: unit})
 	}
 	for _, b := range m.state.BatchJobs() {
-		m.add(&work{name: b.Name, team: b.Team, kind: declarer.KindBatchJob, batch: b})
+		m.add(&work{name: b.Name, team: b.Team, kind: declarer.KindBatchJob, unit: rateOf(b.Size.Size()), batch: b})
 	}
 }
 
@@ -103,6 +111,7 @@
 }
 
 func (m *model) add(w *work) {
+	w.sizeFactor, w.timeFactor = 1, 1
 	w.past = m.h.works[w.name]
 	if w.past == nil {
 		w.past = &past{team: w.team}
--- a/forecaster/projection.go
+++ b/forecaster/projection.go
@@ -71,18 +71,26 @@
 // amounts gives every amount that goes with what a work is expected to hold.
 func (w *work) amounts(v vector) meter.Amounts {
 	a := w.past.amounts(v)
-	if w.past.sums[meter.ReservedProcessors] > 0 {
+	if w.kind != declarer.KindBatchJob {
+		a[meter.TaskMillis] = perUnit(v, w.unit)
 		return a
 	}
-	unit := w.rate[pricer.Processors]
-	if w.kind == declarer.KindBatchJob {
-		unit = float64(w.batch.Size.Processors)
-	}
-	if unit > 0 {
-		a[meter.TaskMillis] = int64(v[pricer.Processors] / unit)
+	if w.past.sums[meter.ReservedProcessors] > 0 {
+		a[meter.TaskMillis] = whole(float64(a[meter.TaskMillis]) / w.sizeFactor)
+		a[meter.Runs] = whole(float64(a[meter.Runs]) / w.sizeFactor / w.timeFactor)
+		return a
 	}
-	if w.kind == declarer.KindBatchJob && w.batch.RunTime > 0 {
+	a[meter.TaskMillis] = perUnit(v, w.unit)
+	if w.batch.RunTime > 0 {
 		a[meter.Runs] = a[meter.TaskMillis] / int64(w.batch.RunTime)
 	}
 	return a
 }
+
+// perUnit gives the task time in which a task of a size holds v.
+func perUnit(v, unit vector) int64 {
+	if unit[pricer.Processors] == 0 {
+		return 0
+	}
+	return whole(v[pricer.Processors] / unit[pricer.Processors])
+}
--- a/forecaster/standing.go
+++ b/forecaster/standing.go
@@ -16,20 +16,24 @@
 )
 
 // standingRate gives what standing work holds in a millisecond: what it
-// declares, less what it usually lacks of it. Looking back, it is what it held
-// on the last days.
+// declares, less what it usually lacks of it. Days on which it held something
+// else, since it was declared otherwise or had no room, don't count. Looking
+// back, it is what it held on the last days.
 func (m *model) standingRate(w *work) vector {
 	if !m.trusting {
 		return m.meanRate(w, lookBackDays)
 	}
-	ratios := m.ratios(w)
-	if len(ratios) == 0 {
-		return w.rate
+	sum, n := 0.0, 0
+	for _, r := range m.ratios(w) {
+		if math.Abs(r-1) <= likeDeclared {
+			sum += r
+			n++
+		}
 	}
-	if last := ratios[len(ratios)-1]; math.Abs(last-1) <= likeDeclared {
-		return w.rate.times(meanNearOne(ratios))
+	if n == 0 {
+		return w.rate
 	}
-	return w.rate.times(median(ratios))
+	return w.rate.times(sum / float64(n))
 }
 
 // ratios gives what the work held on each of the last days for what it declares.
@@ -66,17 +70,6 @@
 	return sum.times(1 / length)
 }
 
-func meanNearOne(ratios []float64) float64 {
-	sum, n := 0.0, 0
-	for _, r := range ratios {
-		if math.Abs(r-1) <= likeDeclared {
-			sum += r
-			n++
-		}
-	}
-	return sum / float64(n)
-}
-
 func median(values []float64) float64 {
 	sorted := slices.Sorted(slices.Values(values))
 	n := len(sorted)
--- a/forecaster/whatif.go
+++ b/forecaster/whatif.go
@@ -1,6 +1,9 @@
 package forecaster
 
-import "galenawharf.example/galenawharf/declarer"
+import (
+	"galenawharf.example/galenawharf/declarer"
+	"galenawharf.example/galenawharf/pricer"
+)
 
 // rescale makes batch jobs hold as much more or less as they declare than
 // before.
@@ -13,12 +16,18 @@
 		was, is := declaredRun(old), declaredRun(w.batch)
 		var factor vector
 		for r := range factor {
-			factor[r] = 1
-			if was[r] > 0 {
-				factor[r] = is[r] / was[r]
-			}
+			factor[r] = ratio(is[r], was[r])
 		}
+		w.sizeFactor = ratio(w.unit[pricer.Processors], float64(old.Size.Processors))
+		w.timeFactor = ratio(float64(w.batch.RunTime), float64(old.RunTime))
 		expect := w.expect
 		w.expect = func(s span) vector { return expect(s).scaled(factor) }
 	}
 }
+
+func ratio(is, was float64) float64 {
+	if was <= 0 {
+		return 1
+	}
+	return is / was
+}
--- a/meter/ledger.go
+++ b/meter/ledger.go
@@ -186,6 +186,24 @@
 	}
 }
 
+// Before gives the ledger as it was at the beginning of a day, for reading only.
+// Records of earlier days that came later are in it.
+func (l *Ledger) Before(day clock.Millis) *Ledger {
+	b := *l
+	b.last = min(l.last, day)
+	b.days = maps.Clone(l.days)
+	maps.DeleteFunc(b.days, func(start clock.Millis, _ *storedDay) bool { return start >= day })
+	b.shards = map[string]map[clock.Millis]mark{}
+	for shard, hours := range l.shards {
+		for h, m := range hours {
+			if h < day {
+				b.mark(shard, h, m)
+			}
+		}
+	}
+	return &b
+}
+
 // First gives the beginning of the first day that is kept, 0 for none.
 func (l *Ledger) First() clock.Millis {
 	first := clock.Millis(0)
