--- a/daemon/bill.go
+++ b/daemon/bill.go
@@ -7,8 +7,12 @@
 	"galenawharf.example/galenawharf/claimer"
 	"galenawharf.example/galenawharf/clock"
 	"galenawharf.example/galenawharf/coder"
+	"galenawharf.example/galenawharf/declarer"
+	"galenawharf.example/galenawharf/explainer"
+	"galenawharf.example/galenawharf/forecaster"
 	"galenawharf.example/galenawharf/keeper"
 	"galenawharf.example/galenawharf/meter"
+	"galenawharf.example/galenawharf/pricer"
 	"galenawharf.example/galenawharf/provider"
 	"galenawharf.example/galenawharf/schema"
 )
@@ -98,10 +102,73 @@
 // maxBillFaults is how many faults of the bill are kept for its readers.
 const maxBillFaults = 256
 
-func (d *Daemon) forecast(context.Context, *schema.ForecastRequest) (*schema.ForecastResponse, error) {
-	return nil, coder.New(coder.NotReady, "Daemon.forecast: no forecast yet")
+// books gives a copy of the ledger and the declarations of one moment.
+func (d *Daemon) books(ctx context.Context) (*meter.Ledger, *declarer.State, error) {
+	type copied struct {
+		ledger *schema.LedgerState
+		zone   *time.Location
+		state  *declarer.State
+	}
+	b, err := within(ctx, d, func(c *core) copied {
+		if c.ledger == nil {
+			return copied{}
+		}
+		return copied{ledger: c.ledger.Snapshot(), zone: c.ledger.Zone(), state: c.state}
+	})
+	if err != nil {
+		return nil, nil, err
+	}
+	if b.ledger == nil {
+		return nil, nil, coder.New(coder.NotReady, "Daemon.books: no operator is declared, so there is neither currency nor time zone")
+	}
+	return meter.RestoreLedger(b.ledger, b.zone), b.state, nil
 }
 
-func (d *Daemon) explain(context.Context, *schema.ExplainRequest) (*schema.ExplainResponse, error) {
-	return nil, coder.New(coder.NotReady, "Daemon.explain: no explanation yet")
+func (d *Daemon) forecast(ctx context.Context, r *schema.ForecastRequest) (*schema.ForecastResponse, error) {
+	by, err := groupOf(r.GetBy())
+	if err != nil {
+		return nil, err
+	}
+	l, s, err := d.books(ctx)
+	if err != nil {
+		return nil, err
+	}
+	f := forecaster.New(l, s, d.now())
+	m, err := f.Parse(r.GetMonth())
+	if err != nil {
+		return nil, err
+	}
+	return f.Forecast(m).Response(by), nil
+}
+
+// groupOf reads by what the lines of a forecast are grouped.
+func groupOf(by string) (pricer.By, error) {
+	switch b := pricer.By(by); b {
+	case "":
+		return pricer.ByTeam, nil
+	case pricer.ByTeam, pricer.ByWork, pricer.ByDataCentre, pricer.ByResource:
+		return b, nil
+	}
+	return "", coder.At(coder.BadFormat, "by", "%q is none of team, work, data-centre and resource", by)
+}
+
+func (d *Daemon) explain(ctx context.Context, r *schema.ExplainRequest) (*schema.ExplainResponse, error) {
+	l, s, err := d.books(ctx)
+	if err != nil {
+		return nil, err
+	}
+	e := explainer.New(l, s, d.now())
+	m, err := e.Forecaster().Parse(r.GetMonth())
+	if err != nil {
+		return nil, err
+	}
+	against := explainer.Against(r.GetAgainst())
+	if against == "" {
+		against = explainer.AgainstLastMonth
+	}
+	x, err := e.Explain(m, against)
+	if err != nil {
+		return nil, err
+	}
+	return x.Response(), nil
 }
--- a/daemon/loops.go
+++ b/daemon/loops.go
@@ -206,7 +206,7 @@
 			d.metrics.Add(measurer.OrderErrors, 1)
 			d.logger.Emit(logger.OrderFailed, logger.String("worker", o.Worker()), logger.Err(r.Err()))
 		}
-		d.post(func(c *core) { k.Done(d.now(), r) })
+		d.post(func(*core) { k.Done(d.now(), r) })
 	})
 }
 
--- a/demonstrator/demo.go
+++ b/demonstrator/demo.go
@@ -45,15 +45,22 @@
 	demoCapacity = sizer.New(32_000, 125*sizer.GiB, 0)
 )
 
-// Run shows both users' deployments at work, one after the other, and writes
-// what happens to out as it goes. Log lines go to log.
+// Run shows both users' deployments at work, beside each other, and writes what
+// happens to out as it goes. Log lines go to log.
 func Run(out, log io.Writer) error {
-	for _, d := range demos(out) {
-		if err := d.run(log); err != nil {
-			return errors.Wrapf(err, "demonstrator.Run: %s", d.user)
+	both := demos(&lines{to: out})
+	log = &lines{to: log}
+	ends := make(chan error, len(both))
+	for _, d := range both {
+		go func() { ends <- errors.Wrapf(d.run(log), "demonstrator.Run: %s", d.user) }()
+	}
+	var first error
+	for range both {
+		if err := <-ends; err != nil && first == nil {
+			first = err
 		}
 	}
-	return nil
+	return first
 }
 
 func demos(out io.Writer) []*demo {
--- a/demonstrator/deployment.go
+++ b/demonstrator/deployment.go
@@ -152,7 +152,7 @@
 			if err := freeAddresses(&s.Listen.Callers, &s.Listen.Peers, &s.Listen.Status); err != nil {
 				return err
 			}
-			s.Timing = configurer.Timing{LogPoll: 50, HostPoll: 200, Heartbeat: 200, Claim: 2 * clock.Second, Tick: 50}
+			s.Timing = configurer.Timing{LogPoll: 50, HostPoll: 200, Heartbeat: 200, Tick: 50}
 			s.Defaults()
 			d.settings = append(d.settings, s)
 			d.list = append(d.list, provider.Host{Name: s.Name, Role: provider.RoleEntry, DataCentre: dc, Address: s.Listen.Callers})
