--- a/replicator/delay_test.go
+++ b/replicator/delay_test.go
@@ -57,7 +57,7 @@
 			f.run(5*clock.Second, func() { f.check(changes, waits) })
 			must.SliceNotContains(t, waits, 0)
 			slices.Sort(waits)
-			t.Logf("median %d ms, worst %d ms", waits[len(waits)/2], waits[len(waits)-1])
+			t.Logf("%s: median %d ms, worst %d ms", name, waits[len(waits)/2], waits[len(waits)-1])
 			must.LessEq(t, target, waits[len(waits)-1])
 		})
 	}
@@ -127,7 +127,7 @@
 			})
 			must.SliceEmpty(t, f.faults)
 			must.True(t, operator.State().DataCentreDrained("a"))
-			t.Logf("last start %d ms after the drain was sent", last-begun)
+			t.Logf("%s: last start %d ms after the drain was sent", name, last-begun)
 			must.LessEq(t, bound, last-begun)
 		})
 	}
--- a/replicator/propose.go
+++ b/replicator/propose.go
@@ -75,7 +75,8 @@
 	}
 	m := &schema.Membership{}
 	for _, p := range r.sortedMembers() {
-		if peer, known := r.peers[p]; known && peer.Dead {
+		if r.gone(now, p) {
+			r.droppedAt[daemonOf(p)] = now
 			m.Drop = append(m.Drop, p)
 		}
 	}
@@ -91,6 +92,25 @@
 	return m
 }
 
+// gone tells whether to drop a member. One that others add again, since they
+// hear it, is not dropped again for a while.
+func (r *Replicator) gone(now clock.Millis, process string) bool {
+	if process == r.process {
+		return false
+	}
+	if at, before := r.droppedAt[daemonOf(process)]; before && now < at+dropAgainAfter {
+		return false
+	}
+	if peer, known := r.peers[process]; known {
+		return peer.Dead
+	}
+	last := r.booted
+	if h, known := r.heard[process]; known {
+		last = max(last, h.at)
+	}
+	return now > last+DropAfter
+}
+
 // join lets a process make itself a member where nobody can go on by the word of
 // all members while it changes the configuration: there were no members, or one
 // of them was its own daemon's last process, whose word has since grown old, or
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -43,8 +43,10 @@
 		agreed  clock.Millis
 		settled bool
 		// unsettled are when records were sent that were not read back.
-		unsettled    map[string]clock.Millis
-		steppedAt    clock.Millis
+		unsettled map[string]clock.Millis
+		steppedAt clock.Millis
+		// droppedAt are when the daemon last dropped a member, by daemon.
+		droppedAt    map[string]clock.Millis
 		joinedAt     clock.Millis
 		snapshotAt   clock.Millis
 		snapshotBase provider.Offset
@@ -76,7 +78,10 @@
 
 	// giveUpAfter is how long after its sending a record that the log doesn't
 	// show is taken for one that never reached it.
-	giveUpAfter     = clock.Minute
+	giveUpAfter = clock.Minute
+	// dropAgainAfter is how long a member that was dropped and added again
+	// isn't dropped.
+	dropAgainAfter  = 10 * clock.Minute
 	snapshotEvery   = 6 * clock.Hour
 	snapshotRecords = 2000
 	snapshotStagger = clock.Minute
@@ -107,6 +112,7 @@
 		direct:     never,
 		agreed:     never,
 		unsettled:  map[string]clock.Millis{},
+		droppedAt:  map[string]clock.Millis{},
 		joinedAt:   never,
 		steppedAt:  never,
 		snapshotAt: never,
