--- a/explainer/explanation.go
+++ b/explainer/explanation.go
@@ -47,7 +47,7 @@
 
 // Response gives the explanation as the schema has it.
 func (e *Explanation) Response() *schema.ExplainResponse {
-	r := &schema.ExplainResponse{Month: e.month.String(), Currency: e.currency, FromMinor: e.from, ToMinor: e.to}
+	r := &schema.ExplainResponse{Month: e.month.String(), Currency: e.currency, FromMinor: e.from, ToMinor: e.to, Against: string(e.against)}
 	for _, c := range e.causes {
 		r.Causes = append(r.Causes, &schema.Cause{
 			Kind: string(c.kind), Name: c.work, AmountMinor: c.amountMinor,
--- a/forecaster/forecast.go
+++ b/forecaster/forecast.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"galenawharf.example/galenawharf/clock"
+	"galenawharf.example/galenawharf/declarer"
 	"galenawharf.example/galenawharf/meter"
 	"galenawharf.example/galenawharf/pricer"
 	"galenawharf.example/galenawharf/schema"
@@ -99,20 +100,52 @@
 // P90 gives what the cost is below with a probability of nine in ten.
 func (l Line) P90() int64 { return l.p90 }
 
-// Response gives the forecast as the schema has it.
-func (f *Forecast) Response(by pricer.By) *schema.ForecastResponse {
+// Response gives the forecast as the schema has it, with alerts by the budgets of
+// a state.
+func (f *Forecast) Response(by pricer.By, s *declarer.State) *schema.ForecastResponse {
 	w := f.Whole()
 	r := &schema.ForecastResponse{
-		Month: f.month.String(), Currency: f.expected.Currency(),
+		Month: f.month.String(), Currency: f.expected.Currency(), By: string(by),
 		ToDateMinor: w.toDate, P10Minor: w.p10, P50Minor: w.p50, P90Minor: w.p90,
+		Days: f.days(), LeftOut: texts(f.leftOut), Alerts: texts(f.Alerts(s)),
 	}
 	for _, l := range f.Lines(by) {
 		r.Lines = append(r.Lines, &schema.ForecastLine{
 			Name: l.name, ToDateMinor: l.toDate, P10Minor: l.p10, P50Minor: l.p50, P90Minor: l.p90,
 		})
 	}
-	for _, f := range f.leftOut {
-		r.LeftOut = append(r.LeftOut, f.String())
+	for p := range pricer.Parts {
+		r.Parts = append(r.Parts, &schema.CostPart{Name: p.String(), AmountMinor: f.toDate.PartMinor(p)})
 	}
 	return r
 }
+
+// days gives how the cost adds up. The band opens with what is not known yet.
+func (f *Forecast) days() []*schema.ForecastDay {
+	w := f.Whole()
+	starts := f.month.Days()
+	days := make([]*schema.ForecastDay, 0, len(starts))
+	for n, upTo := range f.expected.UpToMinor() {
+		share := 0.0
+		if w.p50 > w.toDate {
+			share = max(0, float64(upTo-w.toDate)/float64(w.p50-w.toDate))
+		}
+		d := &schema.ForecastDay{
+			Day:      starts[n].Time().In(f.month.Zone()).Format(declarer.DateLayout),
+			Known:    pricer.NextDay(starts[n], f.month.Zone()) <= f.until,
+			P10Minor: upTo - whole(share*float64(w.p50-w.p10)),
+			P50Minor: upTo,
+			P90Minor: upTo + whole(share*float64(w.p90-w.p50)),
+		}
+		days = append(days, d)
+	}
+	return days
+}
+
+func texts(faults []meter.Fault) []string {
+	var all []string
+	for _, f := range faults {
+		all = append(all, f.String())
+	}
+	return all
+}
--- a/pricer/bill.go
+++ b/pricer/bill.go
@@ -25,6 +25,7 @@
 		lines    []Line
 		sums     map[meter.Cell]*meter.Amounts
 		faults   []meter.Fault
+		daily    map[clock.Millis]int64
 	}
 
 	// By is what lines are grouped by.
@@ -61,6 +62,20 @@
 	return meter.Amounts{}
 }
 
+// UpToMinor gives what the month costs up to the end of each of its days. The last
+// is the whole; the others are rounded by themselves.
+func (b *Bill) UpToMinor() []int64 {
+	days := b.month.Days()
+	sums := make([]int64, len(days))
+	sum := int64(0)
+	for n, d := range days {
+		sum += b.daily[d]
+		sums[n] = (sum + millionths/2) / millionths
+	}
+	sums[len(sums)-1] = b.TotalMinor()
+	return sums
+}
+
 // Faults gives what has no price.
 func (b *Bill) Faults() []meter.Fault { return b.faults }
 
@@ -73,6 +88,14 @@
 	return total
 }
 
+// Names of parts.
+var (
+	partNames = [Parts]string{"wasted", "used", "throttled", "idle"}
+)
+
+// String gives the part's name.
+func (p Part) String() string { return partNames[p] }
+
 // PartMinor gives what part of the whole cost went for p.
 func (b *Bill) PartMinor(p Part) int64 {
 	total := int64(0)
--- a/pricer/builder.go
+++ b/pricer/builder.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"math"
 	"math/big"
+	"math/bits"
 	"slices"
 
 	"galenawharf.example/galenawharf/clock"
@@ -13,10 +15,13 @@
 type (
 	// Builder makes the bill of one month from what was held.
 	Builder struct {
-		table   *Table
-		month   Month
-		sums    map[meter.Cell]*meter.Amounts
-		priced  map[pricedKey]int64
+		table  *Table
+		month  Month
+		sums   map[meter.Cell]*meter.Amounts
+		priced map[pricedKey]int64
+		// daily is what each day costs, in millionths of the smallest unit of
+		// the currency.
+		daily   map[clock.Millis]int64
 		missing map[priceKey]clock.Millis
 	}
 
@@ -38,6 +43,7 @@
 		table: t, month: m,
 		sums:    map[meter.Cell]*meter.Amounts{},
 		priced:  map[pricedKey]int64{},
+		daily:   map[clock.Millis]int64{},
 		missing: map[priceKey]clock.Millis{},
 	}
 }
@@ -67,6 +73,21 @@
 		}
 	}
 	b.priced[pricedKey{cell: c, resource: r, price: p}] += amount
+	b.daily[meter.DayOf(at, b.table.zone)] += dailyMillionths(amount, p.hourlyMillionths, unitHours[r])
+}
+
+// dailyMillionths gives amount * price / unit, cut to a whole number, and 0
+// where that is out of range. It is for pictures only.
+func dailyMillionths(amount, price, unit int64) int64 {
+	if amount < 0 {
+		return -dailyMillionths(-amount, price, unit)
+	}
+	hi, lo := bits.Mul64(uint64(amount), uint64(price))
+	if hi >= uint64(unit) {
+		return 0
+	}
+	q, _ := bits.Div64(hi, lo, uint64(unit))
+	return int64(min(q, math.MaxInt64))
 }
 
 // AddHour adds what a data centre did not reserve of what is committed, for one
@@ -110,7 +131,7 @@
 // half up, for the month; its lines share what rounding leaves, so that every
 // sum of lines adds up.
 func (b *Builder) Bill() *Bill {
-	bill := &Bill{month: b.month, currency: b.table.currency, sums: b.sums}
+	bill := &Bill{month: b.month, currency: b.table.currency, sums: b.sums, daily: b.daily}
 	costs := b.costs()
 	for _, k := range b.groups(costs) {
 		bill.lines = append(bill.lines, b.group(k, costs)...)
--- /dev/null
+++ b/reporter/encoding.go
@@ -0,0 +1,67 @@
+package reporter
+
+import (
+	"encoding/csv"
+	"io"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	"galenawharf.example/galenawharf/schema"
+)
+
+// JSON writes a forecast or explanation as JSON, with the names of the schema.
+func JSON(w io.Writer, m proto.Message) error {
+	data, err := protojson.MarshalOptions{Indent: "  ", EmitUnpopulated: true}.Marshal(m)
+	if err != nil {
+		return errors.Wrap(err, "JSON")
+	}
+	_, err = w.Write(append(data, '\n'))
+	return errors.Wrap(err, "JSON")
+}
+
+// ForecastCSV writes a forecast for a spreadsheet: a line for each group and
+// one for the total, in the currency with its decimals.
+func ForecastCSV(w io.Writer, r *schema.ForecastResponse) error {
+	rows := [][]string{{"month", "currency", r.GetBy(), "to-date", "p10", "p50", "p90"}}
+	row := func(name string, amounts ...int64) {
+		cells := []string{r.GetMonth(), r.GetCurrency(), safe(name)}
+		for _, a := range amounts {
+			cells = append(cells, Plain(a, r.GetCurrency()))
+		}
+		rows = append(rows, cells)
+	}
+	for _, l := range r.GetLines() {
+		row(nameOf(l.GetName()), l.GetToDateMinor(), l.GetP10Minor(), l.GetP50Minor(), l.GetP90Minor())
+	}
+	row("total", r.GetToDateMinor(), r.GetP10Minor(), r.GetP50Minor(), r.GetP90Minor())
+	return writeCSV(w, rows)
+}
+
+// ExplainCSV writes an explanation for a spreadsheet: a line for each cause.
+func ExplainCSV(w io.Writer, r *schema.ExplainResponse) error {
+	c := r.GetCurrency()
+	rows := [][]string{{"month", "currency", "against", "cause", "work", "amount", "usage-offsets", "config-offsets"}}
+	row := func(kind, work, amount, usage, config string) {
+		rows = append(rows, []string{r.GetMonth(), c, r.GetAgainst(), kind, safe(work), amount, usage, config})
+	}
+	row("was", "", Plain(r.GetFromMinor(), c), "", "")
+	for _, x := range r.GetCauses() {
+		row(x.GetKind(), x.GetName(), Plain(x.GetAmountMinor(), c), offsets(x.GetOffsets()), offsets(x.GetConfigOffsets()))
+	}
+	row("is", "", Plain(r.GetToMinor(), c), "", "")
+	return writeCSV(w, rows)
+}
+
+// safe keeps a name from being read as a formula by a spreadsheet.
+func safe(name string) string {
+	if name != "" && (name[0] == '=' || name[0] == '+' || name[0] == '-' || name[0] == '@') {
+		return "'" + name
+	}
+	return name
+}
+
+func writeCSV(w io.Writer, rows [][]string) error {
+	return errors.Wrap(csv.NewWriter(w).WriteAll(rows), "CSV")
+}
