dispatcher: trials of each mechanism in virtual time

Cause: nothing told what a mechanism of the request path is worth. Change: decisions are function fields of a policy; TestTrials (-trial) drives 7 entry hosts and 50 executors in virtual time, naive and each mechanism off.

--- a/dispatcher/controller.go
+++ b/dispatcher/controller.go
@@ -15,6 +15,7 @@
 		now      func() clock.Millis
 		snapshot func() *snapshot
 		calls    *calls
+		policy   policy
 		nudges   chan struct{}
 		ejectors map[string]*ejector.Ejector
 		seen     map[*router.Target]progress
@@ -37,11 +38,12 @@
 	returnAfter = 30 * clock.Second
 )
 
-func newController(now func() clock.Millis, s func() *snapshot, c *calls) *controller {
+func newController(now func() clock.Millis, s func() *snapshot, c *calls, p policy) *controller {
 	return &controller{
 		now:      now,
 		snapshot: s,
 		calls:    c,
+		policy:   p,
 		nudges:   make(chan struct{}, 1),
 		ejectors: map[string]*ejector.Ejector{},
 		seen:     map[*router.Target]progress{},
@@ -117,7 +119,7 @@
 		targets[t.Host().Address] = t
 		reports = append(reports, ejector.NewReport(t.Host().Address, t.Answers(), t.Failures(), t.Latency()))
 	}
-	for _, change := range e.Step(c.now(), reports) {
+	for _, change := range c.policy.eject(e, c.now(), reports) {
 		apply(targets[change.Address()], change.State())
 	}
 }
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -12,7 +12,6 @@
 	"galenawharf.example/galenawharf/clock"
 	"galenawharf.example/galenawharf/coder"
 	"galenawharf.example/galenawharf/provider"
-	"galenawharf.example/galenawharf/router"
 	"galenawharf.example/galenawharf/schema"
 )
 
@@ -24,7 +23,7 @@
 		seed       uint64
 		name       string
 		dataCentre string
-		pick       func(p *router.Pool, r uint64, usual clock.Millis, tried []*router.Target) *router.Target
+		policy     policy
 
 		viewer     *viewer
 		snapshot   atomic.Pointer[snapshot]
@@ -50,7 +49,7 @@
 
 // New gives a dispatcher that refuses every request until it has a view.
 func New(opts ...Option) (*Dispatcher, error) {
-	d := &Dispatcher{now: clock.System, pick: (*router.Pool).Pick, calls: newCalls(), idle: make(chan struct{})}
+	d := &Dispatcher{now: clock.System, policy: defaultPolicy, calls: newCalls(), idle: make(chan struct{})}
 	for _, o := range opts {
 		o(d)
 	}
@@ -60,8 +59,9 @@
 	d.base, d.stop = context.WithCancel(context.Background())
 	d.viewer = newViewer(d.name, d.dataCentre)
 	d.snapshot.Store(&snapshot{})
-	d.scheduler = newScheduler(d.now, d.snapshot.Load)
-	d.controller = newController(d.now, d.snapshot.Load, d.calls)
+	d.viewer.share = d.policy.share
+	d.scheduler = newScheduler(d.now, d.snapshot.Load, d.policy)
+	d.controller = newController(d.now, d.snapshot.Load, d.calls, d.policy)
 	d.tasks.Go(func() { d.scheduler.run(d.base.Done()) })
 	d.tasks.Go(func() { d.controller.run(d.base.Done()) })
 	return d, nil
--- /dev/null
+++ b/dispatcher/naive_test.go
@@ -0,0 +1,54 @@
+package dispatcher
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"galenawharf.example/galenawharf/clock"
+	"galenawharf.example/galenawharf/coder"
+	"galenawharf.example/galenawharf/provider"
+	"galenawharf.example/galenawharf/schema"
+)
+
+type (
+	// naive is the baseline: executors in turn, and three more tries whatever
+	// went wrong.
+	naive struct {
+		executors provider.Executors
+		view      atomic.Pointer[View]
+		next      atomic.Uint64
+	}
+)
+
+const naiveTries = 4
+
+func newNaive(n *network, _, _ string) checker { return &naive{executors: n.provider()} }
+
+func (n *naive) SetView(v *View) { n.view.Store(v) }
+
+func (n *naive) Close(context.Context) error { return nil }
+
+func (n *naive) Check(ctx context.Context, q *schema.CheckRequest) *schema.Answer {
+	timeout := clock.Millis(q.GetTimeoutMillis()).Duration()
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	var err error
+	for range naiveTries {
+		var r provider.Response
+		r, err = n.try(ctx, q, timeout/naiveTries)
+		if err == nil {
+			return success(q.GetRequestId(), r)
+		}
+	}
+	return refusal(q.GetRequestId(), coder.Unknown, 0, err.Error())
+}
+
+// try sends the request to the next executor and waits for a part of the timeout.
+func (n *naive) try(ctx context.Context, q *schema.CheckRequest, timeout time.Duration) (provider.Response, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	all := n.view.Load().Executors()
+	h := all[n.next.Add(1)%uint64(len(all))]
+	return n.executors.Run(ctx, h.Address, provider.Request{ID: q.GetRequestId(), Service: q.GetService(), Payload: q.GetPayload()})
+}
--- /dev/null
+++ b/dispatcher/policy.go
@@ -0,0 +1,56 @@
+package dispatcher
+
+import (
+	"galenawharf.example/galenawharf/apportioner"
+	"galenawharf.example/galenawharf/clock"
+	"galenawharf.example/galenawharf/ejector"
+	"galenawharf.example/galenawharf/limiter"
+	"galenawharf.example/galenawharf/router"
+)
+
+type (
+	// policy is the decisions on the path of a request.
+	policy struct {
+		// pick begins an attempt at one of the executors that are not in tried, or gives nil.
+		pick func(p *router.Pool, r uint64, usual clock.Millis, tried []*router.Target) *router.Target
+		// share divides units of an executor among the entry hosts.
+		share func(address, dataCentre string, units int, entries []apportioner.Entry) []int
+		// pace gives how fast requests to a service are served.
+		pace func(s *service) limiter.Pace
+		// hedgeAfter gives how long an attempt goes alone.
+		hedgeAfter func(l *router.Latency) clock.Millis
+		// silentAfter gives how long the n-th attempt may go without an answer.
+		silentAfter func(l *router.Latency, n int) clock.Millis
+		// eject gives the executors that change their state.
+		eject func(e *ejector.Ejector, now clock.Millis, reports []ejector.Report) []ejector.Change
+	}
+)
+
+const (
+	minHedge = 2 * clock.Millis(1)
+	// An attempt is taken for silent after silentFactor times the 99th
+	// percentile of the latency, but not before minSilent; each later attempt
+	// of the same request has twice the time.
+	silentFactor = 4
+	minSilent    = 50 * clock.Millis(1)
+)
+
+var defaultPolicy = policy{
+	pick:        (*router.Pool).Pick,
+	share:       apportioner.Shares,
+	pace:        (*service).pace,
+	hedgeAfter:  hedgeAfter,
+	silentAfter: silentAfter,
+	eject:       (*ejector.Ejector).Step,
+}
+
+func hedgeAfter(l *router.Latency) clock.Millis {
+	if l.P95() == 0 {
+		return clock.Never
+	}
+	return max(l.P95(), minHedge)
+}
+
+func silentAfter(l *router.Latency, n int) clock.Millis {
+	return max(silentFactor*l.P99(), minSilent) << (n - 1)
+}
--- a/dispatcher/result.go
+++ b/dispatcher/result.go
@@ -105,7 +105,7 @@
 // silent drops the attempts that show no progress while others do.
 func (r *run) silent(now clock.Millis) *schema.Answer {
 	patience := r.patience()
-	r.silentAt = r.attempts[r.n-1].start + patience
+	r.silentAt = r.attempts[r.n-1].start.Add(patience)
 	if now < r.silentAt {
 		return nil
 	}
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -40,16 +40,8 @@
 	}
 )
 
-const (
-	// An attempt is taken for silent after silentFactor times the 99th
-	// percentile of the latency, but not before minSilent; each later attempt
-	// of the same request has twice the time.
-	silentFactor = 4
-	minSilent    = 50 * clock.Millis(1)
-	minHedge     = 2 * clock.Millis(1)
-	// silentWeight is how many failed attempts a silent one stands for.
-	silentWeight = 2
-)
+// silentWeight is how many failed attempts a silent one stands for.
+const silentWeight = 2
 
 // serve gives the final answer.
 func (r *run) serve() *schema.Answer {
@@ -159,7 +151,7 @@
 }
 
 func (r *run) pick() *router.Target {
-	return r.d.pick(r.route.pool, r.random(), r.route.latency.Mean(), r.excluded())
+	return r.d.policy.pick(r.route.pool, r.random(), r.route.latency.Mean(), r.excluded())
 }
 
 // excluded gives the executors that were tried; where there is no other, only
@@ -215,15 +207,15 @@
 // schedule sets when to hedge and when to take the newest attempt for silent.
 func (r *run) schedule(now clock.Millis) {
 	r.hedgeAt = clock.Never
-	if r.pending == 1 && r.route.latency.P95() > 0 {
-		r.hedgeAt = now + max(r.route.latency.P95(), minHedge)
+	if r.pending == 1 {
+		r.hedgeAt = now.Add(r.d.policy.hedgeAfter(&r.route.latency))
 	}
-	r.silentAt = now + r.patience()
+	r.silentAt = now.Add(r.patience())
 }
 
 // patience gives how long the newest attempt may go without an answer.
 func (r *run) patience() clock.Millis {
-	return max(silentFactor*r.route.latency.P99(), minSilent) << (r.n - 1)
+	return r.d.policy.silentAfter(&r.route.latency, r.n)
 }
 
 // hedge begins a second attempt beside a slow one, where nothing waits, an
--- a/dispatcher/scheduler.go
+++ b/dispatcher/scheduler.go
@@ -16,6 +16,7 @@
 	scheduler struct {
 		now      func() clock.Millis
 		snapshot func() *snapshot
+		policy   policy
 		arrivals chan *waiter
 		nudges   chan struct{}
 		queues   map[string]*limiter.Queue[*waiter]
@@ -37,10 +38,11 @@
 	maxRetryAfter = 10 * clock.Second
 )
 
-func newScheduler(now func() clock.Millis, s func() *snapshot) *scheduler {
+func newScheduler(now func() clock.Millis, s func() *snapshot, p policy) *scheduler {
 	return &scheduler{
 		now:      now,
 		snapshot: s,
+		policy:   p,
 		arrivals: make(chan *waiter, 256),
 		nudges:   make(chan struct{}, 1),
 		queues:   map[string]*limiter.Queue[*waiter]{},
@@ -114,7 +116,7 @@
 	switch {
 	case full:
 		s.refuse(r, last, "too many requests wait")
-	case r.pace().Ready(s.now(), rank+1) > w.Value().deadline:
+	case s.policy.pace(r.service).Ready(s.now(), rank+1) > w.Value().deadline:
 		s.refuse(r, q.Drop(rank), "it can't end in time")
 	}
 }
@@ -180,7 +182,7 @@
 }
 
 func (s *scheduler) sweepRoute(r *route, q *limiter.Queue[*waiter]) {
-	for _, late := range q.Sweep(s.now(), r.pace(), (*waiter).gone) {
+	for _, late := range q.Sweep(s.now(), s.policy.pace(r.service), (*waiter).gone) {
 		s.refuse(r, late, "it can't end in time")
 	}
 }
@@ -200,7 +202,7 @@
 	w := late.Value()
 	r.waiting.Add(-1)
 	s.count(w, -1)
-	p := r.pace()
+	p := s.policy.pace(r.service)
 	c := coder.Overloaded
 	if p.Ready(s.now(), 0) > w.deadline {
 		c = coder.DeadlineTooShort
@@ -232,7 +234,7 @@
 			s.take(r, q, rank)
 			continue
 		}
-		t := r.pool.Pick(w.seed, r.latency.Mean(), w.tried)
+		t := s.policy.pick(r.pool, w.seed, r.latency.Mean(), w.tried)
 		if t == nil && len(w.tried) == 0 {
 			return
 		}
--- /dev/null
+++ b/dispatcher/trial_test.go
@@ -0,0 +1,440 @@
+package dispatcher
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"maps"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/shoenig/test/must"
+
+	"galenawharf.example/galenawharf/apportioner"
+	"galenawharf.example/galenawharf/clock"
+	"galenawharf.example/galenawharf/coder"
+	"galenawharf.example/galenawharf/declarer"
+	"galenawharf.example/galenawharf/ejector"
+	"galenawharf.example/galenawharf/imitator"
+	"galenawharf.example/galenawharf/limiter"
+	"galenawharf.example/galenawharf/provider"
+	"galenawharf.example/galenawharf/router"
+	"galenawharf.example/galenawharf/schema"
+)
+
+type (
+	// deployment is the sizes of one user.
+	deployment struct {
+		entries   int
+		executors int
+		oneWay    time.Duration
+	}
+
+	// scenario is a load and what happens during it.
+	scenario struct {
+		load float64
+		// callerRetries is how often a caller sends a request again that was not answered, at once.
+		callerRetries int
+		at            func(w *world)
+	}
+
+	// checker is an entry host as callers see it.
+	checker interface {
+		Check(ctx context.Context, q *schema.CheckRequest) *schema.Answer
+		SetView(v *View)
+		Close(ctx context.Context) error
+	}
+
+	// world is executors, entry hosts and callers in virtual time.
+	world struct {
+		deployment
+		seed      uint64
+		backends  []*imitator.Executor
+		hosts     []provider.Host
+		entryList []provider.Host
+		entries   []checker
+		dead      []bool
+		networks  []*network
+
+		mu        sync.Mutex
+		latencies []time.Duration
+		outcomes  map[coder.Code]int
+		attempts  int
+		requests  int
+	}
+
+	// network carries the requests of one entry host, on connections that are
+	// kept open and may go silent.
+	network struct {
+		w    *world
+		dc   string
+		mu   sync.Mutex
+		idle map[string][]*connection
+		all  []*connection
+	}
+
+	connection struct{ silent bool }
+
+	// tally is what came out of a trial.
+	tally struct {
+		p50, p99, p999 time.Duration
+		answered       float64
+		goodput        float64
+		attempts       float64
+	}
+)
+
+const (
+	trialSlots    = 8
+	trialMean     = 40.0
+	trialTimeout  = clock.Second
+	trialDuration = 3 * time.Second
+	trialFault    = time.Second
+)
+
+var (
+	trialFlag  = flag.Bool("trial", false, "run the trials and print their table")
+	trialOnly  = flag.String("trial-only", "", "run only trials whose name has this part")
+	trialSeeds = flag.Int("trial-seeds", 3, "how many seeds to run")
+
+	crossguard = deployment{entries: 7, executors: 50, oneWay: 500 * time.Microsecond}
+	sorica     = deployment{entries: 7, executors: 65, oneWay: time.Millisecond}
+)
+
+// serviceTime gives how long a request takes at an executor: log-normal, with a stall of five times as long in one of
+// fifty.
+func serviceTime(seed uint64, address, id string) clock.Millis {
+	h := xxhash.Sum64String(address + "|" + id)
+	r := rand.New(rand.NewPCG(seed, h))
+	const sigma = 0.4
+	d := trialMean / 1.08 * math.Exp(sigma*r.NormFloat64()-sigma*sigma/2)
+	if r.IntN(50) == 0 {
+		d *= 5
+	}
+	return clock.Millis(max(d, 1))
+}
+
+func newWorld(t *testing.T, p deployment, seed uint64, entry func(*network, string, string) checker) *world {
+	t.Helper()
+	w := &world{deployment: p, seed: seed, outcomes: map[coder.Code]int{}, dead: make([]bool, p.entries)}
+	for i := range p.executors {
+		address := fmt.Sprint(i)
+		w.backends = append(w.backends, imitator.NewExecutor(trialSlots, sleep, func(r provider.Request) clock.Millis {
+			return serviceTime(seed, address, r.ID)
+		}))
+		w.hosts = append(w.hosts, provider.Host{Address: address, Service: "s", DataCentre: fmt.Sprint("dc", i%3), Slots: trialSlots, Connections: 64})
+	}
+	for i := range p.entries {
+		h := provider.Host{Name: fmt.Sprint("e", i), DataCentre: fmt.Sprint("dc", i%3)}
+		w.entryList = append(w.entryList, h)
+		n := &network{w: w, dc: h.DataCentre, idle: map[string][]*connection{}}
+		w.networks = append(w.networks, n)
+		w.entries = append(w.entries, entry(n, h.Name, h.DataCentre))
+	}
+	w.show()
+	return w
+}
+
+func (n *network) provider() provider.Executors {
+	run := imitator.ExecutorsOf(n.w.find)
+	return provider.Executors{
+		Run: func(ctx context.Context, address string, r provider.Request) (provider.Response, error) {
+			n.w.countAttempt()
+			c := n.open(address)
+			if c.silent {
+				<-ctx.Done()
+				return provider.Response{}, ctx.Err()
+			}
+			if err := n.travel(ctx, address); err != nil {
+				return provider.Response{}, err
+			}
+			a, err := run.Run(ctx, address, r)
+			if err == nil {
+				err = n.travel(ctx, address)
+			}
+			if c.silent {
+				<-ctx.Done()
+			}
+			if ctx.Err() != nil {
+				return provider.Response{}, ctx.Err()
+			}
+			n.keep(address, c)
+			return a, err
+		},
+		Cancel: run.Cancel,
+	}
+}
+
+func (n *network) travel(ctx context.Context, address string) error {
+	if n.w.hosts[indexOf(address)].DataCentre == n.dc {
+		return nil
+	}
+	timer := time.NewTimer(n.w.oneWay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (n *network) open(address string) *connection {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if idle := n.idle[address]; len(idle) > 0 {
+		c := idle[len(idle)-1]
+		n.idle[address] = idle[:len(idle)-1]
+		return c
+	}
+	c := &connection{}
+	n.all = append(n.all, c)
+	return c
+}
+
+func (n *network) keep(address string, c *connection) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.idle[address] = append(n.idle[address], c)
+}
+
+// forget makes a share of the connections that are open go silent for good.
+func (n *network) forget(share float64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	r := rand.New(rand.NewPCG(n.w.seed, 7))
+	for _, c := range n.all {
+		c.silent = c.silent || r.Float64() < share
+	}
+}
+
+func indexOf(address string) int {
+	var i int
+	_, _ = fmt.Sscan(address, &i)
+	return i
+}
+
+func (w *world) find(address string) *imitator.Executor { return w.backends[indexOf(address)] }
+
+func (w *world) countAttempt() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.attempts++
+}
+
+// show gives every entry host the view.
+func (w *world) show() {
+	var live []provider.Host
+	for i, h := range w.entryList {
+		if !w.dead[i] {
+			live = append(live, h)
+		}
+	}
+	v := NewView(slices.Clone(w.hosts), live, []declarer.Service{{Name: "s", Team: "t", Limits: declarer.RequestLimits{PerSecond: 100_000}}}, nil)
+	for i, e := range w.entries {
+		if !w.dead[i] {
+			e.SetView(v)
+		}
+	}
+}
+
+// drive sends requests at a load for the time of a trial, and waits for the answers.
+func (w *world) drive(s scenario) {
+	r := rand.New(rand.NewPCG(w.seed, 1))
+	rate := s.load * float64(w.executors*trialSlots) / trialMean * 1000
+	if s.at != nil {
+		time.AfterFunc(trialFault, func() { s.at(w) })
+	}
+	var callers sync.WaitGroup
+	start := time.Now()
+	for i := 0; time.Since(start) < trialDuration; i++ {
+		time.Sleep(time.Duration(r.ExpFloat64() / rate * float64(time.Second)))
+		e := w.balance(r)
+		callers.Go(func() { w.call(w.entries[e], fmt.Sprint(i), s.callerRetries) })
+	}
+	callers.Wait()
+}
+
+func (w *world) balance(r *rand.Rand) int {
+	for {
+		if e := r.IntN(len(w.entries)); !w.dead[e] {
+			return e
+		}
+	}
+}
+
+func (w *world) call(e checker, id string, retries int) {
+	start := time.Now()
+	var a *schema.Answer
+	for range 1 + retries {
+		a = e.Check(context.Background(), request(id, trialTimeout))
+		if codeOf(a) == coder.OK {
+			break
+		}
+	}
+	d := time.Since(start)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.requests++
+	w.outcomes[codeOf(a)]++
+	if codeOf(a) == coder.OK {
+		w.latencies = append(w.latencies, d)
+	}
+}
+
+// tally gives the latencies of answers, the share of requests answered, the
+// answers in a second in units of the capacity, and the attempts for each request.
+func (w *world) tally() tally {
+	slices.Sort(w.latencies)
+	at := func(p float64) time.Duration {
+		if len(w.latencies) == 0 {
+			return trialTimeout.Duration()
+		}
+		return w.latencies[int(p*float64(len(w.latencies)-1))]
+	}
+	capacity := float64(w.executors*trialSlots) / trialMean * 1000 * trialDuration.Seconds()
+	return tally{
+		p50: at(0.5), p99: at(0.99), p999: at(0.999),
+		answered: float64(len(w.latencies)) / float64(w.requests),
+		goodput:  float64(len(w.latencies)) / capacity,
+		attempts: float64(w.attempts) / float64(w.requests),
+	}
+}
+
+func runTrial(t *testing.T, p deployment, s scenario, seed uint64, entry func(*network, string, string) checker) (out tally) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, p, seed, entry)
+		w.drive(s)
+		for _, e := range w.entries {
+			must.NoError(t, e.Close(t.Context()))
+		}
+		out = w.tally()
+	})
+	return out
+}
+
+// withPolicy gives entry hosts whose policy is changed.
+func withPolicy(change func(*policy)) func(*network, string, string) checker {
+	return func(n *network, name, dataCentre string) checker {
+		p := defaultPolicy
+		change(&p)
+		d, err := New(WithExecutors(n.provider()), WithName(name), WithDataCentre(dataCentre), WithSeed(n.w.seed), func(d *Dispatcher) { d.policy = p })
+		if err != nil {
+			panic(err)
+		}
+		return d
+	}
+}
+
+var scenarios = map[string]scenario{
+	"load 0.5":              {load: 0.5},
+	"load 0.8":              {load: 0.8},
+	"load 1":                {load: 1},
+	"load 2":                {load: 2},
+	"load 4":                {load: 4},
+	"load 2, callers retry": {load: 2, callerRetries: 3},
+	"slow":                  {load: 0.6, at: func(w *world) { w.fault(5, imitator.ExecutorFaults{Slower: 400}) }},
+	"failing":               {load: 0.6, at: func(w *world) { w.fault(5, imitator.ExecutorFaults{Down: true}) }},
+	"losing answers":        {load: 0.6, at: func(w *world) { w.fault(5, imitator.ExecutorFaults{LoseAnswers: 1 << 30}) }},
+	"silent executors":      {load: 0.6, at: func(w *world) { w.fault(5, imitator.ExecutorFaults{Silent: true}) }},
+	"silent connections": {load: 0.6, at: func(w *world) {
+		for _, n := range w.networks {
+			n.forget(0.5)
+		}
+	}},
+	"executors leave": {load: 0.6, at: func(w *world) {
+		for i := range 5 {
+			w.backends[i].SetLeaving(true)
+		}
+		time.AfterFunc(500*time.Millisecond, func() {
+			for i := range 5 {
+				w.hosts[i].Leaving = true
+			}
+			w.show()
+			for i := range 5 {
+				w.backends[i].SetFaults(imitator.ExecutorFaults{Down: true})
+			}
+		})
+	}},
+	"entry hosts die": {load: 0.8, at: func(w *world) {
+		w.dead[0], w.dead[1] = true, true
+		time.AfterFunc(500*time.Millisecond, w.show)
+	}},
+}
+
+func (w *world) fault(n int, f imitator.ExecutorFaults) {
+	for i := range n {
+		w.backends[i*len(w.backends)/n].SetFaults(f)
+	}
+}
+
+var variants = map[string]func(*network, string, string) checker{
+	"naive":        newNaive,
+	"all on":       withPolicy(func(*policy) {}),
+	"random pick":  withPolicy(func(p *policy) { p.pick = randomPick }),
+	"least loaded": withPolicy(func(p *policy) { p.pick = leastLoaded }),
+	"no shares": withPolicy(func(p *policy) {
+		p.share = func(_, _ string, units int, entries []apportioner.Entry) []int {
+			return slices.Repeat([]int{units}, len(entries))
+		}
+	}),
+	"no deadlines": withPolicy(func(p *policy) { p.pace = func(*service) limiter.Pace { return limiter.NewPace(0, 0) } }),
+	"no hedges":    withPolicy(func(p *policy) { p.hedgeAfter = func(*router.Latency) clock.Millis { return clock.Never } }),
+	"no silence":   withPolicy(func(p *policy) { p.silentAfter = func(*router.Latency, int) clock.Millis { return clock.Never } }),
+	"no ejection": withPolicy(func(p *policy) {
+		p.eject = func(*ejector.Ejector, clock.Millis, []ejector.Report) []ejector.Change { return nil }
+	}),
+}
+
+// randomPick begins an attempt at any executor that has room.
+func randomPick(p *router.Pool, r uint64, _ clock.Millis, tried []*router.Target) *router.Target {
+	all := p.Targets()
+	for i := range all {
+		t := all[(r%uint64(len(all))+uint64(i))%uint64(len(all))]
+		if !slices.Contains(tried, t) && t.Acquire() {
+			return t
+		}
+	}
+	return nil
+}
+
+// leastLoaded begins an attempt at the executor with the fewest in flight.
+func leastLoaded(p *router.Pool, r uint64, _ clock.Millis, tried []*router.Target) *router.Target {
+	all := slices.Clone(p.Targets())
+	rand.New(rand.NewPCG(r, 0)).Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	slices.SortStableFunc(all, func(a, b *router.Target) int { return a.InFlight() - b.InFlight() })
+	for _, t := range all {
+		if !slices.Contains(tried, t) && t.Acquire() {
+			return t
+		}
+	}
+	return nil
+}
+
+// TestTrials prints, with -trial, what each mechanism is worth.
+func TestTrials(t *testing.T) {
+	if !*trialFlag {
+		t.Skip("runs with -trial")
+	}
+	for _, name := range slices.Sorted(maps.Keys(scenarios)) {
+		for _, v := range slices.Sorted(maps.Keys(variants)) {
+			if !strings.Contains(name+"/"+v, *trialOnly) {
+				continue
+			}
+			var lines []string
+			for seed := range uint64(*trialSeeds) {
+				o := runTrial(t, crossguard, scenarios[name], seed+1, variants[v])
+				lines = append(lines, fmt.Sprintf("%4d %4d %4d  %.4f %.3f %.2f", o.p50.Milliseconds(), o.p99.Milliseconds(), o.p999.Milliseconds(), o.answered, o.goodput, o.attempts))
+			}
+			fmt.Printf("%-22s %-14s %s\n", name, v, strings.Join(lines, " | "))
+		}
+	}
+}
--- a/dispatcher/viewer.go
+++ b/dispatcher/viewer.go
@@ -15,6 +15,7 @@
 		mu         sync.Mutex
 		name       string
 		dataCentre string
+		share      func(address, dataCentre string, units int, entries []apportioner.Entry) []int
 		services   map[string]*service
 		targets    map[string]*router.Target
 	}
@@ -104,7 +105,7 @@
 }
 
 func (v *viewer) shareOf(h provider.Host, units int, entries []apportioner.Entry) int {
-	for i, n := range apportioner.Shares(h.Address, h.DataCentre, units, entries) {
+	for i, n := range v.share(h.Address, h.DataCentre, units, entries) {
 		if entries[i].Name() == v.name {
 			return n
 		}
