--- a/apportioner/apportioner.go
+++ b/apportioner/apportioner.go
@@ -1,11 +1,12 @@
 // Package apportioner divides the slots and connections of an executor among
 // the entry hosts that are alive, so that their requests together never exceed
 // what it has. Every entry host works the shares out by itself; hosts that see
-// the same list come to the same shares.
+// the same lists come to the same shares.
 package apportioner
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -17,20 +18,6 @@
 		name       string
 		dataCentre string
 	}
-
-	claim struct {
-		entry     int
-		units     int
-		remainder int
-		rank      uint64
-	}
-)
-
-const (
-	// localWeight is the weight of an entry host in the executor's own data
-	// centre; that of any other is remoteWeight.
-	localWeight  = 4
-	remoteWeight = 1
 )
 
 // NewEntry gives an entry host by its name and data centre.
@@ -39,47 +26,32 @@
 // Name gives the host's name.
 func (e Entry) Name() string { return e.name }
 
-// Shares divides units of what the executor at an address in a data centre has.
-// The shares add up to units, wherever there is an entry host. Entry hosts of the executor's own data
-// centre get the larger part. What doesn't divide goes by a hash of the address and the
-// entry host, so that a host that comes or goes moves few units.
-func Shares(address, dataCentre string, units int, entries []Entry) []int {
-	shares := make([]int, len(entries))
-	claims := claimsOf(address, dataCentre, units, entries)
-	left := units
-	for _, c := range claims {
-		shares[c.entry] = c.units
-		left -= c.units
-	}
-	slices.SortFunc(claims, byRemainder)
-	for i := range min(left, len(claims)) {
-		shares[claims[i].entry]++
+// Share gives the units of what the executor at an address in a data centre
+// has that an entry host may use, 0 for one that is not in the table. The shares of all entry hosts add up to
+// units. Each is the exact part rounded up or down; which of them is chosen by
+// a hash of the address such that over many executors neither is favoured
+// (systematic sampling).
+func (t *Table) Share(entry, address, dataCentre string, units int) int {
+	i, known := slices.BinarySearchFunc(t.entries, entry, func(e Entry, name string) int { return cmp.Compare(e.name, name) })
+	if !known {
+		return 0
 	}
-	return shares
+	sums := t.sumsOf(dataCentre)
+	offset := fraction(xxhash.Sum64String(address))
+	return upTo(sums, i, units, offset) - upTo(sums, i-1, units, offset)
 }
 
-func claimsOf(address, dataCentre string, units int, entries []Entry) []claim {
-	total := 0
-	for _, e := range entries {
-		total += weightOf(e, dataCentre)
+// upTo gives the units of the entry hosts up to the i-th together.
+func upTo(sums []float64, i, units int, offset float64) int {
+	if i < 0 {
+		return 0
 	}
-	claims := make([]claim, len(entries))
-	for i, e := range entries {
-		quota := units * weightOf(e, dataCentre)
-		claims[i] = claim{entry: i, units: quota / total, remainder: quota % total, rank: rankOf(address, e.name)}
+	last := len(sums) - 1
+	if i == last {
+		return units
 	}
-	return claims
+	return min(int(math.Floor(sums[i]/sums[last]*float64(units)+offset)), units)
 }
 
-func weightOf(e Entry, dataCentre string) int {
-	if e.dataCentre == dataCentre {
-		return localWeight
-	}
-	return remoteWeight
-}
-
-func rankOf(address, entry string) uint64 { return xxhash.Sum64String(address + "\x00" + entry) }
-
-func byRemainder(a, b claim) int {
-	return cmp.Or(cmp.Compare(b.remainder, a.remainder), cmp.Compare(a.rank, b.rank))
-}
+// fraction gives a number from 0 to less than 1 by a hash.
+func fraction(h uint64) float64 { return float64(h>>11) / (1 << 53) }
--- a/dispatcher/policy.go
+++ b/dispatcher/policy.go
@@ -13,8 +13,8 @@
 	policy struct {
 		// pick begins an attempt at one of the executors that are not in tried, or gives nil.
 		pick func(p *router.Pool, r uint64, usual clock.Millis, tried []*router.Target) *router.Target
-		// share divides units of an executor among the entry hosts.
-		share func(address, dataCentre string, units int, entries []apportioner.Entry) []int
+		// share gives the units of an executor that an entry host may use.
+		share func(t *apportioner.Table, entry, address, dataCentre string, units int) int
 		// pace gives how fast requests to a service are served.
 		pace func(s *service) limiter.Pace
 		// hedgeAfter gives how long an attempt goes alone.
@@ -37,7 +37,7 @@
 
 var defaultPolicy = policy{
 	pick:        (*router.Pool).Pick,
-	share:       apportioner.Shares,
+	share:       (*apportioner.Table).Share,
 	pace:        (*service).pace,
 	hedgeAfter:  hedgeAfter,
 	silentAfter: silentAfter,
--- a/dispatcher/trial_test.go
+++ b/dispatcher/trial_test.go
@@ -102,10 +102,13 @@
 var (
 	trialFlag  = flag.Bool("trial", false, "run the trials and print their table")
 	trialOnly  = flag.String("trial-only", "", "run only trials whose name has this part")
+	trialUser  = flag.String("trial-user", "crossguard", "whose deployment to run")
 	trialSeeds = flag.Int("trial-seeds", 3, "how many seeds to run")
 
-	crossguard = deployment{entries: 7, executors: 50, oneWay: 500 * time.Microsecond}
-	sorica     = deployment{entries: 7, executors: 65, oneWay: time.Millisecond}
+	deployments = map[string]deployment{
+		"crossguard": {entries: 7, executors: 50, oneWay: 500 * time.Microsecond},
+		"sorica":     {entries: 7, executors: 65, oneWay: time.Millisecond},
+	}
 )
 
 // serviceTime gives how long a request takes at an executor: log-normal, with a stall of five times as long in one of
@@ -382,9 +385,7 @@
 	"random pick":  withPolicy(func(p *policy) { p.pick = randomPick }),
 	"least loaded": withPolicy(func(p *policy) { p.pick = leastLoaded }),
 	"no shares": withPolicy(func(p *policy) {
-		p.share = func(_, _ string, units int, entries []apportioner.Entry) []int {
-			return slices.Repeat([]int{units}, len(entries))
-		}
+		p.share = func(_ *apportioner.Table, _, _, _ string, units int) int { return units }
 	}),
 	"no deadlines": withPolicy(func(p *policy) { p.pace = func(*service) limiter.Pace { return limiter.NewPace(0, 0) } }),
 	"no hedges":    withPolicy(func(p *policy) { p.hedgeAfter = func(*router.Latency) clock.Millis { return clock.Never } }),
@@ -431,7 +432,7 @@
 			}
 			var lines []string
 			for seed := range uint64(*trialSeeds) {
-				o := runTrial(t, crossguard, scenarios[name], seed+1, variants[v])
+				o := runTrial(t, deployments[*trialUser], scenarios[name], seed+1, variants[v])
 				lines = append(lines, fmt.Sprintf("%4d %4d %4d  %.4f %.3f %.2f", o.p50.Milliseconds(), o.p99.Milliseconds(), o.p999.Milliseconds(), o.answered, o.goodput, o.attempts))
 			}
 			fmt.Printf("%-22s %-14s %s\n", name, v, strings.Join(lines, " | "))
--- a/dispatcher/viewer.go
+++ b/dispatcher/viewer.go
@@ -15,7 +15,7 @@
 		mu         sync.Mutex
 		name       string
 		dataCentre string
-		share      func(address, dataCentre string, units int, entries []apportioner.Entry) []int
+		share      func(t *apportioner.Table, entry, address, dataCentre string, units int) int
 		services   map[string]*service
 		targets    map[string]*router.Target
 	}
@@ -43,12 +43,12 @@
 	regions := regionsOf(w.dataCentres)
 	tiers := map[string]*[distances][]*router.Target{}
 	targets := map[string]*router.Target{}
-	entries := v.entriesOf(w)
+	tables := v.tablesOf(w)
 	for _, h := range w.executors {
 		if h.Leaving {
 			continue
 		}
-		t := v.target(h, entries)
+		t := v.target(h, tables[h.Service])
 		targets[h.Address] = t
 		if tiers[h.Service] == nil {
 			tiers[h.Service] = &[distances][]*router.Target{}
@@ -92,8 +92,9 @@
 
 // target gives the executor, the known one where there is one, with this
 // entry host's share of it.
-func (v *viewer) target(h provider.Host, entries []apportioner.Entry) *router.Target {
-	share := min(v.shareOf(h, h.Slots, entries), v.shareOf(h, h.Connections, entries))
+func (v *viewer) target(h provider.Host, table *apportioner.Table) *router.Target {
+	slots := v.share(table, v.name, h.Address, h.DataCentre, h.Slots)
+	share := min(slots, v.share(table, v.name, h.Address, h.DataCentre, h.Connections))
 	t := v.targets[h.Address]
 	if t == nil {
 		return router.NewTarget(h, share)
@@ -104,13 +105,23 @@
 	return t
 }
 
-func (v *viewer) shareOf(h provider.Host, units int, entries []apportioner.Entry) int {
-	for i, n := range v.share(h.Address, h.DataCentre, units, entries) {
-		if entries[i].Name() == v.name {
-			return n
+// tablesOf gives the weights of the entry hosts for each service.
+func (v *viewer) tablesOf(w *View) map[string]*apportioner.Table {
+	pools := map[string]apportioner.Pool{}
+	for _, h := range w.executors {
+		if h.Leaving {
+			continue
 		}
+		if pools[h.Service] == nil {
+			pools[h.Service] = apportioner.Pool{}
+		}
+		pools[h.Service][h.DataCentre] += h.Slots
+	}
+	tables := make(map[string]*apportioner.Table, len(pools))
+	for name, p := range pools {
+		tables[name] = apportioner.NewTable(v.entriesOf(w), p)
 	}
-	return 0
+	return tables
 }
 
 // entriesOf gives the entry hosts that are alive, this one included.
