apportioner: rounding goes to those behind in total

Cause: at load 1 all on had a p99 of 369 to 437 ms against 210 of the naive path: entry hosts got unequal totals, since weights favoured data centres with few entry hosts and rounding by a hash was uneven. Change: weights are balanced by rows and columns; what rounding leaves goes to the entry host that is furthest behind.

--- a/apportioner/weights.go
+++ b/apportioner/weights.go
@@ -1,21 +1,11 @@
 package apportioner
 
-import (
-	"cmp"
-	"slices"
-)
-
 type (
-	// Pool is what all executors have of something, by data centre.
-	Pool map[string]int
-
-	// Table holds the weight of each entry host in each data centre. It never
-	// changes.
-	Table struct {
+	// weights are the parts of entry hosts in each data centre.
+	weights struct {
 		entries     []Entry
 		dataCentres []string
-		weights     [][]float64
-		sums        [][]float64
+		rows        [][]float64
 	}
 )
 
@@ -28,39 +18,30 @@
 	balanceSteps = 20
 )
 
-// NewTable gives weights by which each entry host gets as much in total as any
-// other, and more in its own data centre than elsewhere. The weights that
+// newWeights gives weights by which each entry host gets as much in total as
+// any other, and more in its own data centre than elsewhere. The weights that
 // prefer the own data centre are scaled by rows and columns in turn (iterative
-// proportional fitting).
-func NewTable(entries []Entry, pool Pool) *Table {
-	t := &Table{entries: slices.Clone(entries)}
-	slices.SortFunc(t.entries, func(a, b Entry) int { return cmp.Compare(a.name, b.name) })
-	for d, units := range pool {
-		if units > 0 {
-			t.dataCentres = append(t.dataCentres, d)
-		}
-	}
-	slices.Sort(t.dataCentres)
+// proportional fitting). entries and dataCentres are sorted; pool is what each
+// data centre has.
+func newWeights(entries []Entry, dataCentres []string, pool map[string]int) *weights {
+	t := &weights{entries: entries, dataCentres: dataCentres}
 	total := 0
-	for _, d := range t.dataCentres {
+	for _, d := range dataCentres {
 		total += pool[d]
 	}
 	t.start()
 	for range balanceSteps {
-		t.balanceEntries(float64(total) / float64(len(t.entries)))
+		t.balanceEntries(float64(total) / float64(len(entries)))
 		t.balanceDataCentres(pool)
 	}
-	for k := range t.dataCentres {
-		t.sums = append(t.sums, runningSums(len(t.entries), func(i int) float64 { return t.weights[i][k] }))
-	}
 	return t
 }
 
-func (t *Table) start() {
-	t.weights = make([][]float64, len(t.entries))
+func (t *weights) start() {
+	t.rows = make([][]float64, len(t.entries))
 	for i, e := range t.entries {
 		for _, d := range t.dataCentres {
-			t.weights[i] = append(t.weights[i], startWeight(e, d))
+			t.rows[i] = append(t.rows[i], startWeight(e, d))
 		}
 	}
 }
@@ -72,8 +53,8 @@
 	return remoteWeight
 }
 
-func (t *Table) balanceEntries(each float64) {
-	for _, w := range t.weights {
+func (t *weights) balanceEntries(each float64) {
+	for _, w := range t.rows {
 		sum := 0.0
 		for _, x := range w {
 			sum += x
@@ -84,34 +65,26 @@
 	}
 }
 
-func (t *Table) balanceDataCentres(pool Pool) {
+func (t *weights) balanceDataCentres(pool map[string]int) {
 	for k, d := range t.dataCentres {
 		sum := 0.0
-		for _, w := range t.weights {
+		for _, w := range t.rows {
 			sum += w[k]
 		}
-		for _, w := range t.weights {
+		for _, w := range t.rows {
 			w[k] *= float64(pool[d]) / sum
 		}
 	}
 }
 
-// sumsOf gives the running sums of the weights, by name of the entry host, in a
-// data centre.
-func (t *Table) sumsOf(dataCentre string) []float64 {
-	k, known := slices.BinarySearch(t.dataCentres, dataCentre)
-	if known {
-		return t.sums[k]
-	}
-	return runningSums(len(t.entries), func(i int) float64 { return startWeight(t.entries[i], dataCentre) })
-}
-
-func runningSums(n int, weight func(i int) float64) []float64 {
-	sums := make([]float64, n)
+// exact gives the part of units that each entry host has in the k-th data
+// centre, before rounding.
+func (t *weights) exact(k, units int, parts []float64) {
 	sum := 0.0
-	for i := range n {
-		sum += weight(i)
-		sums[i] = sum
+	for _, w := range t.rows {
+		sum += w[k]
+	}
+	for i, w := range t.rows {
+		parts[i] = w[k] / sum * float64(units)
 	}
-	return sums
 }
--- a/dispatcher/policy.go
+++ b/dispatcher/policy.go
@@ -13,8 +13,8 @@
 	policy struct {
 		// pick begins an attempt at one of the executors that are not in tried, or gives nil.
 		pick func(p *router.Pool, r uint64, usual clock.Millis, tried []*router.Target) *router.Target
-		// share gives the units of an executor that an entry host may use.
-		share func(t *apportioner.Table, entry, address, dataCentre string, units int) int
+		// share gives the units of the executor at an address that an entry host may use.
+		share func(t *apportioner.Table, entry, address string) int
 		// pace gives how fast requests to a service are served.
 		pace func(s *service) limiter.Pace
 		// hedgeAfter gives how long an attempt goes alone.
--- a/dispatcher/viewer.go
+++ b/dispatcher/viewer.go
@@ -15,7 +15,7 @@
 		mu         sync.Mutex
 		name       string
 		dataCentre string
-		share      func(t *apportioner.Table, entry, address, dataCentre string, units int) int
+		share      func(t *apportioner.Table, entry, address string) int
 		services   map[string]*service
 		targets    map[string]*router.Target
 	}
@@ -93,8 +93,7 @@
 // target gives the executor, the known one where there is one, with this
 // entry host's share of it.
 func (v *viewer) target(h provider.Host, table *apportioner.Table) *router.Target {
-	slots := v.share(table, v.name, h.Address, h.DataCentre, h.Slots)
-	share := min(slots, v.share(table, v.name, h.Address, h.DataCentre, h.Connections))
+	share := v.share(table, v.name, h.Address)
 	t := v.targets[h.Address]
 	if t == nil {
 		return router.NewTarget(h, share)
@@ -105,21 +104,19 @@
 	return t
 }
 
-// tablesOf gives the weights of the entry hosts for each service.
+// tablesOf divides the executors of each service among the entry hosts.
 func (v *viewer) tablesOf(w *View) map[string]*apportioner.Table {
-	pools := map[string]apportioner.Pool{}
+	executors := map[string][]apportioner.Executor{}
 	for _, h := range w.executors {
-		if h.Leaving {
-			continue
-		}
-		if pools[h.Service] == nil {
-			pools[h.Service] = apportioner.Pool{}
+		if !h.Leaving {
+			e := apportioner.NewExecutor(h.Address, h.DataCentre, min(h.Slots, h.Connections))
+			executors[h.Service] = append(executors[h.Service], e)
 		}
-		pools[h.Service][h.DataCentre] += h.Slots
 	}
-	tables := make(map[string]*apportioner.Table, len(pools))
-	for name, p := range pools {
-		tables[name] = apportioner.NewTable(v.entriesOf(w), p)
+	entries := v.entriesOf(w)
+	tables := make(map[string]*apportioner.Table, len(executors))
+	for name, e := range executors {
+		tables[name] = apportioner.NewTable(entries, e)
 	}
 	return tables
 }
