dispatcher: silence is seen after twice the 99th percentile

Cause: a request on a silent connection that finds no budget for a hedge waits for four times the 99th percentile.

--- a/dispatcher/policy.go
+++ b/dispatcher/policy.go
@@ -31,7 +31,7 @@
 	// An attempt is taken for silent after silentFactor times the 99th
 	// percentile of the latency, but not before minSilent; each later attempt
 	// of the same request has twice the time.
-	silentFactor = 4
+	silentFactor = 2
 	minSilent    = 50 * clock.Millis(1)
 )
 
