dispatcher: queued requests are judged by the 95th percentile and the target

Cause: a queue judged by mean latency admitted what could only just make its deadline, and in lasting overload it stood full, so each answer came late. Change: the pace uses the 95th percentile; where a queue has been standing for 200 ms, new requests wait no longer than the latency target allows.

--- a/dispatcher/policy.go
+++ b/dispatcher/policy.go
@@ -17,6 +17,9 @@
 		share func(t *apportioner.Table, entry, address string) int
 		// pace gives how fast requests to a service are served.
 		pace func(s *service) limiter.Pace
+		// standingAfter is how long requests wait without a break before the
+		// queue is kept as short as the latency target asks for.
+		standingAfter clock.Millis
 		// hedgeAfter gives how long an attempt goes alone.
 		hedgeAfter func(l *router.Latency) clock.Millis
 		// silentAfter gives how long the n-th attempt may go without an answer.
@@ -36,12 +39,13 @@
 )
 
 var defaultPolicy = policy{
-	pick:        (*router.Pool).Pick,
-	share:       (*apportioner.Table).Share,
-	pace:        (*service).pace,
-	hedgeAfter:  hedgeAfter,
-	silentAfter: silentAfter,
-	eject:       (*ejector.Ejector).Step,
+	pick:          (*router.Pool).Pick,
+	share:         (*apportioner.Table).Share,
+	pace:          (*service).pace,
+	standingAfter: 200 * clock.Millis(1),
+	hedgeAfter:    hedgeAfter,
+	silentAfter:   silentAfter,
+	eject:         (*ejector.Ejector).Step,
 }
 
 func hedgeAfter(l *router.Latency) clock.Millis {
--- a/dispatcher/scheduler.go
+++ b/dispatcher/scheduler.go
@@ -20,6 +20,7 @@
 		arrivals chan *waiter
 		nudges   chan struct{}
 		queues   map[string]*limiter.Queue[*waiter]
+		empty    map[string]clock.Millis
 		waiting  int
 		bytes    int
 	}
@@ -46,6 +47,7 @@
 		arrivals: make(chan *waiter, 256),
 		nudges:   make(chan struct{}, 1),
 		queues:   map[string]*limiter.Queue[*waiter]{},
+		empty:    map[string]clock.Millis{},
 	}
 }
 
@@ -116,11 +118,21 @@
 	switch {
 	case full:
 		s.refuse(r, last, "too many requests wait")
-	case s.policy.pace(r.service).Ready(s.now(), rank+1) > w.Value().deadline:
+	case s.policy.pace(r.service).Ready(s.now(), rank+1) > s.latest(r, w.Value()):
 		s.refuse(r, q.Drop(rank), "it can't end in time")
 	}
 }
 
+// latest gives the latest useful end of a request: its deadline, or where the queue has been standing
+// for some time, so that waiting longer gains nothing, the latency target.
+func (s *scheduler) latest(r *route, w *waiter) clock.Millis {
+	now := s.now()
+	if r.target == 0 || now-s.empty[r.name] < s.policy.standingAfter {
+		return w.deadline
+	}
+	return min(w.deadline, now+max(r.target, 2*r.latency.Mean()))
+}
+
 func (s *scheduler) queueOf(r *route) *limiter.Queue[*waiter] {
 	q := s.queues[r.name]
 	if q == nil {
@@ -128,6 +140,9 @@
 		s.queues[r.name] = q
 	}
 	q.SetLimit(r.queue)
+	if q.Len() == 0 {
+		s.empty[r.name] = s.now()
+	}
 	return q
 }
 
@@ -175,6 +190,7 @@
 		if r == nil {
 			s.drop(q, grant{code: coder.NoBackend, retryAfter: clock.Second, reason: noExecutor})
 			delete(s.queues, name)
+			delete(s.empty, name)
 			continue
 		}
 		s.sweepRoute(r, q)
--- a/dispatcher/service.go
+++ b/dispatcher/service.go
@@ -27,6 +27,7 @@
 		name     string
 		priority int
 		queue    int
+		target   clock.Millis
 		pool     *router.Pool
 	}
 
@@ -47,7 +48,7 @@
 	if n > 0 {
 		interval = max(interval, s.latency.MeanMicros()/n)
 	}
-	return limiter.NewPace(interval, s.latency.Mean())
+	return limiter.NewPace(interval, s.latency.P95())
 }
 
 // answered takes note of an answer after d.
--- a/dispatcher/viewer.go
+++ b/dispatcher/viewer.go
@@ -87,7 +87,7 @@
 	}
 	kept.gate.SetLimits(d.Limits)
 	kept.budget.SetCapacity(p.Share())
-	return &route{service: kept, name: name, priority: d.Priority, queue: d.Limits.Queue, pool: p}
+	return &route{service: kept, name: name, priority: d.Priority, queue: d.Limits.Queue, target: d.LatencyTarget, pool: p}
 }
 
 // target gives the executor, the known one where there is one, with this
