--- a/keeper/homes.go
+++ b/keeper/homes.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"galenawharf.example/galenawharf/claimer"
 	"galenawharf.example/galenawharf/declarer"
 )
 
@@ -60,16 +61,14 @@
 func shardIn(d declarer.DataCentre, key string) string {
 	best := 0
 	for n := range shardsOf(d) {
-		if score(key, shardName(d.Name, n)) > score(key, shardName(d.Name, best)) {
+		if score(key, claimer.ShardName(d.Name, n)) > score(key, claimer.ShardName(d.Name, best)) {
 			best = n
 		}
 	}
-	return shardName(d.Name, best)
+	return claimer.ShardName(d.Name, best)
 }
 
-func shardsOf(declarer.DataCentre) int { return 1 }
-
-func shardName(dataCentre string, n int) string { return dataCentre + "/" + strconv.Itoa(n) }
+func shardsOf(d declarer.DataCentre) int { return max(d.Shards, 1) }
 
 func score(key, place string) uint64 { return xxhash.Sum64String(key + "\x00" + place) }
 
