--- a/checker/alone.go
+++ b/checker/alone.go
@@ -53,7 +53,7 @@
 	other, busy := a.running[group]
 	a.running[group] = place{worker: e.worker, incarnation: e.incarnation}
 	if busy {
-		return broken("alone", e.at, "%s started on %s while %s runs on %s", e.incarnation, e.worker, other.incarnation, other.worker)
+		return broken("alone", e, "%s started on %s while %s runs on %s", e.incarnation, e.worker, other.incarnation, other.worker)
 	}
 	return nil
 }
--- a/checker/answered.go
+++ b/checker/answered.go
@@ -27,14 +27,14 @@
 func (a *answered) answer(e Event) []Violation {
 	want, sent := a.want[e.request]
 	if !sent {
-		return broken("answer", e.at, "an answer came to %s, which was not sent", e.request)
+		return broken("answer", e, "an answer came to %s, which was not sent", e.request)
 	}
 	if a.got[e.request] {
-		return broken("answer", e.at, "a second answer came to %s", e.request)
+		return broken("answer", e, "a second answer came to %s", e.request)
 	}
 	a.got[e.request] = true
 	if !e.notRun && e.payload != want {
-		return broken("answer", e.at, "%s was answered %q in place of %q", e.request, e.payload, want)
+		return broken("answer", e, "%s was answered %q in place of %q", e.request, e.payload, want)
 	}
 	return nil
 }
--- a/checker/atmostonce.go
+++ b/checker/atmostonce.go
@@ -32,7 +32,7 @@
 	first, twice := a.ran[key]
 	a.ran[key] = e
 	if twice {
-		return broken("at-most-once", e.at, "%s started on %s after %s on %s", e.incarnation, e.worker, first.incarnation, first.worker)
+		return broken("at-most-once", e, "%s started on %s after %s on %s", e.incarnation, e.worker, first.incarnation, first.worker)
 	}
 	return nil
 }
--- a/checker/capacity.go
+++ b/checker/capacity.go
@@ -34,7 +34,7 @@
 
 func (c *capacity) start(e Event) []Violation {
 	if c.running[e.worker] == nil {
-		return broken("capacity", e.at, "%s started on %s, which is not known", e.incarnation, e.worker)
+		return broken("capacity", e, "%s started on %s, which is not known", e.incarnation, e.worker)
 	}
 	c.running[e.worker][e.incarnation] = e.size
 	var sum sizer.Size
@@ -42,7 +42,7 @@
 		sum = sum.Add(s)
 	}
 	if !sum.Fits(c.capacities[e.worker]) {
-		return broken("capacity", e.at, "%s holds %v of %v with %s", e.worker, sum, c.capacities[e.worker], e.incarnation)
+		return broken("capacity", e, "%s holds %v of %v with %s", e.worker, sum, c.capacities[e.worker], e.incarnation)
 	}
 	return nil
 }
--- a/checker/checker.go
+++ b/checker/checker.go
@@ -42,9 +42,11 @@
 
 	// Violation is a rule that did not hold.
 	Violation struct {
-		rule string
-		at   clock.Millis
-		text string
+		rule   string
+		at     clock.Millis
+		text   string
+		task   string
+		worker string
 	}
 
 	// rule watches a trace in the order of time.
@@ -84,8 +86,14 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	sorted := slices.Clone(c.events)
+	brief := map[run]bool{}
+	for _, e := range sorted {
+		if e.kind == runStarted {
+			brief[e.run()] = true
+		}
+	}
 	slices.SortStableFunc(sorted, func(a, b Event) int {
-		return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.kind, b.kind))
+		return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.rank(brief), b.rank(brief)))
 	})
 	return sorted
 }
@@ -123,12 +131,18 @@
 // Rule names the rule.
 func (v Violation) Rule() string { return v.rule }
 
+// Task names the work that it is about, where it is about one.
+func (v Violation) Task() string { return v.task }
+
+// Worker names the worker that it is about, where it is about one.
+func (v Violation) Worker() string { return v.worker }
+
 // At gives when it was broken.
 func (v Violation) At() clock.Millis { return v.at }
 
 // String gives rule, time and what was seen.
 func (v Violation) String() string { return fmt.Sprintf("%s: at %d: %s", v.rule, v.at, v.text) }
 
-func broken(name string, at clock.Millis, format string, args ...any) []Violation {
-	return []Violation{{rule: name, at: at, text: fmt.Sprintf(format, args...)}}
+func broken(name string, e Event, format string, args ...any) []Violation {
+	return []Violation{{rule: name, at: e.at, task: e.incarnation.Task, worker: e.worker, text: fmt.Sprintf(format, args...)}}
 }
--- a/checker/checker_test.go
+++ b/checker/checker_test.go
@@ -15,16 +15,16 @@
 	end  = clock.Hour
 )
 
-func run(task string, n int64) provider.Incarnation {
+func runOf(task string, n int64) provider.Incarnation {
 	return provider.Incarnation{Task: task, Number: n}
 }
 
 func started(at clock.Millis, worker, task string, n int64, checkpoint string) Event {
-	return RunStarted(at, worker, run(task, n), sizer.New(1000, 1, 0), checkpoint)
+	return RunStarted(at, worker, runOf(task, n), sizer.New(1000, 1, 0), checkpoint)
 }
 
 func ended(at clock.Millis, worker, task string, n int64, p provider.TaskPhase, checkpoint string) Event {
-	return RunEnded(at, worker, run(task, n), p, checkpoint)
+	return RunEnded(at, worker, runOf(task, n), p, checkpoint)
 }
 
 // TestRules gives each rule traces that keep it and traces that break it.
@@ -52,7 +52,9 @@
 		"never resumed":            {trace: []Event{started(1, "w1", "a", 1, none), ended(2, "w1", "a", 1, provider.PhaseStopped, "s")}, want: "resume"},
 		"cancelled":                {trace: []Event{started(1, "w1", "a", 1, none), ended(2, "w1", "a", 1, provider.PhaseStopped, "s"), WorkEnded(3, "a")}},
 		"resumed twice":            {trace: []Event{started(1, "w1", "a", 1, none), ended(2, "w1", "a", 1, provider.PhaseStopped, "s"), started(3, "w2", "a", 2, "s"), ended(4, "w2", "a", 2, provider.PhaseSucceeded, none), started(5, "w1", "a", 2, "s")}, want: "resume"},
-		"resumed from the start":   {trace: []Event{started(1, "w1", "a", 1, none), ended(2, "w1", "a", 1, provider.PhaseStopped, "s"), started(3, "w2", "a", 2, none)}, want: "resume"},
+		"resumed from the start":   {trace: []Event{started(1, "w1", "a", 1, none), ended(2, "w1", "a", 1, provider.PhaseStopped, "s"), EvictionRecorded(2, runOf("a", 1), "s"), started(3, "w2", "a", 2, none)}, want: "resume"},
+		"never stopped":            {trace: []Event{started(1, "w1", "a", 1, none), EvictionRecorded(2, runOf("a", 1), "s")}, want: "resume"},
+		"recorded otherwise":       {trace: []Event{started(1, "w1", "a", 1, none), ended(2, "w1", "a", 1, provider.PhaseStopped, "s"), EvictionRecorded(2, runOf("a", 1), "t"), started(3, "w2", "a", 2, "t")}, want: "resume"},
 		"start soon after drain":   {trace: []Event{DrainAccepted(10, "south"), started(11, "w1", "a", 1, none)}},
 		"start long after drain":   {trace: []Event{DrainAccepted(10, "south"), started(11+defaultDrain, "w1", "a", 1, none)}, want: "drain"},
 		"start after restore":      {trace: []Event{DrainAccepted(10, "south"), DrainLifted(11, "south"), started(11+defaultDrain, "w1", "a", 1, none)}},
--- a/checker/config.go
+++ b/checker/config.go
@@ -60,7 +60,7 @@
 		return nil
 	}
 	if e.version < f.version {
-		return broken("config", e.at, "%s went back from version %d to %d", e.daemon, f.version, e.version)
+		return broken("config", e, "%s went back from version %d to %d", e.daemon, f.version, e.version)
 	}
 	f.version = e.version
 	return nil
@@ -76,7 +76,7 @@
 				continue
 			}
 			f.late[a.version] = true
-			found = append(found, broken("config", now, "%s is at version %d, but %d was accepted at %d", name, f.version, a.version, a.at)...)
+			found = append(found, broken("config", Event{at: now}, "%s is at version %d, but %d was accepted at %d", name, f.version, a.version, a.at)...)
 		}
 	}
 	return found
--- a/checker/drained.go
+++ b/checker/drained.go
@@ -27,7 +27,7 @@
 	case runStarted:
 		since, out := d.since[d.centres[e.worker]]
 		if out && e.at > since+d.bound {
-			return broken("drain", e.at, "%s started in %s, which is out since %d", e.incarnation, d.centres[e.worker], since)
+			return broken("drain", e, "%s started in %s, which is out since %d", e.incarnation, d.centres[e.worker], since)
 		}
 	}
 	return nil
--- a/checker/event.go
+++ b/checker/event.go
@@ -1,6 +1,8 @@
 package checker
 
 import (
+	"fmt"
+
 	"galenawharf.example/galenawharf/clock"
 	"galenawharf.example/galenawharf/provider"
 	"galenawharf.example/galenawharf/sizer"
@@ -29,13 +31,21 @@
 	}
 
 	kind int
+
+	// run is a run that began or ended at a moment.
+	run struct {
+		at          clock.Millis
+		worker      string
+		incarnation provider.Incarnation
+	}
 )
 
-// Kinds of events. At one moment, what ends stands before what begins.
+// Kinds of events.
 const (
 	workDeclared kind = iota
 	workerAdded
 	runEnded
+	evictionRecorded
 	daemonStarted
 	drainLifted
 	backendReturned
@@ -56,6 +66,35 @@
 	daemonKilled
 )
 
+// rank orders the events of one moment: what stands from the outset goes first,
+// and a run ends before another begins, unless it began at that moment too.
+func (e Event) rank(begun map[run]bool) int {
+	switch e.kind {
+	case workDeclared, workerAdded:
+		return 0
+	case runEnded:
+		if begun[e.run()] {
+			return 4
+		}
+		return 1
+	case runStarted:
+		return 3
+	}
+	return 2
+}
+
+// About tells whether the event is about a task, key or worker.
+func (e Event) About(name string) bool {
+	return e.key == name || e.incarnation.Task == name || e.worker == name
+}
+
+// String gives the event for people.
+func (e Event) String() string {
+	return fmt.Sprintf("%d kind %d %s %s%s %s %s %q", e.at, e.kind, e.incarnation, e.key, e.request, e.worker+e.daemon+e.backend+e.dataCentre, e.phase, e.checkpoint)
+}
+
+func (e Event) run() run { return run{at: e.at, worker: e.worker, incarnation: e.incarnation} }
+
 // WorkDeclared tells of work under a key: its exclusive key, "" for none, and
 // whether it must not run twice.
 func WorkDeclared(at clock.Millis, key, exclusive string, once bool) Event {
@@ -89,6 +128,12 @@
 	return Event{kind: runEnded, at: at, worker: worker, incarnation: i, phase: p, checkpoint: checkpoint}
 }
 
+// EvictionRecorded tells of a valid record in the log that a run was stopped
+// and goes on from a state.
+func EvictionRecorded(at clock.Millis, i provider.Incarnation, checkpoint string) Event {
+	return Event{kind: evictionRecorded, at: at, incarnation: i, checkpoint: checkpoint}
+}
+
 // DrainAccepted tells of a data centre that operators took out.
 func DrainAccepted(at clock.Millis, dataCentre string) Event {
 	return Event{kind: drainAccepted, at: at, dataCentre: dataCentre}
--- a/checker/leaving.go
+++ b/checker/leaving.go
@@ -32,7 +32,7 @@
 func (l *leaving) check(e Event, backend, what string) []Violation {
 	since, leaves := l.since[backend]
 	if leaves && e.at > since+l.bound {
-		return broken("leaving", e.at, "%s went to %s, which leaves since %d", what, backend, since)
+		return broken("leaving", e, "%s went to %s, which leaves since %d", what, backend, since)
 	}
 	return nil
 }
--- a/checker/notrun.go
+++ b/checker/notrun.go
@@ -15,10 +15,11 @@
 func (n *notRun) see(e Event) []Violation {
 	switch e.kind {
 	case runStarted:
-		return n.run(e.at, e.incarnation.Task)
+		return n.run(e, e.incarnation.Task)
 	case requestDispatched:
-		return n.run(e.at, e.request)
+		return n.run(e, e.request)
 	case workAnswered:
+		e.incarnation.Task = e.key
 		return n.tell(e, e.key)
 	case requestAnswered:
 		return n.tell(e, e.request)
@@ -26,10 +27,10 @@
 	return nil
 }
 
-func (n *notRun) run(at clock.Millis, name string) []Violation {
+func (n *notRun) run(e Event, name string) []Violation {
 	n.ran[name] = true
 	if n.told[name] {
-		return broken("not-run", at, "%s ran after the caller was told that it will not", name)
+		return broken("not-run", e, "%s ran after the caller was told that it will not", name)
 	}
 	return nil
 }
@@ -40,7 +41,7 @@
 	}
 	n.told[name] = true
 	if n.ran[name] {
-		return broken("not-run", e.at, "the caller was told that %s did not run, but it did", name)
+		return broken("not-run", e, "the caller was told that %s did not run, but it did", name)
 	}
 	return nil
 }
--- a/checker/shutdown.go
+++ b/checker/shutdown.go
@@ -37,7 +37,7 @@
 func (s *shutdown) stop(e Event) []Violation {
 	var found []Violation
 	for _, request := range slices.Sorted(maps.Keys(s.inflight[e.daemon])) {
-		found = append(found, broken("shutdown", e.at, "%s stopped with %s in flight", e.daemon, request)...)
+		found = append(found, broken("shutdown", e, "%s stopped with %s in flight", e.daemon, request)...)
 	}
 	delete(s.inflight, e.daemon)
 	return found
--- a/imitator/worker.go
+++ b/imitator/worker.go
@@ -31,6 +31,7 @@
 		faults   WorkerFaults
 		over     int
 		starts   []provider.Incarnation
+		watcher  func(WorkerEvent)
 	}
 
 	// Behaviour is how a task turns out.
@@ -59,6 +60,7 @@
 		size       sizer.Size
 		phase      provider.TaskPhase
 		started    clock.Millis
+		sampled    clock.Millis
 		resumed    clock.Millis
 		endsAt     clock.Millis
 		endedAt    clock.Millis
@@ -77,6 +79,8 @@
 
 const (
 	defaultUsageLag = 5 * clock.Second
+	sampleSpan      = 10 * clock.Second
+	samplesKept     = 10 * clock.Minute
 	wholeShare      = 1000
 )
 
@@ -100,6 +104,13 @@
 func (w *Worker) Restart() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.settle()
+	for _, t := range w.tasks {
+		if t.phase == provider.PhaseRunning {
+			t.phase = provider.PhaseLapsed
+			w.tell(t, w.reading())
+		}
+	}
 	w.boot++
 	w.reset()
 }
@@ -235,6 +246,10 @@
 		}
 		if t.leaseUntil <= now {
 			w.end(t, t.leaseUntil, provider.PhaseLapsed)
+			continue
+		}
+		for t.sampled+sampleSpan <= now {
+			w.sample(t, t.sampled+sampleSpan)
 		}
 	}
 }
@@ -250,6 +265,7 @@
 	t.phase = p
 	t.endedAt = at
 	w.sample(t, at)
+	w.tell(t, at)
 }
 
 func (w *Worker) sample(t *task, until clock.Millis) {
@@ -258,13 +274,15 @@
 		seen:  until + w.usageLag,
 		usage: provider.UsageSample{
 			Incarnation: t.order.Incarnation,
-			From:        int64(t.started),
+			From:        int64(t.sampled),
 			Until:       int64(until),
 			Millicores:  t.size.Millicores() * int64(t.permille) / wholeShare,
 			Memory:      t.size.MemoryBytes(),
 			Progress:    int64(t.permille),
 		},
 	})
+	t.sampled = until
+	w.samples = slices.DeleteFunc(w.samples, func(s sample) bool { return s.seen+samplesKept < until })
 }
 
 func (w *Worker) admit(f provider.Fence) error {
@@ -279,7 +297,7 @@
 	if err := w.admit(o.Fence); err != nil {
 		return provider.Reply{}, err
 	}
-	if o.Boot != w.stamp().Boot || clock.Millis(o.LeaseUntil) <= w.reading() {
+	if o.Boot != w.stamp().Boot || clock.Millis(min(o.LeaseUntil, o.StartBy)) <= w.reading() {
 		return provider.Reply{}, coder.New(coder.LeaseLapsed, "Worker: the lease ended before the order came")
 	}
 	if _, twice := w.tasks[o.Incarnation]; twice {
@@ -287,6 +305,7 @@
 	}
 	w.tasks[o.Incarnation] = w.begin(o)
 	w.starts = append(w.starts, o.Incarnation)
+	w.tell(w.tasks[o.Incarnation], w.reading())
 	w.settle()
 	w.watch()
 	return w.reply(o.Fence), nil
@@ -298,6 +317,7 @@
 		size:       o.Size.Size(),
 		phase:      provider.PhaseRunning,
 		started:    w.reading(),
+		sampled:    w.reading(),
 		resumed:    progressOf(o.Checkpoint),
 		leaseUntil: clock.Millis(o.LeaseUntil),
 		checkpoint: o.Checkpoint,
@@ -364,6 +384,7 @@
 	if err != nil {
 		return provider.Reply{}, err
 	}
+	w.sample(t, w.reading())
 	t.permille = o.Permille
 	return provider.Reply{Stamp: w.stamp()}, nil
 }
--- a/imitator/worker_test.go
+++ b/imitator/worker_test.go
@@ -19,6 +19,7 @@
 		Size:        sizer.DocumentOf(sizer.New(1000, 1, 0)),
 		Boot:        "0",
 		LeaseUntil:  lease,
+		StartBy:     lease,
 		RunTime:     int64(clock.Minute),
 	}
 }
--- a/keeper/apply.go
+++ b/keeper/apply.go
@@ -17,9 +17,52 @@
 
 // ApplyIntent takes what a record of "intents" came to.
 func (k *Keeper) ApplyIntent(v Verdict) {
-	k.intentsNext = max(k.intentsNext, v.offset+1)
+	if v.offset < k.intentsNext {
+		return
+	}
+	if v.home == k.shard || v.from == k.shard || v.drops(k) {
+		k.verdicts = append(k.verdicts, v)
+	}
+	k.intentsRead = max(k.intentsRead, v.offset+1)
+	k.catchUp()
+}
+
+// catchUp applies what was read of both streams in an order that its writers
+// could have seen: an event when all that its writer knew of "intents" is
+// known here too, and the leaving of a unit when its release is.
+func (k *Keeper) catchUp() {
+	for k.applyNextVerdict() || k.applyNextEvent() {
+	}
+	if len(k.verdicts) == 0 {
+		k.intentsNext = k.intentsRead
+	}
+	for k.applyNextEvent() {
+	}
+}
+
+func (k *Keeper) applyNextVerdict() bool {
+	if len(k.verdicts) == 0 {
+		return false
+	}
+	v := k.verdicts[0]
+	k.intentsNext = max(k.intentsNext, v.offset)
+	if unit := v.rehome.GetUnit(); v.from == k.shard && k.released[unit].hop != v.rehome.GetHop() {
+		return false
+	}
+	k.intentsNext = v.offset + 1
+	k.verdicts = slices.Delete(k.verdicts, 0, 1)
 	k.applyVerdict(v)
-	k.applyQueued()
+	return true
+}
+
+func (k *Keeper) applyNextEvent() bool {
+	if len(k.queue) == 0 || k.queue[0].GetTask().GetIntentsNext() > int64(k.intentsNext) {
+		return false
+	}
+	rec := k.queue[0]
+	k.queue = slices.Delete(k.queue, 0, 1)
+	k.applyEvent(rec)
+	return true
 }
 
 func (k *Keeper) applyVerdict(v Verdict) {
@@ -75,7 +118,9 @@
 	}
 	delete(k.released, v.rehome.GetUnit())
 	for _, t := range k.unitTasks(v.rehome.GetUnit()) {
-		k.strays[t.id] = t
+		if t.state == stateWaiting {
+			k.strays[t.id] = t
+		}
 	}
 }
 
@@ -94,18 +139,7 @@
 		return
 	}
 	k.queue = append(k.queue, rec)
-	k.applyQueued()
-}
-
-// applyQueued applies events in order, each when all that its writer knew of
-// "intents" is known here too.
-func (k *Keeper) applyQueued() {
-	n := 0
-	for n < len(k.queue) && k.queue[n].GetTask().GetIntentsNext() <= int64(k.intentsNext) {
-		k.applyEvent(k.queue[n])
-		n++
-	}
-	k.queue = slices.Delete(k.queue, 0, n)
+	k.catchUp()
 }
 
 func (k *Keeper) applyEvent(rec *schema.Record) {
@@ -125,7 +159,7 @@
 		t.pending = ""
 	}
 	k.touch(t)
-	if strings.HasPrefix(t.id, prefixService) {
+	if t.service() {
 		k.applyReplica(t, e)
 		return
 	}
--- a/keeper/config.go
+++ b/keeper/config.go
@@ -94,7 +94,7 @@
 		}
 	}
 	for id, t := range k.tasks {
-		if strings.HasPrefix(id, prefixService) && !wanted[id] {
+		if t.service() && !wanted[id] {
 			t.wanted = false
 		}
 	}
--- a/keeper/draining.go
+++ b/keeper/draining.go
@@ -136,7 +136,7 @@
 		}
 		busy[unit] = true
 		e := &schema.TaskEvent{
-			Shard: k.shard, Epoch: k.epoch, Task: unit, To: to, Hop: k.register.hop(unit) + 1,
+			Shard: k.shard, Epoch: k.epoch, Task: unit, To: to, Hop: k.hop(unit) + 1,
 			State: schema.TaskState_TASK_STATE_RELEASED,
 		}
 		k.record(t, e)
@@ -157,12 +157,23 @@
 			return
 		}
 	}
-	if _, left := k.released[unit]; left || e.GetHop() != k.register.hop(unit)+1 {
+	if _, left := k.released[unit]; left || e.GetHop() != k.hop(unit)+1 {
 		return
 	}
 	k.released[unit] = departure{to: e.GetTo(), hop: e.GetHop()}
 }
 
+// hop gives how often a unit had moved at the place in "intents" that the
+// keeper has come to; the register may be further.
+func (k *Keeper) hop(unit string) int64 {
+	for _, v := range k.verdicts {
+		if v.rehome.GetUnit() == unit && v.rehome.GetHop() > 0 {
+			return v.rehome.GetHop() - 1
+		}
+	}
+	return k.register.hop(unit)
+}
+
 // announce says where released units have gone. A later owner says it again.
 func (k *Keeper) announce() {
 	units := slices.Sorted(maps.Keys(k.released))
@@ -173,6 +184,9 @@
 		}
 		m := &schema.Rehome{Unit: unit, Hop: d.hop, To: d.to}
 		for _, t := range k.unitTasks(unit) {
+			if t.state != stateWaiting {
+				continue
+			}
 			m.Tasks = append(m.Tasks, t.waitingTask())
 		}
 		d.pending = k.append(intentsStream, &schema.Record{Body: &schema.Record_Rehome{Rehome: m}})
--- a/keeper/ending.go
+++ b/keeper/ending.go
@@ -38,7 +38,7 @@
 	case endReported:
 		k.concludeReport(t, l.report)
 	case endNotStarted:
-		k.recordEnd(t, schema.TaskState_TASK_STATE_LOST, coder.NotRun, &schema.TaskEvent{NotStarted: true})
+		k.recordEnd(t, schema.TaskState_TASK_STATE_LOST, coder.NotRun, &schema.TaskEvent{NotStarted: true, Checkpoint: t.checkpoint})
 	case endUnheard:
 		k.concludeUnheard(t)
 	}
@@ -125,7 +125,7 @@
 	e.Worker = t.worker
 	e.ResultCode = int32(c)
 	k.record(t, e)
-	if t.lease == nil {
+	if t.lease == nil || t.spec == nil {
 		return
 	}
 	if s == schema.TaskState_TASK_STATE_EVICTED {
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -36,8 +36,13 @@
 		// strays are tasks whose unit has moved on without them.
 		strays map[string]*task
 		// queue has events whose writer was further in "intents".
-		queue       []*schema.Record
+		queue []*schema.Record
+		// verdicts wait for events of the data centre's stream.
+		verdicts []Verdict
+		// intentsNext is what was applied of "intents", intentsRead what was
+		// read.
 		intentsNext provider.Offset
+		intentsRead provider.Offset
 		hosts       map[string]*host
 		ordered     []*host
 		taskLife    *life
@@ -97,19 +102,21 @@
 	checkpointInterval = clock.Second
 	usageInterval      = 15 * clock.Second
 	orderTimeout       = 5 * clock.Second
-	firstRetry         = 500 * clock.Millis(1)
-	lastRetry          = 5 * clock.Second
-	suspectAfter       = 10 * clock.Second
-	giveUpAfter        = 10 * clock.Minute
-	placeInterval      = 50 * clock.Millis(1)
-	proposeInterval    = 10 * clock.Second
-	purgeInterval      = clock.Minute
-	recentRetention    = 2 * clock.Minute
-	answerRetention    = 2 * clock.Day
-	neverFitsAfter     = 30 * clock.Second
-	firstBackoff       = 2 * clock.Second
-	lastBackoff        = 5 * clock.Minute
-	maxFailures        = 4
+	// startWithin is how late an order to start may still be heeded.
+	startWithin     = 2 * clock.Second
+	firstRetry      = 500 * clock.Millis(1)
+	lastRetry       = 5 * clock.Second
+	suspectAfter    = 10 * clock.Second
+	giveUpAfter     = 10 * clock.Minute
+	placeInterval   = 50 * clock.Millis(1)
+	proposeInterval = 10 * clock.Second
+	purgeInterval   = clock.Minute
+	recentRetention = 2 * clock.Minute
+	answerRetention = 2 * clock.Day
+	neverFitsAfter  = 30 * clock.Second
+	firstBackoff    = 2 * clock.Second
+	lastBackoff     = 5 * clock.Minute
+	maxFailures     = 4
 )
 
 // New gives the keeper of a shard of a data centre. The register is shared by
@@ -159,6 +166,7 @@
 	k.released = map[string]departure{}
 	k.strays = map[string]*task{}
 	k.queue = nil
+	k.verdicts = nil
 }
 
 // Shard gives the name of the shard.
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -16,10 +16,10 @@
 	w := newWorld(2, sizer.New(4000, 8*sizer.GiB, 0))
 	w.declareUsual(t)
 	n := w.add("d1")
-	n.claim(clock.Minute)
-	w.submit("july", "invoice", nil)
-	w.submit("july", "invoice", nil)
-	w.submit("monday", "roster", nil)
+	must.NoError(t, n.claim(clock.Minute))
+	must.NoError(t, w.submit("july", "invoice", nil))
+	must.NoError(t, w.submit("july", "invoice", nil))
+	must.NoError(t, w.submit("monday", "roster", nil))
 	w.run(5*clock.Second, 100)
 	must.Eq(t, coder.Pending, n.keeper.Outcome("july").Code())
 	w.run(30*clock.Second, 100)
@@ -36,13 +36,13 @@
 	w.declareUsual(t)
 	w.declare(t, declarer.KindService, "faults", `{"name":"faults","team":"billing","replicas":3,"size":{"processors":1,"memory":"1GiB"},"latency-target":"50ms"}`)
 	n := w.add("d1")
-	n.claim(clock.Minute)
+	must.NoError(t, n.claim(clock.Minute))
 	w.run(2*clock.Second, 100)
 	must.Eq(t, 3, w.starts("service/faults/"))
-	w.declare(t, declarer.KindDrain, "host.w0000", `{"name":"host.w0000"}`)
+	w.declare(t, declarer.KindDrain, "host.south-w0000", `{"name":"host.south-w0000"}`)
 	w.run(5*clock.Second, 100)
-	on0, _ := w.workers["w0000"].Running()
-	on1, _ := w.workers["w0001"].Running()
+	on0, _ := w.workers["south-w0000"].Running()
+	on1, _ := w.workers["south-w0001"].Running()
 	must.Len(t, 0, on0)
 	must.Len(t, 3, on1)
 }
@@ -60,15 +60,15 @@
 			w := newWorld(1, sizer.New(4000, 8*sizer.GiB, 0))
 			w.declareUsual(t)
 			n := w.add("d1")
-			n.claim(clock.Minute)
-			w.submit("july", "invoice", nil)
+			must.NoError(t, n.claim(clock.Minute))
+			must.NoError(t, w.submit("july", "invoice", nil))
 			w.run(tc.before, 100)
-			w.cancel("july")
+			must.NoError(t, w.cancel("july"))
 			w.run(10*clock.Second, 100)
 			must.Eq(t, coder.Cancelled, n.keeper.Outcome("july").Code())
 			must.Eq(t, tc.starts > 0, n.keeper.Outcome("july").Ran())
 			must.Eq(t, tc.starts, w.starts("july"))
-			on, _ := w.workers["w0000"].Running()
+			on, _ := w.workers["south-w0000"].Running()
 			must.Len(t, 0, on)
 		})
 	}
@@ -79,11 +79,11 @@
 	w.declareUsual(t)
 	a := w.add("d1")
 	b := w.add("d2")
-	a.claim(clock.Minute)
-	w.submit("july", "invoice", nil)
+	must.NoError(t, a.claim(clock.Minute))
+	must.NoError(t, w.submit("july", "invoice", nil))
 	w.run(2*clock.Second, 100)
 	delete(w.nodes, "d1")
-	b.claim(clock.Minute)
+	must.NoError(t, b.claim(clock.Minute))
 	w.run(30*clock.Second, 100)
 	must.Eq(t, coder.OK, b.keeper.Outcome("july").Code())
 	must.Eq(t, 1, w.starts("july"))
@@ -93,9 +93,9 @@
 	w := newWorld(2, sizer.New(4000, 8*sizer.GiB, 0))
 	w.declareUsual(t)
 	n := w.add("d1")
-	n.claim(clock.Minute)
+	must.NoError(t, n.claim(clock.Minute))
 	for _, key := range []string{"a", "b"} {
-		w.submit(key, "roster", func(i *schema.Intent) { i.ExclusiveKey = "crossing-7" })
+		must.NoError(t, w.submit(key, "roster", func(i *schema.Intent) { i.ExclusiveKey = "crossing-7" }))
 	}
 	w.run(10*clock.Second, 100)
 	must.Eq(t, 1, w.starts("a")+w.starts("b"))
@@ -104,13 +104,44 @@
 	must.Eq(t, coder.OK, n.keeper.Outcome("b").Code())
 }
 
+// TestLateStartIsFenced loses the answer to a start and lets the order come to
+// the worker only after the inventory that asked about it.
+func TestLateStartIsFenced(t *testing.T) {
+	w := newWorld(1, sizer.New(4000, 8*sizer.GiB, 0))
+	w.declareUsual(t)
+	n := w.add("d1")
+	must.NoError(t, n.claim(clock.Minute))
+	must.NoError(t, w.submit("july", "invoice", nil))
+	var late *Order
+	for late == nil {
+		w.clock.Advance(100)
+		n.tail()
+		for _, o := range n.act() {
+			if o.Kind() == OrderStart {
+				late = o
+				n.keeper.Done(w.clock.Now(), Result{order: o, err: errLost})
+				continue
+			}
+			n.keeper.Done(w.clock.Now(), o.Do(t.Context(), w.provider()))
+		}
+		n.flush(n.put)
+	}
+	for range 6 {
+		w.clock.Advance(100)
+		n.step()
+	}
+	must.Eq(t, coder.Fenced, coder.Of(late.Do(t.Context(), w.provider()).Err()))
+	w.run(5*clock.Second, 100)
+	must.Eq(t, 1, w.starts("july"))
+}
+
 func TestNeverFits(t *testing.T) {
 	w := newWorld(1, sizer.New(4000, 8*sizer.GiB, 0))
 	w.declareUsual(t)
 	w.declare(t, declarer.KindBatchJob, "huge", `{"name":"huge","team":"billing","size":{"processors":64,"memory":"1GiB"},"run-time":"20s","idempotent":true}`)
 	n := w.add("d1")
-	n.claim(clock.Minute)
-	w.submit("x", "huge", nil)
+	must.NoError(t, n.claim(clock.Minute))
+	must.NoError(t, w.submit("x", "huge", nil))
 	w.run(40*clock.Second, 100)
 	must.Eq(t, coder.NeverFits, n.keeper.Outcome("x").Code())
 	must.False(t, n.keeper.Outcome("x").Ran())
--- a/keeper/ordering.go
+++ b/keeper/ordering.go
@@ -98,6 +98,7 @@
 		Class:       t.spec.class,
 		Boot:        l.boot,
 		LeaseUntil:  l.until,
+		StartBy:     h.clock.least(k.now + startWithin),
 		Checkpoint:  t.checkpoint,
 		Payload:     t.intent.GetPayload(),
 		RunTime:     int64(t.spec.runTime),
--- a/keeper/register.go
+++ b/keeper/register.go
@@ -84,6 +84,16 @@
 // Duplicate tells whether the key of an intent was taken before.
 func (v Verdict) Duplicate() bool { return v.duplicate }
 
+// drops tells whether tasks that a keeper has are elsewhere from now on.
+func (v Verdict) drops(k *Keeper) bool {
+	for _, w := range v.moved {
+		if k.tasks[w.GetIntent().GetKey()] != nil {
+			return true
+		}
+	}
+	return false
+}
+
 // Home gives the shard whose owner decides about the work, "" where the record
 // changes nothing.
 func (v Verdict) Home() string { return v.home }
--- a/keeper/results.go
+++ b/keeper/results.go
@@ -124,6 +124,9 @@
 		k.adoptOne(h, inv.Stamp.Boot, r)
 	}
 	for _, l := range h.sorted() {
+		if l.phase == phaseEnded && l.task == nil && !named[l.incarnation] {
+			delete(h.leases, l.incarnation)
+		}
 		if !l.ordered() || named[l.incarnation] || l.phase == phaseEnded {
 			continue
 		}
@@ -137,7 +140,7 @@
 
 func (k *Keeper) adoptOne(h *host, boot string, r provider.TaskReport) {
 	l := h.leases[r.Incarnation]
-	if l == nil {
+	if l == nil || r.Phase == provider.PhaseRunning && !l.holds() {
 		l = k.foundLease(h, r)
 	}
 	l.size = r.Size.Size()
--- a/keeper/step.go
+++ b/keeper/step.go
@@ -18,7 +18,7 @@
 	}
 	k.authority = a
 	k.purge()
-	if a.holds(k.now) && len(k.queue) == 0 {
+	if a.holds(k.now) && len(k.queue) == 0 && len(k.verdicts) == 0 {
 		k.watchLeases()
 		for _, t := range k.takeTouched() {
 			k.settle(t)
--- a/keeper/task.go
+++ b/keeper/task.go
@@ -1,6 +1,8 @@
 package keeper
 
 import (
+	"strings"
+
 	"galenawharf.example/galenawharf/clock"
 	"galenawharf.example/galenawharf/coder"
 	"galenawharf.example/galenawharf/placer"
@@ -66,14 +68,11 @@
 
 // service tells whether a second run does no harm, so that it may go on
 // without the log.
-func (t *task) service() bool { return t.spec != nil && t.spec.kind == placer.Service }
+func (t *task) service() bool { return strings.HasPrefix(t.id, prefixService) }
 
 // repeatable tells whether the task may run again when its end is unclear.
 func (t *task) repeatable() bool {
-	if t.spec == nil || t.intent == nil {
-		return t.spec != nil
-	}
-	return t.spec.kind == placer.Watch || t.intent.GetIdempotent()
+	return t.service() || t.intent.GetIdempotent()
 }
 
 // reservation gives what a run that begins now holds, and who pays for it.
--- a/provider/worker.go
+++ b/provider/worker.go
@@ -44,6 +44,9 @@
 		// LeaseUntil is the end of the lease by the worker's clock; an order
 		// that arrives later is refused.
 		LeaseUntil int64 `json:"lease-until"`
+		// StartBy is the latest that the task may begin by the worker's
+		// clock; an order that arrives later is refused.
+		StartBy int64 `json:"start-by"`
 		// Checkpoint is the state to resume from; empty to begin.
 		Checkpoint string `json:"checkpoint,omitempty"`
 		Payload    []byte `json:"payload,omitempty"`
