--- a/apportioner/apportioner.go
+++ b/apportioner/apportioner.go
@@ -1,14 +1,13 @@
-// Package apportioner divides the slots and connections of an executor among
-// the entry hosts that are alive, so that their requests together never exceed
-// what it has. Every entry host works the shares out by itself; hosts that see
-// the same list come to the same shares.
+// Package apportioner divides the slots and connections of executors among the
+// entry hosts that are alive, so that their requests together never exceed
+// what there is. Every entry host works the shares out by itself; hosts that
+// see the same lists come to the same shares.
 package apportioner
 
 import (
 	"cmp"
+	"math"
 	"slices"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 type (
@@ -18,68 +17,97 @@
 		dataCentre string
 	}
 
-	claim struct {
-		entry     int
-		units     int
-		remainder int
-		rank      uint64
+	// Executor is an executor and the units of it that are shared.
+	Executor struct {
+		address    string
+		dataCentre string
+		units      int
 	}
-)
 
-const (
-	// localWeight is the weight of an entry host in the executor's own data
-	// centre; that of any other is remoteWeight.
-	localWeight  = 4
-	remoteWeight = 1
+	// Table holds the share of each entry host in each executor. It never
+	// changes.
+	Table struct {
+		entries   []Entry
+		executors []Executor
+		shares    [][]uint16
+	}
 )
 
 // NewEntry gives an entry host by its name and data centre.
 func NewEntry(name, dataCentre string) Entry { return Entry{name: name, dataCentre: dataCentre} }
 
-// Name gives the host's name.
-func (e Entry) Name() string { return e.name }
+// NewExecutor gives an executor in a data centre that has units of something.
+func NewExecutor(address, dataCentre string, units int) Executor {
+	return Executor{address: address, dataCentre: dataCentre, units: min(max(units, 0), math.MaxUint16)}
+}
 
-// Shares divides units of what the executor at an address in a data centre has.
-// The shares add up to units, wherever there is an entry host. Entry hosts of the executor's own data
-// centre get the larger part. What doesn't divide goes by a hash of the address and the
-// entry host, so that a host that comes or goes moves few units.
-func Shares(address, dataCentre string, units int, entries []Entry) []int {
-	shares := make([]int, len(entries))
-	claims := claimsOf(address, dataCentre, units, entries)
-	left := units
-	for _, c := range claims {
-		shares[c.entry] = c.units
-		left -= c.units
+// NewTable divides the units of each executor among the entry hosts. The shares
+// in an executor add up to its units. Each is the exact part rounded up or
+// down; what rounding leaves goes to the entry hosts that are furthest behind in
+// total, so that the totals differ from each other by little. The order of the lists makes
+// no difference.
+func NewTable(entries []Entry, executors []Executor) *Table {
+	t := &Table{entries: slices.Clone(entries), executors: slices.Clone(executors)}
+	slices.SortFunc(t.entries, func(a, b Entry) int { return cmp.Compare(a.name, b.name) })
+	slices.SortFunc(t.executors, func(a, b Executor) int { return cmp.Compare(a.address, b.address) })
+	pool := map[string]int{}
+	for _, e := range t.executors {
+		pool[e.dataCentre] += e.units
 	}
-	slices.SortFunc(claims, byRemainder)
-	for i := range min(left, len(claims)) {
-		shares[claims[i].entry]++
+	var dataCentres []string
+	for d, units := range pool {
+		if units > 0 {
+			dataCentres = append(dataCentres, d)
+		}
 	}
-	return shares
+	slices.Sort(dataCentres)
+	t.divide(newWeights(t.entries, dataCentres, pool))
+	return t
 }
 
-func claimsOf(address, dataCentre string, units int, entries []Entry) []claim {
-	total := 0
-	for _, e := range entries {
-		total += weightOf(e, dataCentre)
+// Share gives the units of the executor at an address that an entry host may
+// use, 0 for one that is not in the table.
+func (t *Table) Share(entry, address string) int {
+	i, known := slices.BinarySearchFunc(t.entries, entry, func(e Entry, name string) int { return cmp.Compare(e.name, name) })
+	if !known {
+		return 0
 	}
-	claims := make([]claim, len(entries))
-	for i, e := range entries {
-		quota := units * weightOf(e, dataCentre)
-		claims[i] = claim{entry: i, units: quota / total, remainder: quota % total, rank: rankOf(address, e.name)}
+	k, known := slices.BinarySearchFunc(t.executors, address, func(e Executor, a string) int { return cmp.Compare(e.address, a) })
+	if !known {
+		return 0
 	}
-	return claims
+	return int(t.shares[k][i])
 }
 
-func weightOf(e Entry, dataCentre string) int {
-	if e.dataCentre == dataCentre {
-		return localWeight
+func (t *Table) divide(w *weights) {
+	parts := make([]float64, len(t.entries))
+	behind := make([]float64, len(t.entries))
+	order := make([]int, len(t.entries))
+	for _, e := range t.executors {
+		row := make([]uint16, len(t.entries))
+		if e.units > 0 {
+			k, _ := slices.BinarySearch(w.dataCentres, e.dataCentre)
+			w.exact(k, e.units, parts)
+			round(row, e.units, parts, behind, order)
+		}
+		t.shares = append(t.shares, row)
 	}
-	return remoteWeight
 }
 
-func rankOf(address, entry string) uint64 { return xxhash.Sum64String(address + "\x00" + entry) }
-
-func byRemainder(a, b claim) int {
-	return cmp.Or(cmp.Compare(b.remainder, a.remainder), cmp.Compare(a.rank, b.rank))
+// round gives each entry host the whole part of its units, and one more to
+// those furthest behind until all are given. behind is what each
+// got too little so far; order is scratch space.
+func round(row []uint16, units int, parts, behind []float64, order []int) {
+	left := units
+	for i, p := range parts {
+		row[i] = uint16(min(int(p), left))
+		left -= int(row[i])
+		behind[i] += p - float64(row[i])
+		order[i] = i
+	}
+	slices.SortFunc(order, func(a, b int) int { return cmp.Or(cmp.Compare(behind[b], behind[a]), cmp.Compare(a, b)) })
+	for _, i := range order[:left] {
+		row[i]++
+		behind[i]--
+	}
 }
--- a/dispatcher/viewer.go
+++ b/dispatcher/viewer.go
@@ -15,6 +15,7 @@
 		mu         sync.Mutex
 		name       string
 		dataCentre string
+		share      func(t *apportioner.Table, entry, address string) int
 		services   map[string]*service
 		targets    map[string]*router.Target
 	}
@@ -42,12 +43,12 @@
 	regions := regionsOf(w.dataCentres)
 	tiers := map[string]*[distances][]*router.Target{}
 	targets := map[string]*router.Target{}
-	entries := v.entriesOf(w)
+	tables := v.tablesOf(w)
 	for _, h := range w.executors {
 		if h.Leaving {
 			continue
 		}
-		t := v.target(h, entries)
+		t := v.target(h, tables[h.Service])
 		targets[h.Address] = t
 		if tiers[h.Service] == nil {
 			tiers[h.Service] = &[distances][]*router.Target{}
@@ -86,13 +87,13 @@
 	}
 	kept.gate.SetLimits(d.Limits)
 	kept.budget.SetCapacity(p.Share())
-	return &route{service: kept, name: name, priority: d.Priority, queue: d.Limits.Queue, pool: p}
+	return &route{service: kept, name: name, priority: d.Priority, queue: d.Limits.Queue, target: d.LatencyTarget, pool: p}
 }
 
 // target gives the executor, the known one where there is one, with this
 // entry host's share of it.
-func (v *viewer) target(h provider.Host, entries []apportioner.Entry) *router.Target {
-	share := min(v.shareOf(h, h.Slots, entries), v.shareOf(h, h.Connections, entries))
+func (v *viewer) target(h provider.Host, table *apportioner.Table) *router.Target {
+	share := v.share(table, v.name, h.Address)
 	t := v.targets[h.Address]
 	if t == nil {
 		return router.NewTarget(h, share)
@@ -103,13 +104,21 @@
 	return t
 }
 
-func (v *viewer) shareOf(h provider.Host, units int, entries []apportioner.Entry) int {
-	for i, n := range apportioner.Shares(h.Address, h.DataCentre, units, entries) {
-		if entries[i].Name() == v.name {
-			return n
+// tablesOf divides the executors of each service among the entry hosts.
+func (v *viewer) tablesOf(w *View) map[string]*apportioner.Table {
+	executors := map[string][]apportioner.Executor{}
+	for _, h := range w.executors {
+		if !h.Leaving {
+			e := apportioner.NewExecutor(h.Address, h.DataCentre, min(h.Slots, h.Connections))
+			executors[h.Service] = append(executors[h.Service], e)
 		}
 	}
-	return 0
+	entries := v.entriesOf(w)
+	tables := make(map[string]*apportioner.Table, len(executors))
+	for name, e := range executors {
+		tables[name] = apportioner.NewTable(entries, e)
+	}
+	return tables
 }
 
 // entriesOf gives the entry hosts that are alive, this one included.
