--- /dev/null
+++ b/journaler/record.go
@@ -0,0 +1,22 @@
+package journaler
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	"galenawharf.example/galenawharf/coder"
+	"galenawharf.example/galenawharf/provider"
+	"galenawharf.example/galenawharf/schema"
+)
+
+// Decode reads one entry of the log. A record that can't be read, or has no id
+// or body, is an error of code CorruptRecord; readers pass over it, all alike.
+func Decode(e provider.Entry) (*schema.Record, error) {
+	r := &schema.Record{}
+	if err := proto.Unmarshal(e.Data, r); err != nil {
+		return nil, coder.New(coder.CorruptRecord, "Decode: record %d: %v", e.Offset, err)
+	}
+	if r.GetId() == "" || r.GetBody() == nil {
+		return nil, coder.New(coder.CorruptRecord, "Decode: record %d has no id or no body", e.Offset)
+	}
+	return r, nil
+}
