--- a/placer/driver_test.go
+++ b/placer/driver_test.go
@@ -49,9 +49,9 @@
 )
 
 const (
-	// longestQueue is how many tasks wait in a data centre when no more are
+	// longestQueue is how many tasks wait for each worker when no more are
 	// submitted.
-	longestQueue = 250
+	longestQueue = 6
 	reviewEvery  = 8
 	baseLatency  = 20.0
 	targetMillis = 50.0
@@ -133,7 +133,7 @@
 	for _, list := range w.waiting {
 		queued += len(list)
 	}
-	if queued > longestQueue*len(centres) {
+	if queued > longestQueue*w.d.workers {
 		w.owed = 0
 	}
 	for w.owed > 0 {
--- a/placer/physics_test.go
+++ b/placer/physics_test.go
@@ -64,7 +64,7 @@
 	slow *= growth(min(load, 1.2)) * h.noise
 	speed := 1 / (1 + slow) / crowd
 	if j.task.kind == Service {
-		w.check(j, use, speed)
+		w.check(use, speed)
 	} else {
 		speed *= float64(j.permille) / wholeShare
 	}
@@ -133,7 +133,7 @@
 }
 
 // check measures two requests at a replica.
-func (w *world) check(j *job, use, speed float64) {
+func (w *world) check(use, speed float64) {
 	w.m.seen++
 	if w.now <= warmUp {
 		return
--- a/placer/world_test.go
+++ b/placer/world_test.go
@@ -62,7 +62,6 @@
 		readyAt  clock.Millis
 		permille int
 		failures int
-		stopping bool
 		used     span
 	}
 
