placer: services share fewer workers, batch tasks that disturb them go elsewhere

Cause: replicas were spread one to a worker, so nearly every worker had a service, and batch tasks that disturb one found no place; a worker that had been relieved took no batch task at all. Change: up to a sixth of a service's replicas in a data centre share a worker, harmless batch tasks prefer workers with a service, and a relieved worker refuses only what disturbs.

--- a/placer/cost.go
+++ b/placer/cost.go
@@ -9,11 +9,18 @@
 	serviceWeight     = 8
 	excessWeight      = 40
 	sameWorkerWeight  = 8
-	sameRackWeight    = 2
+	sameRackWeight    = 6
 	sameCentreWeight  = 0.5
+	freshWeight       = 3
+	spareWeight       = 0.5
 	emptyWeight       = 0.5
 	acceleratorWeight = 4
 
+	// leastWorkers is over how many workers of a data centre the replicas of a
+	// service are spread at least.
+	leastWorkers = 6
+	// loadOfSparing is the load at which a disturbance is judged as such.
+	loadOfSparing = 0.8
 	// caution is how many deviations above the mean an effect is taken at.
 	caution = 0.5
 	// patience is the wait after which a batch task may disturb a service
@@ -32,7 +39,7 @@
 		return c, true
 	}
 	harm, ok := p.harm(now, w, e)
-	return c + harm + p.suffering(w, e), ok
+	return c + harm + p.suffering(w, e) + p.sparing(w, e), ok
 }
 
 // packing prefers workers that are nearly full, and keeps accelerators for
@@ -48,11 +55,33 @@
 	return c + emptyWeight*float64(left.Accelerators())
 }
 
-// crowding grows with the replicas of the same service nearby.
+// crowding grows with the replicas of the same service nearby: those of a
+// worker beyond its fair part, and those of a rack as a part of all. A worker
+// without a service is better left to batch tasks that would disturb one.
 func (p *Placer) crowding(work string, e *entry) float64 {
-	c := sameWorkerWeight * float64(e.replicas(work))
-	c += sameRackWeight * float64(p.index.places[place{e.worker.rack, work}])
-	return c + sameCentreWeight*float64(p.index.places[place{e.worker.dataCentre, work}])
+	here := e.replicas(work)
+	centre := p.index.places[place{e.worker.dataCentre, work}]
+	fair := 1 + centre/leastWorkers
+	c := sameWorkerWeight * float64(max(here+1-fair, 0))
+	c += sameRackWeight * float64(p.index.places[place{e.worker.rack, work}]) / float64(centre+1)
+	c += sameCentreWeight * float64(centre)
+	if !e.serves() {
+		c += freshWeight
+	}
+	return c
+}
+
+// sparing keeps batch tasks that disturb no service off workers without one,
+// so that these stay free for tasks that would.
+func (p *Placer) sparing(w *want, e *entry) float64 {
+	if w.task.urgent() || e.serves() {
+		return 0
+	}
+	worst := 0.0
+	for v := range p.serving {
+		worst = max(worst, p.effect(v, w.class, loadOfSparing).Mean())
+	}
+	return spareWeight * coresOf(w.need) * max(1-worst, 0)
 }
 
 // harm gives what the task does to those on the worker.
@@ -60,6 +89,7 @@
 	cores := coresOf(w.need)
 	part := cores / coresOf(e.worker.capacity)
 	load := e.load(cores)
+	hot := p.mechanisms.has(Throttling) && p.throttler.Hot(e.worker.name)
 	c := 0.0
 	for _, v := range e.loads {
 		more := part * p.effect(v.class, w.class, load).Upper(caution)
@@ -68,6 +98,9 @@
 			continue
 		}
 		c += serviceWeight * more * float64(v.services)
+		if hot && !w.task.urgent() && more > v.tolerance*leastHarm {
+			return 0, false
+		}
 		excess := p.slowdown(e, v.class, load) + more - v.tolerance
 		if excess <= 0 {
 			continue
--- a/placer/entry.go
+++ b/placer/entry.go
@@ -95,6 +95,9 @@
 	return 0
 }
 
+// serves tells whether the worker has a replica of any service.
+func (e *entry) serves() bool { return len(e.works) > 0 }
+
 // load gives the part of the processors that is held, with cores more.
 func (e *entry) load(cores float64) float64 {
 	capacity := float64(max(e.worker.capacity.Millicores(), 1))
--- a/placer/place.go
+++ b/placer/place.go
@@ -199,9 +199,6 @@
 	if holder := p.holders[e.worker.name]; holder != "" && holder != w.task.id {
 		return false
 	}
-	if p.mechanisms.has(Throttling) && p.throttler.Hot(e.worker.name) {
-		return false
-	}
 	return !p.mechanisms.has(Reserve) || w.need.Add(reserveOf(e.worker.capacity)).Fits(e.free)
 }
 
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -26,6 +26,7 @@
 		runs       map[string]*run
 		sights     map[string]*sight
 		ended      []*run
+		serving    map[int]bool
 		held       map[string]string
 		holders    map[string]string
 		call       uint64
@@ -60,6 +61,7 @@
 		runs:       map[string]*run{},
 		sights:     map[string]*sight{},
 		guesses:    map[string]guess{},
+		serving:    map[int]bool{},
 		held:       map[string]string{},
 		holders:    map[string]string{},
 	}
--- a/placer/sync.go
+++ b/placer/sync.go
@@ -49,6 +49,7 @@
 	if t.kind != Service {
 		return
 	}
+	p.serving[p.learner.Class(t.class)] = true
 	p.index.places[place{e.worker.rack, t.work}]++
 	p.index.places[place{e.worker.dataCentre, t.work}]++
 }
