placer, throttler: the tolerance follows the use, and relief is sized to the excess

Cause: a replica that is busier queues at a slowdown that an idle one bears, and one step per worker and per lag took minutes. Change: what a service bears shrinks with its use as sampled, and a worker takes as many steps at once as are expected to take the excess off.

--- a/placer/control.go
+++ b/placer/control.go
@@ -45,7 +45,7 @@
 	most := 0.0
 	for _, v := range e.loads {
 		if v.services > 0 {
-			most = max(most, part*p.effect(v.class, p.learner.Class(class), load).Mean()/v.tolerance)
+			most = max(most, part*p.effect(v.class, p.learner.Class(class), load).Mean()/p.bears(v.class, v.tolerance))
 		}
 	}
 	return most
--- a/placer/cost.go
+++ b/placer/cost.go
@@ -92,20 +92,22 @@
 	hot := p.mechanisms.has(Throttling) && p.throttler.Hot(e.worker.name)
 	c := 0.0
 	for _, v := range e.loads {
+		bears := p.bears(v.class, v.tolerance)
 		more := part * p.effect(v.class, w.class, load).Upper(caution)
 		if v.services == 0 {
 			c += v.cores * more
 			continue
 		}
 		c += serviceWeight * more * float64(v.services)
-		if hot && !w.task.urgent() && more > v.tolerance*leastHarm {
+		disturbs := !w.task.urgent() && more > bears*leastHarm
+		if hot && disturbs {
 			return 0, false
 		}
-		excess := p.slowdown(e, v.class, load) + more - v.tolerance
+		excess := p.slowdown(e, v.class, load) + more - bears
 		if excess <= 0 {
 			continue
 		}
-		if !w.task.urgent() && more > v.tolerance*leastHarm && excess > v.tolerance*p.leniency(now, w) {
+		if disturbs && excess > bears*p.leniency(now, w) {
 			return 0, false
 		}
 		c += excessWeight * excess * float64(v.services)
@@ -128,7 +130,7 @@
 	if w.task.kind != Service {
 		return cores * s
 	}
-	return serviceWeight*s + excessWeight*max(s-w.task.tolerance, 0)
+	return serviceWeight*s + excessWeight*max(s-p.bears(w.class, w.task.tolerance), 0)
 }
 
 // slowdown gives how much those on a worker slow a class down.
--- a/placer/driver_test.go
+++ b/placer/driver_test.go
@@ -174,11 +174,19 @@
 			workers = append(workers, h.seen(w.drained[c] || w.p.oracle && h.bad))
 		}
 	}
+	pl := w.placers[c]
+	w.waiting[c] = slices.DeleteFunc(w.waiting[c], func(j *job) bool {
+		_, parked := pl.Parked(j.task.work)
+		if parked {
+			w.m.parked++
+			delete(w.jobs, j.task.id)
+		}
+		return parked
+	})
 	waiting := make([]Task, 0, len(w.waiting[c]))
 	for _, j := range w.waiting[c] {
 		waiting = append(waiting, j.task)
 	}
-	pl := w.placers[c]
 	if w.p.naive {
 		w.execute(FirstFit(w.now, waiting, workers))
 		return
--- a/placer/feedback.go
+++ b/placer/feedback.go
@@ -140,6 +140,9 @@
 			continue
 		}
 		r.maxMemory = max(r.maxMemory, u.memory)
+		if r.task.kind == Service {
+			p.noteUse(p.learner.Class(r.task.class), float64(u.millicores)/float64(max(r.task.size.Millicores(), 1)))
+		}
 		if r.permille == wholeShare {
 			p.estimator.Used(now, r.task.work, u.millicores, u.memory)
 		}
@@ -158,7 +161,7 @@
 	for _, u := range samples {
 		s.until = max(s.until, u.Until())
 		if r := p.runs[u.Task()]; r != nil && r.task.kind == Service {
-			pressure = max(pressure, u.Slowdown()/r.task.tolerance)
+			pressure = max(pressure, u.Slowdown()/p.bears(p.learner.Class(r.task.class), r.task.tolerance))
 		}
 	}
 	s.pressure = pressure
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -27,6 +27,7 @@
 		sights     map[string]*sight
 		ended      []*run
 		serving    map[int]bool
+		uses       [learner.MaxClasses]float64
 		held       map[string]string
 		holders    map[string]string
 		call       uint64
--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -50,6 +50,8 @@
 	firstStep   = 500
 	secondStep  = 200
 	leastRelief = 0.02
+	// maxSteps bounds the actions on one worker at a time.
+	maxSteps = 4
 )
 
 // New gives a Throttler that has done nothing.
@@ -95,8 +97,8 @@
 	return r != nil && r.actedAt > 0 && !r.isCalm
 }
 
-// Step gives what to do now, at most one action for a worker. The views with
-// the highest pressure go first.
+// Step gives what to do now. The views with the highest pressure go first. A
+// worker's actions are those whose expected relief together is enough.
 func (t *Throttler) Step(now clock.Millis, views []View) []Action {
 	t.spent = slices.DeleteFunc(t.spent, func(at clock.Millis) bool { return at <= now-t.window })
 	budget := int(math.Ceil(t.share*float64(len(views)))) - len(t.spent)
@@ -106,42 +108,39 @@
 	})
 	var out []Action
 	for _, v := range order {
-		a, acts := t.act(now, v, budget > 0)
-		if !acts {
-			continue
-		}
-		if a.evict {
-			budget--
-			t.spent = append(t.spent, now)
+		for _, a := range t.act(now, v, budget) {
+			if a.evict {
+				budget--
+				t.spent = append(t.spent, now)
+			}
+			out = append(out, a)
 		}
-		out = append(out, a)
 	}
 	return out
 }
 
-func (t *Throttler) act(now clock.Millis, v View, evict bool) (Action, bool) {
+func (t *Throttler) act(now clock.Millis, v View, evictions int) []Action {
 	r := t.workers[v.worker]
 	if r == nil {
 		r = &record{}
 		t.workers[v.worker] = r
 	}
 	if v.seenUntil < r.actedAt+t.settle && r.actedAt > 0 {
-		return Action{}, false
+		return nil
 	}
 	r.follow(now, v.pressure < t.low)
-	var a Action
-	var acts bool
+	var out []Action
 	switch {
 	case v.pressure > t.high:
-		a, acts = relieve(v, evict)
+		out = relieve(v, v.pressure-t.high, evictions)
 	case r.isCalm && now-r.calmSince >= t.calm:
-		a, acts = relax(v)
+		out = relax(v)
 	}
-	if acts {
+	if len(out) > 0 {
 		r.actedAt = now
 		r.isCalm = false
 	}
-	return a, acts
+	return out
 }
 
 // follow notes since when the worker has been calm.
@@ -152,31 +151,47 @@
 	r.isCalm = calm
 }
 
-// relieve takes the step that helps most for the least cost.
-func relieve(v View, evict bool) (Action, bool) {
-	best, found := Candidate{}, false
-	for _, c := range v.candidates {
-		if c.relief < leastRelief || c.permille <= secondStep && !evict {
+// relieve takes the steps that help most for the least cost, one for a task,
+// until they are expected to take the excess off.
+func relieve(v View, excess float64, evictions int) []Action {
+	order := slices.Clone(v.candidates)
+	slices.SortFunc(order, func(a, b Candidate) int {
+		return cmp.Or(cmp.Compare(b.worth(), a.worth()), cmp.Compare(a.task, b.task))
+	})
+	var out []Action
+	for _, c := range order {
+		if excess <= 0 || len(out) == maxSteps {
+			break
+		}
+		if c.relief < leastRelief {
 			continue
 		}
-		if !found || c.worth() > best.worth() || c.worth() == best.worth() && c.task < best.task {
-			best, found = c, true
+		a := c.next(v.worker)
+		if a.evict && evictions <= 0 {
+			continue
 		}
+		if a.evict {
+			evictions--
+		}
+		excess -= c.relief * (1 - float64(a.permille)/float64(max(c.permille, 1)))
+		out = append(out, a)
 	}
-	if !found {
-		return Action{}, false
-	}
+	return out
+}
+
+// next gives the step that relieves further.
+func (c Candidate) next(worker string) Action {
 	switch {
-	case best.permille > firstStep:
-		return Action{worker: v.worker, task: best.task, permille: firstStep}, true
-	case best.permille > secondStep:
-		return Action{worker: v.worker, task: best.task, permille: secondStep}, true
+	case c.permille > firstStep:
+		return Action{worker: worker, task: c.task, permille: firstStep}
+	case c.permille > secondStep:
+		return Action{worker: worker, task: c.task, permille: secondStep}
 	}
-	return Action{worker: v.worker, task: best.task, evict: true}, true
+	return Action{worker: worker, task: c.task, evict: true}
 }
 
 // relax gives one throttled task a step back, the one held down most first.
-func relax(v View) (Action, bool) {
+func relax(v View) []Action {
 	best, found := Candidate{}, false
 	for _, c := range v.candidates {
 		if c.permille >= whole {
@@ -187,11 +202,11 @@
 		}
 	}
 	if !found {
-		return Action{}, false
+		return nil
 	}
 	next := whole
 	if best.permille < firstStep {
 		next = firstStep
 	}
-	return Action{worker: v.worker, task: best.task, permille: next}, true
+	return []Action{{worker: v.worker, task: best.task, permille: next}}
 }
