--- a/provider/worker.go
+++ b/provider/worker.go
@@ -44,6 +44,9 @@
 		// LeaseUntil is the end of the lease by the worker's clock; an order
 		// that arrives later is refused.
 		LeaseUntil int64 `json:"lease-until"`
+		// StartBy is the latest that the task may begin by the worker's
+		// clock; an order that arrives later is refused.
+		StartBy int64 `json:"start-by"`
 		// Checkpoint is the state to resume from; empty to begin.
 		Checkpoint string `json:"checkpoint,omitempty"`
 		Payload    []byte `json:"payload,omitempty"`
@@ -74,6 +77,9 @@
 		Stamp Stamp `json:"stamp"`
 		// Checkpoint is the state that a checkpoint or stop saved.
 		Checkpoint string `json:"checkpoint,omitempty"`
+		// Ended is the number of the shard's tasks that have ended and were
+		// not forgotten.
+		Ended int `json:"ended,omitempty"`
 	}
 
 	// TaskPhase is where a task on a worker is in its life.
