keeper: work of a silent worker waits for earlier owners to be gone

Cause: a process that a claim doesn't list may take a lapsed shard while its holder, cut off from the log, still goes on by promises and extends leases on workers that the new owner can't reach. Change: an authority says from when on no earlier owner can have any; leases of which nothing is known end at the earliest after that. Checked: TestEarlierOwnerMayStillExtend: with the time unset the run of a worker that doesn't answer is repeated within 4 minutes, with it only after 5.

--- a/keeper/authority.go
+++ b/keeper/authority.go
@@ -8,6 +8,8 @@
 		epoch  int64
 		until  clock.Millis
 		starts bool
+		// clearAt is from when on no earlier owner can have authority.
+		clearAt clock.Millis
 	}
 )
 
@@ -21,6 +23,14 @@
 	return Authority{epoch: epoch, until: until, starts: starts}
 }
 
+// ClearAt gives the authority with the time from when on no earlier owner can
+// have any. Until then one may extend leases on workers that have not yet been
+// asked under the new epoch.
+func (a Authority) ClearAt(at clock.Millis) Authority {
+	a.clearAt = at
+	return a
+}
+
 // Epoch gives the offset of the claim, -1 for none.
 func (a Authority) Epoch() int64 { return a.epoch }
 
--- a/keeper/step.go
+++ b/keeper/step.go
@@ -13,10 +13,10 @@
 // that lost the shard passes NoAuthority.
 func (k *Keeper) Step(now clock.Millis, a Authority) Actions {
 	k.now = max(k.now, now)
+	k.authority = a
 	if a.epoch != k.epoch {
 		k.take(a.epoch)
 	}
-	k.authority = a
 	k.purge()
 	if a.holds(k.now) && len(k.queue) == 0 && len(k.verdicts) == 0 {
 		k.watchLeases()
@@ -81,7 +81,7 @@
 		task:        t,
 		phase:       phaseUnclear,
 		boot:        t.boot,
-		lapseBy:     k.now + ShortLease + 2*ShortLease*provider.RateMarginPermille/1000,
+		lapseBy:     max(k.now, k.authority.clearAt) + ShortLease + 2*ShortLease*provider.RateMarginPermille/1000,
 		granted:     k.now,
 		size:        t.reserved,
 	}
