--- a/placer/driver_test.go
+++ b/placer/driver_test.go
@@ -29,8 +29,7 @@
 		jobs       map[string]*job
 		waiting    map[string][]*job
 		placers    map[string]*Placer
-		drained    map[string]bool
-		leaving    []*job
+		drained    map[string]clock.Millis
 		serviceUse float64
 		hogs       int
 		made       int
@@ -58,9 +57,8 @@
 	retries      = 3
 	// tolerated is the slowdown at which 99% of the checks still meet the
 	// target on an idle replica.
-	tolerated    = 0.5
-	leavePerTick = 4
-	detection    = 10 * clock.Second
+	tolerated = 0.5
+	detection = 10 * clock.Second
 )
 
 func newWorld(t testing.TB, d deployment, s scenario, p policy, seed uint64) *world {
@@ -68,7 +66,7 @@
 	w := &world{
 		arrivals: rand.New(rand.NewPCG(seed, 2)), other: rand.New(rand.NewPCG(seed, 3)),
 		d: d, p: p, s: s, hosts: newHosts(d, r), byName: map[string]*host{}, kins: newKins(r, s.wrong), truth: newTruth(r),
-		jobs: map[string]*job{}, waiting: map[string][]*job{}, placers: map[string]*Placer{}, drained: map[string]bool{},
+		jobs: map[string]*job{}, waiting: map[string][]*job{}, placers: map[string]*Placer{}, drained: map[string]clock.Millis{},
 		serviceUse: calmUse, hogs: 1, ended: map[*host][]Usage{},
 	}
 	for _, h := range w.hosts {
@@ -101,7 +99,7 @@
 func (w *world) home(j *job, n int) {
 	var open []string
 	for _, c := range centres {
-		if !w.drained[c] {
+		if w.drained[c] == 0 {
 			open = append(open, c)
 		}
 	}
@@ -156,10 +154,11 @@
 	total := 0.0
 	w.made++
 	name := fmt.Sprintf("%s/%d", k.name, w.made)
+	g := &group{at: w.now, left: k.tasks}
 	for i := range k.tasks {
 		vary := math.Exp(w.arrivals.NormFloat64() * 0.2)
 		t := NewTask(fmt.Sprintf("%s/%d", name, i), "team"+k.name, k.name, classNames[k.class], Batch, k.declared, WithRunTime(k.declares))
-		j := &job{task: t, kin: k, cores: k.cores, memory: int64(float64(k.memory) * (0.85 + 0.15*w.arrivals.Float64())), need: float64(k.run) * vary}
+		j := &job{task: t, kin: k, group: g, cores: k.cores, memory: int64(float64(k.memory) * (0.85 + 0.15*w.arrivals.Float64())), need: float64(k.run) * vary}
 		w.submit(j, w.made+i)
 		total += j.need * j.cores
 	}
@@ -171,7 +170,7 @@
 	var workers []Worker
 	for _, h := range w.hosts {
 		if h.centre == c && h.up {
-			workers = append(workers, h.seen(w.drained[c] || w.p.oracle && h.bad))
+			workers = append(workers, h.seen(w.drained[c] != 0 || w.p.oracle && h.bad))
 		}
 	}
 	pl := w.placers[c]
@@ -313,31 +312,33 @@
 }
 
 // leave moves what runs in a drained data centre: all at once where the policy
-// is naive, else services first and a few at a time.
+// is naive.
 func (w *world) leave() {
-	n := leavePerTick
-	if w.p.naive {
-		n = len(w.leaving)
-	}
-	for range min(n, len(w.leaving)) {
-		j := w.leaving[0]
-		w.leaving = w.leaving[1:]
-		if j.host != nil && w.drained[j.host.centre] {
-			w.evict(j)
+	for c, since := range w.drained {
+		var workers []Worker
+		for _, h := range w.hosts {
+			if h.centre == c && h.up {
+				workers = append(workers, h.seen(true))
+			}
+		}
+		names := w.placers[c].Evacuate(w.now, since, workers)
+		if w.p.naive {
+			names = w.placers[c].Evacuate(w.now+batchLeave, since, workers)
+		}
+		for _, name := range names {
+			w.evict(w.jobs[name])
 		}
 	}
 }
 
 func (w *world) drain(c string) {
-	w.drained[c] = true
+	w.drained[c] = w.now
 	for _, h := range w.hosts {
 		if h.centre != c {
 			continue
 		}
 		h.touch()
-		w.leaving = append(w.leaving, h.residents...)
 	}
-	slices.SortStableFunc(w.leaving, func(a, b *job) int { return int(a.task.kind) - int(b.task.kind) })
 	list := w.waiting[c]
 	w.waiting[c] = nil
 	for i, j := range list {
--- a/placer/measures_test.go
+++ b/placer/measures_test.go
@@ -13,6 +13,7 @@
 		latencies    []float64
 		within       int
 		urgent       []float64
+		jobTimes     []float64
 		finished     int
 		useful       float64
 		usefulDuring float64
@@ -40,6 +41,7 @@
 		killed         float64
 		lost           float64
 		urgent         float64
+		jobTime        float64
 		dropped        float64
 		parked         float64
 	}
@@ -72,11 +74,20 @@
 		killed:    float64(m.killed),
 		lost:      m.lost / coreHour,
 		urgent:    at(m.urgent, 0.99) / float64(clock.Second),
+		jobTime:   mean(m.jobTimes) / float64(clock.Minute),
 		dropped:   float64(m.dropped),
 		parked:    float64(m.parked),
 	}
 }
 
+func mean(values []float64) float64 {
+	sum := 0.0
+	for _, v := range values {
+		sum += v
+	}
+	return sum / math.Max(float64(len(values)), 1)
+}
+
 func at(sorted []float64, q float64) float64 {
 	if len(sorted) == 0 {
 		return 0
@@ -89,7 +100,7 @@
 	return []column{
 		{"p50 ms", f.p50}, {"p99 ms", f.p99}, {"p99.9 ms", f.p999}, {"within %", f.within},
 		{"tasks/h", f.finished}, {"core-h/h", f.coreHours}, {"core-h during", f.during}, {"useful %", f.useful},
-		{"evictions", f.evictions}, {"killed", f.killed}, {"lost core-h", f.lost}, {"urgent p99 s", f.urgent}, {"dropped", f.dropped}, {"parked", f.parked},
+		{"evictions", f.evictions}, {"killed", f.killed}, {"lost core-h", f.lost}, {"urgent p99 s", f.urgent}, {"job min", f.jobTime}, {"dropped", f.dropped}, {"parked", f.parked},
 	}
 }
 
--- a/placer/physics_test.go
+++ b/placer/physics_test.go
@@ -106,8 +106,12 @@
 func (w *world) finish(j *job) {
 	w.stop(j, Succeeded, coder.OK)
 	delete(w.jobs, j.task.id)
-	if j.task.kind == Batch && w.now > warmUp {
-		w.m.finished++
+	if j.task.kind != Batch || w.now <= warmUp {
+		return
+	}
+	w.m.finished++
+	if j.group.left--; j.group.left == 0 {
+		w.m.jobTimes = append(w.m.jobTimes, float64(w.now-j.group.at))
 	}
 }
 
--- a/placer/world_test.go
+++ b/placer/world_test.go
@@ -47,10 +47,17 @@
 		impossible bool
 	}
 
+	// group is the tasks of one submitted job.
+	group struct {
+		at   clock.Millis
+		left int
+	}
+
 	// job is one task as it is.
 	job struct {
 		task     Task
 		kin      *kin
+		group    *group
 		centre   string
 		host     *host
 		need     float64
