--- a/dispatcher/scheduler.go
+++ b/dispatcher/scheduler.go
@@ -16,9 +16,11 @@
 	scheduler struct {
 		now      func() clock.Millis
 		snapshot func() *snapshot
+		policy   policy
 		arrivals chan *waiter
 		nudges   chan struct{}
 		queues   map[string]*limiter.Queue[*waiter]
+		empty    map[string]clock.Millis
 		waiting  int
 		bytes    int
 	}
@@ -37,13 +39,15 @@
 	maxRetryAfter = 10 * clock.Second
 )
 
-func newScheduler(now func() clock.Millis, s func() *snapshot) *scheduler {
+func newScheduler(now func() clock.Millis, s func() *snapshot, p policy) *scheduler {
 	return &scheduler{
 		now:      now,
 		snapshot: s,
+		policy:   p,
 		arrivals: make(chan *waiter, 256),
 		nudges:   make(chan struct{}, 1),
 		queues:   map[string]*limiter.Queue[*waiter]{},
+		empty:    map[string]clock.Millis{},
 	}
 }
 
@@ -114,11 +118,21 @@
 	switch {
 	case full:
 		s.refuse(r, last, "too many requests wait")
-	case r.pace().Ready(s.now(), rank+1) > w.Value().deadline:
+	case s.policy.pace(r.service).Ready(s.now(), rank+1) > s.latest(r, w.Value()):
 		s.refuse(r, q.Drop(rank), "it can't end in time")
 	}
 }
 
+// latest gives the latest useful end of a request: its deadline, or where the queue has been standing
+// for some time, so that waiting longer gains nothing, the latency target.
+func (s *scheduler) latest(r *route, w *waiter) clock.Millis {
+	now := s.now()
+	if r.target == 0 || now-s.empty[r.name] < s.policy.standingAfter {
+		return w.deadline
+	}
+	return min(w.deadline, now+max(r.target, 2*r.latency.Mean()))
+}
+
 func (s *scheduler) queueOf(r *route) *limiter.Queue[*waiter] {
 	q := s.queues[r.name]
 	if q == nil {
@@ -126,6 +140,9 @@
 		s.queues[r.name] = q
 	}
 	q.SetLimit(r.queue)
+	if q.Len() == 0 {
+		s.empty[r.name] = s.now()
+	}
 	return q
 }
 
@@ -173,6 +190,7 @@
 		if r == nil {
 			s.drop(q, grant{code: coder.NoBackend, retryAfter: clock.Second, reason: noExecutor})
 			delete(s.queues, name)
+			delete(s.empty, name)
 			continue
 		}
 		s.sweepRoute(r, q)
@@ -180,7 +198,7 @@
 }
 
 func (s *scheduler) sweepRoute(r *route, q *limiter.Queue[*waiter]) {
-	for _, late := range q.Sweep(s.now(), r.pace(), (*waiter).gone) {
+	for _, late := range q.Sweep(s.now(), s.policy.pace(r.service), (*waiter).gone) {
 		s.refuse(r, late, "it can't end in time")
 	}
 }
@@ -200,7 +218,7 @@
 	w := late.Value()
 	r.waiting.Add(-1)
 	s.count(w, -1)
-	p := r.pace()
+	p := s.policy.pace(r.service)
 	c := coder.Overloaded
 	if p.Ready(s.now(), 0) > w.deadline {
 		c = coder.DeadlineTooShort
@@ -232,7 +250,7 @@
 			s.take(r, q, rank)
 			continue
 		}
-		t := r.pool.Pick(w.seed, r.latency.Mean(), w.tried)
+		t := s.policy.pick(r.pool, w.seed, r.latency.Mean(), w.tried)
 		if t == nil && len(w.tried) == 0 {
 			return
 		}
