--- a/daemon/bill.go
+++ b/daemon/bill.go
@@ -138,7 +138,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return f.Forecast(m).Response(by), nil
+	return f.Forecast(m).Response(by, s), nil
 }
 
 // groupOf reads by what the lines of a forecast are grouped.
