daemon: configuration by replicator, hosts by gatherer, log by journaler and relayer, placement by placer, calendars

Cause: the thin daemon applied the config stream by itself, took hosts straight from the list, appended with a makeshift outbox and placed by first fit. Change: the four parts take their place; usage samples and ends of runs reach the placer and the meter; jobs with a calendar are submitted under a key of their run.

--- a/auditor/trail.go
+++ b/auditor/trail.go
@@ -34,19 +34,20 @@
 }
 
 // Add notes what became of the change at an offset, one entry an item.
-func (t *Trail) Add(offset provider.Offset, at clock.Millis, c *schema.Change, o declarer.Outcome) {
+// befores are the items as they stood, refused is why it was refused, or nil.
+func (t *Trail) Add(offset provider.Offset, at clock.Millis, c *schema.Change, befores []declarer.Item, refused *coder.Error) {
 	old := *t.entries.Load()
 	kept := old[max(0, len(old)+len(c.GetItems())-t.limit):]
 	entries := make([]*schema.AuditEntry, 0, len(kept)+len(c.GetItems()))
 	entries = append(entries, kept...)
 	for n, i := range c.GetItems() {
-		entries = append(entries, entry(offset, at, c.GetOperator(), i, o, o.Befores()[n]))
+		entries = append(entries, entry(offset, at, c.GetOperator(), i, befores[n], refused))
 	}
 	entries = entries[max(0, len(entries)-t.limit):]
 	t.entries.Store(&entries)
 }
 
-func entry(offset provider.Offset, at clock.Millis, operator string, i *schema.ChangeItem, o declarer.Outcome, before declarer.Item) *schema.AuditEntry {
+func entry(offset provider.Offset, at clock.Millis, operator string, i *schema.ChangeItem, before declarer.Item, refused *coder.Error) *schema.AuditEntry {
 	e := &schema.AuditEntry{
 		Offset:   int64(offset),
 		AtMillis: int64(at),
@@ -56,9 +57,9 @@
 		From:     string(before.Document()),
 		To:       string(i.GetDocument()),
 	}
-	if err := o.Err(); err != nil {
-		e.ResultCode = int32(err.Code())
-		e.Reason = err.Error()
+	if refused != nil {
+		e.ResultCode = int32(refused.Code())
+		e.Reason = refused.Error()
 	}
 	return e
 }
--- a/daemon/bill.go
+++ b/daemon/bill.go
@@ -4,13 +4,10 @@
 	"context"
 	"time"
 
-	"galenawharf.example/galenawharf/claimer"
-	"galenawharf.example/galenawharf/clock"
 	"galenawharf.example/galenawharf/coder"
 	"galenawharf.example/galenawharf/declarer"
 	"galenawharf.example/galenawharf/explainer"
 	"galenawharf.example/galenawharf/forecaster"
-	"galenawharf.example/galenawharf/keeper"
 	"galenawharf.example/galenawharf/meter"
 	"galenawharf.example/galenawharf/pricer"
 	"galenawharf.example/galenawharf/provider"
@@ -34,7 +31,6 @@
 
 // usage counts an hour's record.
 func (c *core) usage(o provider.Offset, r *schema.Record) {
-	c.d.outbox.confirm(r.GetId())
 	u := r.GetUsage()
 	if u == nil || c.ledger == nil {
 		return
@@ -43,57 +39,11 @@
 	if fault != nil {
 		c.billFault(*fault)
 	}
-	if !counts {
-		return
-	}
-	if m, own := c.meters[u.GetShard()]; own {
-		m.Recorded(u)
-	}
-}
-
-// meterEvent meters a record of the own data centre that counts.
-func (c *core) meterEvent(o provider.Offset, r *schema.Record) {
-	at := clock.Millis(r.GetAtMillis())
-	if t := r.GetTask(); t != nil {
-		if m, known := c.meters[t.GetShard()]; known {
-			m.Apply(int64(o), at, t)
-		}
-	}
-}
-
-// sampled meters what a task used.
-func (c *core) sampled(e keeper.Event) {
-	u := e.Usage()
-	from, until := e.Span()
-	for _, m := range c.meters {
-		m.Sample(u.Incarnation.Task, u.Incarnation.Number, from, until, u.Millicores, u.Memory, 0)
+	if s, own := c.shards[u.GetShard()]; own && counts {
+		s.meter.Recorded(u)
 	}
 }
 
-// bill has the owner of a shard write the record of an hour that is over.
-func (c *core) bill(shard string, now clock.Millis, a keeper.Authority) {
-	m := c.meters[shard]
-	for _, f := range m.TakeFaults() {
-		c.billFault(f)
-	}
-	if a.Epoch() == claimer.NoEpoch || c.ledger == nil || now < c.billAt[shard] {
-		return
-	}
-	u := m.Due(now)
-	if u == nil {
-		return
-	}
-	c.billAt[shard] = now.Add(billRetry)
-	u.Epoch = a.Epoch()
-	c.d.outbox.add(provider.StreamUsage, &schema.Record{
-		Id: c.d.id(), AtMillis: int64(now), Daemon: c.d.settings.Name,
-		Body: &schema.Record_Usage{Usage: u},
-	})
-}
-
-// billRetry is how long an hour's record is given to be read back.
-const billRetry = 10 * clock.Second
-
 func (c *core) billFault(f meter.Fault) {
 	c.faults = append(c.faults, f)
 	c.faults = c.faults[max(0, len(c.faults)-maxBillFaults):]
--- a/daemon/changes.go
+++ b/daemon/changes.go
@@ -9,6 +9,7 @@
 	"galenawharf.example/galenawharf/coder"
 	"galenawharf.example/galenawharf/declarer"
 	"galenawharf.example/galenawharf/provider"
+	"galenawharf.example/galenawharf/replicator"
 	"galenawharf.example/galenawharf/schema"
 )
 
@@ -27,22 +28,49 @@
 	if faults := d.state.Load().Check(change); len(faults) > 0 && coder.Of(faults) != coder.StaleVersion {
 		return nil, faults
 	}
-	v, err := d.put(ctx, provider.StreamConfig, &schema.Record{Body: &schema.Record_Change{Change: change}})
+	v, err := d.putChange(ctx, change)
 	if err != nil {
 		return nil, err
 	}
-	if e := v.outcome.Err(); e != nil {
+	if e := v.refused; e != nil {
 		return &schema.ApplyResponse{ResultCode: int32(e.Code()), Reason: e.Error()}, nil
 	}
 	return &schema.ApplyResponse{Version: int64(v.offset) + 1}, nil
 }
 
-// put appends a record and waits until it was read back. An error of code
-// LogDown means that nothing was added; NotAccepted, that it may have been.
+// putChange puts a change into the config stream and waits for its verdict.
+func (d *Daemon) putChange(ctx context.Context, change *schema.Change) (confirmation, error) {
+	type proposal struct {
+		record *schema.Record
+		err    error
+	}
+	p, err := within(ctx, d, func(c *core) proposal {
+		r, err := c.replicator.Propose(d.now(), change)
+		return proposal{record: r, err: err}
+	})
+	if err != nil {
+		return confirmation{}, err
+	}
+	if p.err != nil {
+		return confirmation{}, p.err
+	}
+	records := []*schema.Record{p.record}
+	return d.putRecord(ctx, provider.StreamConfig, p.record, func(err error) {
+		d.post(func(c *core) { c.replicator.Appended(records, err) })
+	})
+}
+
+// put gives a record its id, appends it and waits until it was read back.
 func (d *Daemon) put(ctx context.Context, stream string, r *schema.Record) (confirmation, error) {
 	r.Id = d.id()
 	r.AtMillis = int64(d.now())
 	r.Daemon = d.settings.Name
+	return d.putRecord(ctx, stream, r, func(error) {})
+}
+
+// putRecord appends a record and waits until it was read back. An error of code
+// LogDown means that nothing was added; NotAccepted, that it may have been.
+func (d *Daemon) putRecord(ctx context.Context, stream string, r *schema.Record, appended func(error)) (confirmation, error) {
 	data, err := proto.Marshal(r)
 	if err != nil {
 		return confirmation{}, coder.New(coder.Internal, "Daemon.put: %v", err)
@@ -52,7 +80,9 @@
 		return confirmation{}, coder.New(coder.ShuttingDown, "the daemon has stopped")
 	}
 	defer d.post(func(c *core) { delete(c.confirmations, r.GetId()) })
-	if _, err := d.append(ctx, stream, [][]byte{data}); err != nil && nothingAdded(err) {
+	_, err = d.append(ctx, stream, [][]byte{data})
+	appended(err)
+	if err != nil && nothingAdded(err) {
 		return confirmation{}, coder.New(coder.LogDown, "Daemon.put: nothing was added to the log: %v", err)
 	}
 	ctx, cancel := context.WithTimeout(ctx, d.settings.Timing.Wait.Duration())
@@ -66,6 +96,8 @@
 	return confirmation{}, coder.New(coder.NotAccepted, "Daemon.put: the log has not shown the record yet; it may still take effect")
 }
 
+const peerWaits = 6
+
 func (d *Daemon) get(ctx context.Context, r *schema.GetRequest) (*schema.GetResponse, error) {
 	states, err := within(ctx, d, func(c *core) map[string]string { return c.workStates() })
 	if err != nil {
@@ -98,7 +130,7 @@
 	}
 	have := d.state.Load().Get(declarer.KindDrain, name)
 	if (have.Version() > 0) != r.GetRestore() {
-		return d.drainViews(d.state.Load().Next()), nil
+		return d.drainViews(ctx, provider.Offset(d.state.Load().Next()-1))
 	}
 	item := &schema.ChangeItem{Kind: string(declarer.KindDrain), Name: name, ExpectedVersion: have.Version(), Delete: r.GetRestore()}
 	if !r.GetRestore() {
@@ -109,29 +141,29 @@
 		item.Document = document
 	}
 	change := &schema.Change{Operator: r.GetOperator(), Items: []*schema.ChangeItem{item}}
-	v, err := d.put(ctx, provider.StreamConfig, &schema.Record{Body: &schema.Record_Change{Change: change}})
+	v, err := d.putChange(ctx, change)
 	if err != nil {
 		return nil, err
 	}
-	if e := v.outcome.Err(); e != nil {
+	if e := v.refused; e != nil {
 		return &schema.DrainResponse{ResultCode: int32(e.Code()), Reason: e.Error()}, nil
 	}
-	d.awaitPeers(ctx, int64(v.offset)+1)
-	return d.drainViews(int64(v.offset) + 1), nil
+	return d.awaitPeers(ctx, v.offset)
 }
 
-// awaitPeers waits a few heartbeats for the peers to have a version in force.
-func (d *Daemon) awaitPeers(ctx context.Context, version int64) {
+// awaitPeers waits a few heartbeats for the peers to have the change at an
+// offset in force, and says which data centres have.
+func (d *Daemon) awaitPeers(ctx context.Context, o provider.Offset) (*schema.DrainResponse, error) {
 	for range peerWaits {
-		if d.allConfirmed(d.drainViews(version)) || ctx.Err() != nil || !d.sleep(d.settings.Timing.Heartbeat) {
-			return
+		r, err := d.drainViews(ctx, o)
+		if err != nil || allConfirmed(r) || !d.sleep(d.settings.Timing.Heartbeat) {
+			return r, err
 		}
 	}
+	return d.drainViews(ctx, o)
 }
 
-const peerWaits = 6
-
-func (d *Daemon) allConfirmed(r *schema.DrainResponse) bool {
+func allConfirmed(r *schema.DrainResponse) bool {
 	for _, v := range r.GetViews() {
 		if !v.GetConfirmed() {
 			return false
@@ -140,19 +172,22 @@
 	return true
 }
 
-// drainViews says which data centres have a version in force: those whose every
-// known daemon has said so.
-func (d *Daemon) drainViews(version int64) *schema.DrainResponse {
-	confirmed := map[string]bool{d.settings.DataCentre: d.state.Load().Next() >= version}
-	for _, p := range d.peers {
-		dc := p.settings.DataCentre
-		was, known := confirmed[dc]
-		has := p.last.Load().GetView().GetNextOffset() >= version
-		confirmed[dc] = has && (was || !known)
-	}
-	out := &schema.DrainResponse{Version: version}
+// drainViews says which data centres have the change at an offset in force:
+// those whose every daemon has said so.
+func (d *Daemon) drainViews(ctx context.Context, o provider.Offset) (*schema.DrainResponse, error) {
+	members, err := within(ctx, d, func(c *core) []replicator.Confirmation { return c.replicator.Confirmations(d.now()) })
+	if err != nil {
+		return nil, err
+	}
+	behind := map[string]bool{}
+	heard := map[string]bool{}
+	for _, m := range members {
+		heard[m.DataCentre()] = true
+		behind[m.DataCentre()] = behind[m.DataCentre()] || !m.InForce(o)
+	}
+	out := &schema.DrainResponse{Version: int64(o) + 1}
 	for _, dc := range d.state.Load().DataCentres() {
-		out.Views = append(out.Views, &schema.DrainView{DataCentre: dc.Name, Confirmed: confirmed[dc.Name]})
+		out.Views = append(out.Views, &schema.DrainView{DataCentre: dc.Name, Confirmed: heard[dc.Name] && !behind[dc.Name]})
 	}
-	return out
+	return out, nil
 }
--- a/daemon/core.go
+++ b/daemon/core.go
@@ -4,134 +4,181 @@
 	"slices"
 	"strings"
 
-	"google.golang.org/protobuf/proto"
-
 	"galenawharf.example/galenawharf/claimer"
 	"galenawharf.example/galenawharf/clock"
+	"galenawharf.example/galenawharf/coder"
+	"galenawharf.example/galenawharf/configurer"
 	"galenawharf.example/galenawharf/declarer"
+	"galenawharf.example/galenawharf/gatherer"
+	"galenawharf.example/galenawharf/journaler"
 	"galenawharf.example/galenawharf/keeper"
 	"galenawharf.example/galenawharf/logger"
 	"galenawharf.example/galenawharf/measurer"
 	"galenawharf.example/galenawharf/meter"
 	"galenawharf.example/galenawharf/provider"
+	"galenawharf.example/galenawharf/replicator"
 	"galenawharf.example/galenawharf/schema"
 )
 
 type (
 	// core is all that one goroutine of a daemon knows and decides.
 	core struct {
-		d        *Daemon
-		claimer  *claimer.Claimer
-		register *keeper.Register
-		keepers  map[string]*keeper.Keeper
-		meters   map[string]*meter.Meter
+		d          *Daemon
+		claimer    *claimer.Claimer
+		replicator *replicator.Replicator
+		gatherer   *gatherer.Gatherer
+		journal    *journaler.Journal
+		register   *keeper.Register
+		shards     map[string]*shard
+		state      *declarer.State
 		// ledger is nil until an operator, and so a time zone, is declared.
 		ledger   *meter.Ledger
-		state    *declarer.State
-		hosts    []provider.Host
 		caughtUp map[string]bool
 		next     map[string]provider.Offset
 		// confirmations are told when a record is read back, by its id.
 		confirmations map[string]func(confirmation)
 		waiters       map[string][]chan keeper.Outcome
 		held          []string
-		// billAt is when a shard's next usage record may be written.
-		billAt map[string]clock.Millis
-		faults []meter.Fault
+		faults        []meter.Fault
+		calledUntil   clock.Millis
 	}
 
 	// confirmation is what a record came to.
 	confirmation struct {
 		offset  provider.Offset
-		outcome declarer.Outcome
+		refused *coder.Error
 		verdict keeper.Verdict
 	}
 )
 
-func newCore(d *Daemon, c *claimer.Claimer) *core {
-	return &core{
+const (
+	renewalsPerClaim = 4
+)
+
+func newCore(d *Daemon) (*core, error) {
+	c := &core{
 		d:             d,
-		claimer:       c,
+		journal:       journaler.New(d.settings.Seed + uint64(d.incarnation)),
 		register:      keeper.NewRegister(),
-		keepers:       map[string]*keeper.Keeper{},
-		meters:        map[string]*meter.Meter{},
+		shards:        map[string]*shard{},
 		state:         declarer.NewState(),
 		caughtUp:      map[string]bool{},
 		next:          map[string]provider.Offset{},
 		confirmations: map[string]func(confirmation){},
 		waiters:       map[string][]chan keeper.Outcome{},
-		billAt:        map[string]clock.Millis{},
+	}
+	t := d.settings.Timing
+	var err error
+	c.claimer, err = claimer.New(d.settings.Name, d.incarnation, d.settings.DataCentre, claimer.WithLapse(t.Claim, t.Claim/renewalsPerClaim))
+	if err != nil {
+		return nil, err
+	}
+	c.replicator, err = replicator.New(c.claimer.Identity(), d.settings.Name, d.settings.DataCentre, d.now())
+	if err != nil {
+		return nil, err
+	}
+	c.gatherer, err = gatherer.New(d.now(), hostsOf(d.settings))
+	return c, err
+}
+
+// hostsOf gives the daemons that the settings name.
+func hostsOf(s configurer.Settings) []provider.Host {
+	var hosts []provider.Host
+	for _, p := range append([]configurer.Peer{s.Own()}, s.Peers...) {
+		hosts = append(hosts, provider.Host{Name: p.Name, Role: provider.RoleEntry, DataCentre: p.DataCentre, Address: p.Address})
+	}
+	return hosts
+}
+
+// configPage takes in a part of the config stream, which was asked for at a time.
+func (c *core) configPage(p provider.Page, asked clock.Millis) {
+	results, err := c.replicator.Read(c.d.now(), asked, p)
+	if err != nil {
+		c.d.logger.Emit(logger.LogHole, logger.String("stream", provider.StreamConfig), logger.Err(err))
+	}
+	for _, e := range p.Entries {
+		c.d.metrics.Add(measurer.ReadBytes, int64(len(e.Data)))
+	}
+	c.changed(results)
+	if c.replicator.Next() >= p.Next {
+		c.caughtUp[provider.StreamConfig] = true
 	}
 }
 
-// page takes in a part of a stream; began is when its read began.
+// changed takes in what became of changes, from the log or from a peer.
+func (c *core) changed(results []replicator.Result) {
+	for _, r := range results {
+		c.change(r)
+	}
+	if s := c.replicator.State(); s != c.state {
+		c.setState(s)
+	}
+	for _, r := range results {
+		c.confirm(r.ID(), confirmation{offset: r.Offset(), refused: r.Err()})
+	}
+}
+
+func (c *core) change(r replicator.Result) {
+	change := r.Record().GetChange()
+	c.d.trail.Add(r.Offset(), clock.Millis(r.Record().GetAtMillis()), change, r.Befores(), r.Err())
+	e := logger.ChangeAccepted
+	if !r.Accepted() {
+		e = logger.ChangeRefused
+	}
+	c.d.logger.Emit(e, logger.Int("offset", int64(r.Offset())), logger.String("operator", change.GetOperator()), logger.Int("items", int64(len(change.GetItems()))))
+}
+
+// page takes in a part of any other stream; began is when its read began.
 func (c *core) page(stream string, p provider.Page, began clock.Millis) {
 	if p.Oldest > c.next[stream] {
 		c.d.logger.Emit(logger.LogHole, logger.String("stream", stream), logger.Int("from", int64(c.next[stream])), logger.Int("to", int64(p.Oldest)))
+		c.next[stream] = p.Oldest
 	}
 	for _, e := range p.Entries {
-		c.next[stream] = e.Offset + 1
-		c.d.metrics.Add(measurer.ReadBytes, int64(len(e.Data)))
-		r := &schema.Record{}
-		if err := proto.Unmarshal(e.Data, r); err != nil {
-			c.d.metrics.Add(measurer.CorruptRecords, 1)
-			c.d.logger.Emit(logger.RecordCorrupt, logger.String("stream", stream), logger.Int("offset", int64(e.Offset)), logger.Err(err))
-			continue
-		}
-		c.record(stream, e.Offset, r)
+		c.entry(stream, e)
 	}
 	if c.next[stream] >= p.Next {
 		c.atEnd(stream, began)
 	}
 }
 
-func (c *core) record(stream string, o provider.Offset, r *schema.Record) {
+func (c *core) entry(stream string, e provider.Entry) {
+	c.next[stream] = e.Offset + 1
+	c.d.metrics.Add(measurer.ReadBytes, int64(len(e.Data)))
+	r, err := journaler.Decode(e)
+	if err != nil {
+		c.d.metrics.Add(measurer.CorruptRecords, 1)
+		c.d.logger.Emit(logger.RecordCorrupt, logger.String("stream", stream), logger.Int("offset", int64(e.Offset)), logger.Err(err))
+		return
+	}
+	c.journal.Seen(r.GetId())
 	switch stream {
-	case provider.StreamConfig:
-		c.change(o, r)
 	case provider.StreamIntents:
-		c.intent(o, r)
+		c.intent(e.Offset, r)
 	case provider.StreamUsage:
-		c.usage(o, r)
+		c.usage(e.Offset, r)
 	default:
-		c.event(o, r)
+		c.event(e.Offset, r)
 	}
 }
 
 func (c *core) atEnd(stream string, began clock.Millis) {
 	c.caughtUp[stream] = true
-	if stream == provider.StreamOf(c.d.settings.DataCentre) {
+	if stream == c.d.ownStream() {
 		c.claimer.CaughtUp(began)
 	}
 }
 
-func (c *core) change(o provider.Offset, r *schema.Record) {
-	change := r.GetChange()
-	if change == nil {
-		c.state = c.state.Skip(int64(o))
-		return
-	}
-	after, outcome := c.state.Apply(int64(o), change)
-	c.d.trail.Add(o, clock.Millis(r.GetAtMillis()), change, outcome)
-	c.setState(after)
-	e := logger.ChangeAccepted
-	if !outcome.Accepted() {
-		e = logger.ChangeRefused
-	}
-	c.d.logger.Emit(e, logger.Int("offset", int64(o)), logger.String("operator", change.GetOperator()), logger.Int("items", int64(len(change.GetItems()))))
-	c.confirm(r.GetId(), confirmation{offset: o, outcome: outcome})
-}
-
 func (c *core) setState(s *declarer.State) {
 	c.state = s
 	c.d.state.Store(s)
 	c.d.metrics.Set(measurer.ConfigOffset, float64(s.Next()))
-	c.setShards()
 	c.setZone()
-	for _, k := range c.keepers {
-		k.SetConfig(s)
+	c.setShards()
+	for _, name := range c.names() {
+		c.shards[name].setConfig(s)
 	}
-	c.d.setView(c.hosts, s)
+	c.setView()
 }
 
 func (c *core) setShards() {
@@ -143,46 +190,45 @@
 	}
 	c.claimer.SetShards(n)
 	for i := range n {
-		c.keeperOf(claimer.ShardName(c.d.settings.DataCentre, i))
+		c.addShard(claimer.ShardName(c.d.settings.DataCentre, i))
 	}
-	c.spreadHosts(n)
+	c.spreadWorkers(n)
 }
 
-func (c *core) keeperOf(shard string) *keeper.Keeper {
-	if k, known := c.keepers[shard]; known {
-		return k
-	}
-	k := keeper.New(shard, c.d.settings.DataCentre, c.d.settings.Name, c.register)
-	k.SetConfig(c.state)
-	c.keepers[shard] = k
-	c.meters[shard] = meter.New(shard)
-	return k
+func (c *core) addShard(name string) {
+	if _, known := c.shards[name]; known {
+		return
+	}
+	s, err := newShard(name, c.d, c.register)
+	if err != nil {
+		c.d.logger.Emit(logger.Panicked, logger.Err(err))
+		return
+	}
+	s.setConfig(c.state)
+	c.shards[name] = s
 }
 
 func (c *core) intent(o provider.Offset, r *schema.Record) {
 	v := c.register.Apply(o, r)
-	for _, k := range c.keepers {
-		k.ApplyIntent(v)
+	for _, s := range c.shards {
+		s.keeper.ApplyIntent(v)
 	}
 	c.confirm(r.GetId(), confirmation{offset: o, verdict: v})
 }
 
 func (c *core) event(o provider.Offset, r *schema.Record) {
-	c.d.outbox.confirm(r.GetId())
 	if !c.claimer.Observe(c.d.now(), o, r) {
 		return
 	}
-	for _, k := range c.keepers {
-		k.ApplyEvent(r)
+	for _, s := range c.shards {
+		s.apply(o, r)
 	}
-	c.meterEvent(o, r)
 	if t := r.GetTask(); t != nil {
 		c.wake(t.GetTask())
 	}
 }
 
 func (c *core) confirm(id string, v confirmation) {
-	c.d.outbox.confirm(id)
 	if f, waits := c.confirmations[id]; waits {
 		delete(c.confirmations, id)
 		f(v)
@@ -191,8 +237,8 @@
 
 // outcome gives what the own data centre knows of a key.
 func (c *core) outcome(key string) keeper.Outcome {
-	for _, k := range c.keepers {
-		if o := k.Outcome(key); o.Known() {
+	for _, s := range c.shards {
+		if o := s.keeper.Outcome(key); o.Known() {
 			return o
 		}
 	}
@@ -219,29 +265,12 @@
 	}
 }
 
-func (c *core) setHosts(hosts []provider.Host) {
-	c.hosts = hosts
-	c.setShards()
-	c.d.setView(hosts, c.state)
-}
-
-// spreadHosts gives each keeper the workers of its shard.
-func (c *core) spreadHosts(shards int) {
-	byShard := map[string][]provider.Host{}
-	for _, h := range c.hosts {
-		if h.Role != provider.RoleWorker || h.DataCentre != c.d.settings.DataCentre {
-			continue
-		}
-		s := claimer.ShardOf(h.DataCentre, h.Rack, shards)
-		byShard[s] = append(byShard[s], h)
-	}
-	for s, k := range c.keepers {
-		k.SetHosts(byShard[s])
-	}
-}
-
 // step decides what is to be done now, and has it done.
 func (c *core) step(now clock.Millis) {
+	c.stepMembers(now)
+	if r := c.replicator.Step(now); len(r) > 0 {
+		c.d.appendConfig(r)
+	}
 	a := c.claimer.Step(now)
 	if len(a.Records()) > 0 {
 		c.d.appendClaims(a.Records())
@@ -250,21 +279,23 @@
 		c.d.askPromise(ask)
 	}
 	var sum keeper.Count
-	for _, shard := range c.shards() {
-		k := c.keepers[shard]
-		a := c.authority(shard, now)
-		c.carryOut(k, k.Step(now, a))
-		c.bill(shard, now, a)
-		sum = sum.Add(k.Count())
+	for _, name := range c.names() {
+		s := c.shards[name]
+		c.carryOut(now, s, s.step(now, c.authority(name, now)))
+		sum = sum.Add(s.keeper.Count())
+	}
+	c.callJobs(now)
+	for _, b := range c.journal.Step(now) {
+		c.d.appendBatch(b)
 	}
 	c.d.metrics.Set(measurer.RunningTasks, float64(sum.Running()))
 	c.d.metrics.Set(measurer.WaitingTasks, float64(sum.Waiting()))
 	c.noteHeld(c.claimer.Held(now))
 }
 
-func (c *core) shards() []string {
-	names := make([]string, 0, len(c.keepers))
-	for s := range c.keepers {
+func (c *core) names() []string {
+	names := make([]string, 0, len(c.shards))
+	for s := range c.shards {
 		names = append(names, s)
 	}
 	slices.SortFunc(names, strings.Compare)
@@ -275,33 +306,55 @@
 // read to its end, it may do nothing.
 func (c *core) authority(shard string, now clock.Millis) keeper.Authority {
 	a, held := c.claimer.Authority(shard, now)
-	if !held || !c.ready() {
+	if !held || c.missing() != "" {
 		return keeper.NoAuthority()
 	}
-	return keeper.NewAuthority(a.Epoch(), a.Until(), c.startsAllowed())
+	starts := c.replicator.StartAllowed(now) && !c.state.DataCentreDrained(c.d.settings.DataCentre)
+	return keeper.NewAuthority(a.Epoch(), a.Until(), starts)
 }
 
-func (c *core) startsAllowed() bool { return !c.state.DataCentreDrained(c.d.settings.DataCentre) }
-
-func (c *core) ready() bool {
+// missing gives a stream that was not read to its end yet, or "".
+func (c *core) missing() string {
+	if !c.replicator.Ready() {
+		return provider.StreamConfig
+	}
 	for _, s := range c.d.streams() {
 		if !c.caughtUp[s] {
-			return false
+			return s
 		}
 	}
-	return true
+	return ""
 }
 
-func (c *core) carryOut(k *keeper.Keeper, a keeper.Actions) {
+func (c *core) carryOut(now clock.Millis, s *shard, a keeper.Actions) {
 	for _, r := range a.Appends() {
-		c.d.outbox.add(r.Stream(), r.Record())
+		c.journalise(now, r.Stream(), r.Record())
 	}
 	for _, o := range a.Orders() {
-		c.d.send(k, o)
+		c.gatherer.Asked(now, o.Worker())
+		c.d.send(s, o)
 	}
 	for _, e := range a.Events() {
 		c.happened(e)
 	}
+	if u := s.due(now, c.ledger != nil); u != nil {
+		c.journalise(now, provider.StreamUsage, &schema.Record{Body: &schema.Record_Usage{Usage: u}})
+	}
+	for _, f := range s.meter.TakeFaults() {
+		c.billFault(f)
+	}
+}
+
+// journalise has a record appended until it is read back.
+func (c *core) journalise(now clock.Millis, stream string, r *schema.Record) {
+	if r.GetId() == "" {
+		r.Id = c.d.id()
+		r.AtMillis = int64(now)
+		r.Daemon = c.d.settings.Name
+	}
+	if err := c.journal.Add(now, stream, r); err != nil {
+		c.d.logger.Emit(logger.RecordCorrupt, logger.String("stream", stream), logger.Err(err))
+	}
 }
 
 func (c *core) happened(e keeper.Event) {
@@ -313,7 +366,6 @@
 	case keeper.EventEnded:
 		c.d.logger.Emit(logger.TaskEnded, logger.String("task", e.Task().ID()), logger.String("worker", e.Worker()), logger.String("code", e.Code().String()))
 	case keeper.EventUsage:
-		c.sampled(e)
 	}
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -13,7 +13,6 @@
 	"github.com/pkg/errors"
 
 	"galenawharf.example/galenawharf/auditor"
-	"galenawharf.example/galenawharf/claimer"
 	"galenawharf.example/galenawharf/clock"
 	"galenawharf.example/galenawharf/coder"
 	"galenawharf.example/galenawharf/configurer"
@@ -24,6 +23,7 @@
 	"galenawharf.example/galenawharf/measurer"
 	"galenawharf.example/galenawharf/messenger"
 	"galenawharf.example/galenawharf/provider"
+	"galenawharf.example/galenawharf/relayer"
 	"galenawharf.example/galenawharf/server"
 )
 
@@ -37,10 +37,10 @@
 		logger      *logger.Logger
 		metrics     *measurer.Metrics
 		platform    Platform
+		relayer     *relayer.Relayer
 		client      *dialer.Client
 		dispatcher  *dispatcher.Dispatcher
 		trail       *auditor.Trail
-		outbox      *outbox
 		peers       []*peer
 		messenger   *messenger.Server
 		server      *server.Server
@@ -71,7 +71,6 @@
 		now:       clock.NewSteady(),
 		logOutput: os.Stderr,
 		trail:     auditor.New(auditor.DefaultLimit),
-		outbox:    newOutbox(),
 		mailbox:   make(chan func(*core), mailboxSize),
 		orders:    make(chan struct{}, s.Limits.Orders),
 	}
@@ -106,16 +105,15 @@
 	if err != nil {
 		return err
 	}
-	c, err := claimer.New(d.settings.Name, d.incarnation, d.settings.DataCentre, claimer.WithLapse(d.settings.Timing.Claim, d.settings.Timing.Claim/renewalsPerClaim))
+	d.reachPeers()
+	d.relayLog()
+	c, err := newCore(d)
 	if err != nil {
 		return err
 	}
-	d.reachPeers()
-	return d.listen(newCore(d, c))
+	return d.listen(c)
 }
 
-const renewalsPerClaim = 4
-
 func (d *Daemon) reachPlatform() {
 	if d.platform.Log.Append != nil {
 		return
@@ -162,11 +160,12 @@
 // start begins the loops.
 func (d *Daemon) start(c *core) {
 	d.loops.Go(func() { d.runCore(c) })
-	for _, s := range d.streams() {
+	d.every(d.settings.Timing.LogPoll, d.readConfig)
+	for _, s := range d.streams()[1:] {
 		d.loops.Go(func() { d.readStream(s) })
 	}
 	d.every(d.settings.Timing.HostPoll, d.readHosts)
-	d.every(d.settings.Timing.Tick, d.flush)
+	d.every(d.settings.Timing.Tick, d.step)
 	for _, p := range d.peers {
 		d.every(d.settings.Timing.Heartbeat, func() { d.exchange(p) })
 	}
--- a/daemon/loops.go
+++ b/daemon/loops.go
@@ -8,14 +8,12 @@
 	"galenawharf.example/galenawharf/claimer"
 	"galenawharf.example/galenawharf/clock"
 	"galenawharf.example/galenawharf/coder"
-	"galenawharf.example/galenawharf/dispatcher"
+	"galenawharf.example/galenawharf/journaler"
 	"galenawharf.example/galenawharf/keeper"
 	"galenawharf.example/galenawharf/logger"
 	"galenawharf.example/galenawharf/measurer"
 	"galenawharf.example/galenawharf/provider"
 	"galenawharf.example/galenawharf/schema"
-
-	"galenawharf.example/galenawharf/declarer"
 )
 
 func formatInt(n int64) string { return strconv.FormatInt(n, 10) }
@@ -100,11 +98,11 @@
 		d.logger.Emit(logger.HostsDown, logger.Err(err))
 		return
 	}
-	d.post(func(c *core) { c.setHosts(hosts) })
+	d.post(func(c *core) { c.gatherer.Listed(d.now(), hosts) })
 }
 
-// flush lets the core decide and appends what waits.
-func (d *Daemon) flush() {
+// step lets the core decide, and waits until it has.
+func (d *Daemon) step() {
 	done := make(chan struct{})
 	if !d.post(func(c *core) {
 		began := d.now()
@@ -117,37 +115,45 @@
 	select {
 	case <-done:
 	case <-d.ctx.Done():
-		return
-	}
-	for _, s := range d.outbox.streams() {
-		d.appendBatch(s)
 	}
 }
 
-func (d *Daemon) appendBatch(stream string) {
-	batch := d.outbox.take(stream)
-	records := make([][]byte, 0, len(batch))
-	for _, p := range batch {
-		records = append(records, p.data)
-	}
-	_, err := d.append(d.ctx, stream, records)
-	if err == nil {
+// readConfig reads the config stream from where the core stands, which peers
+// may have moved on.
+func (d *Daemon) readConfig() {
+	next, err := within(d.ctx, d, func(c *core) provider.Offset { return c.replicator.Next() })
+	if err != nil {
 		return
 	}
-	if nothingAdded(err) {
-		d.outbox.again(batch)
+	asked := d.now()
+	ctx, cancel := d.platformContext()
+	defer cancel()
+	p, err := d.platform.Log.Read(ctx, provider.StreamConfig, next, readLimit)
+	if err != nil {
+		d.metrics.Add(measurer.LogErrors, 1)
 		return
 	}
+	d.post(func(c *core) { c.configPage(p, asked) })
+}
+
+func (d *Daemon) appendBatch(b journaler.Batch) {
 	d.loops.Go(func() {
-		if d.sleep(settleAfter * d.settings.Timing.LogPoll) {
-			d.outbox.again(batch)
-		}
+		_, err := d.append(d.ctx, b.Stream(), b.Records())
+		d.post(func(c *core) { c.journal.Done(d.now(), b.Number(), err) })
 	})
 }
 
-// settleAfter is how many polls of the log a lost answer is given to be read
-// back.
-const settleAfter = 4
+// appendConfig appends records of the replicator, and tells it what came of it.
+func (d *Daemon) appendConfig(records []*schema.Record) {
+	data, err := claimer.Encode(records)
+	if err != nil {
+		return
+	}
+	d.loops.Go(func() {
+		_, err := d.append(d.ctx, provider.StreamConfig, data)
+		d.post(func(c *core) { c.replicator.Appended(records, err) })
+	})
+}
 
 func (d *Daemon) append(ctx context.Context, stream string, records [][]byte) (provider.Offset, error) {
 	ctx, cancel := context.WithTimeout(ctx, d.settings.Timing.PlatformCall.Duration())
@@ -188,7 +194,7 @@
 
 // send carries an order out beside others, at most as many as the settings
 // allow at a time.
-func (d *Daemon) send(k *keeper.Keeper, o *keeper.Order) {
+func (d *Daemon) send(s *shard, o *keeper.Order) {
 	d.loops.Go(func() {
 		select {
 		case d.orders <- struct{}{}:
@@ -206,21 +212,11 @@
 			d.metrics.Add(measurer.OrderErrors, 1)
 			d.logger.Emit(logger.OrderFailed, logger.String("worker", o.Worker()), logger.Err(r.Err()))
 		}
-		d.post(func(*core) { k.Done(d.now(), r) })
+		d.post(func(c *core) {
+			if r.Err() == nil {
+				c.heardWorker(o.Worker())
+			}
+			s.keeper.Done(d.now(), r)
+		})
 	})
 }
-
-// setView shows the request path what executors and services there are.
-func (d *Daemon) setView(hosts []provider.Host, s *declarer.State) {
-	var executors, entries []provider.Host
-	for _, h := range hosts {
-		switch h.Role {
-		case provider.RoleExecutor:
-			executors = append(executors, h)
-		case provider.RoleEntry:
-			entries = append(entries, h)
-		case provider.RoleWorker:
-		}
-	}
-	d.dispatcher.SetView(dispatcher.NewView(executors, entries, s.Services(), s.DataCentres()))
-}
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -12,6 +12,7 @@
 	"galenawharf.example/galenawharf/measurer"
 	"galenawharf.example/galenawharf/messenger"
 	"galenawharf.example/galenawharf/provider"
+	"galenawharf.example/galenawharf/relayer"
 	"galenawharf.example/galenawharf/schema"
 )
 
@@ -22,7 +23,6 @@
 		client   *messenger.Client
 		// heard is when it last answered.
 		heard atomic.Int64
-		lost  atomic.Bool
 		last  atomic.Pointer[schema.ExchangeResponse]
 	}
 )
@@ -40,7 +40,7 @@
 		Promise: func(ctx context.Context, r *schema.PromiseRequest) (*schema.PromiseResponse, error) {
 			return within(ctx, d, func(c *core) *schema.PromiseResponse { return c.claimer.Promise(d.now(), r) })
 		},
-		Relay: d.relayed,
+		Relay: d.relayer.Serve,
 		Outcome: func(ctx context.Context, r *schema.OutcomeRequest) (*schema.OutcomeResponse, error) {
 			return within(ctx, d, func(c *core) *schema.OutcomeResponse { return c.outcomeOf(r.GetKey()) })
 		},
@@ -64,21 +64,59 @@
 	}
 }
 
-func (d *Daemon) exchanged(ctx context.Context, r *schema.ExchangeRequest) (*schema.ExchangeResponse, error) {
+// relayLog has the log reached through peers where it can't be reached directly.
+func (d *Daemon) relayLog() {
+	d.relayer = relayer.New(d.platform.Log, d.relays, d.now)
+	d.platform.Log = d.relayer.Log()
+}
+
+// relays are the live peers, those of the same data centre first.
+func (d *Daemon) relays() []relayer.Peer {
+	var near, far []relayer.Peer
 	for _, p := range d.peers {
+		r := relayer.Peer{Name: p.settings.Name, Relay: p.client.Relay}
+		switch {
+		case !d.live(p):
+		case p.settings.DataCentre == d.settings.DataCentre:
+			near = append(near, r)
+		default:
+			far = append(far, r)
+		}
+	}
+	return append(near, far...)
+}
+
+func (d *Daemon) exchanged(ctx context.Context, r *schema.ExchangeRequest) (*schema.ExchangeResponse, error) {
+	return within(ctx, d, func(c *core) *schema.ExchangeResponse { return c.exchanged(r) })
+}
+
+func (c *core) exchanged(r *schema.ExchangeRequest) *schema.ExchangeResponse {
+	now := c.d.now()
+	id := claimer.Identity(r.GetDaemon(), r.GetIncarnation())
+	for _, p := range c.d.peers {
 		if p.settings.Name == r.GetDaemon() {
-			p.heard.Store(int64(d.now()))
+			c.heardPeer(p, r.GetIncarnation(), r.GetLeaving())
 		}
 	}
-	return within(ctx, d, func(c *core) *schema.ExchangeResponse { return c.exchangeResponse() })
+	c.replicator.Asked(now, id, r.GetDataCentre(), r.GetView())
+	out := c.greeting()
+	out.View, out.Entries, out.State = c.replicator.Answer(now, r.GetView())
+	return out
+}
+
+// heardPeer notes that a peer sent a heartbeat or answered one.
+func (c *core) heardPeer(p *peer, incarnation int64, leaving bool) {
+	p.heard.Store(int64(c.d.now()))
+	h := provider.Host{Name: p.settings.Name, Role: provider.RoleEntry, DataCentre: p.settings.DataCentre, Address: p.settings.Address}
+	c.gatherer.Heard(c.d.now(), h, formatInt(incarnation), leaving)
 }
 
-func (c *core) exchangeResponse() *schema.ExchangeResponse {
+// greeting is what a daemon says of itself in every exchange.
+func (c *core) greeting() *schema.ExchangeResponse {
 	return &schema.ExchangeResponse{
 		Daemon:      c.d.settings.Name,
 		DataCentre:  c.d.settings.DataCentre,
 		Incarnation: c.d.incarnation,
-		View:        &schema.ConfigView{NextOffset: c.state.Next()},
 		Shards:      c.owned(),
 		Leaving:     c.d.leaving.Load(),
 	}
@@ -94,27 +132,36 @@
 
 // exchange sends a heartbeat to a peer.
 func (d *Daemon) exchange(p *peer) {
-	own, err := within(d.ctx, d, func(c *core) *schema.ExchangeResponse { return c.exchangeResponse() })
+	sent := d.now()
+	request, err := within(d.ctx, d, func(c *core) *schema.ExchangeRequest {
+		g := c.greeting()
+		c.gatherer.Asked(sent, p.settings.Name)
+		return &schema.ExchangeRequest{
+			Daemon: g.GetDaemon(), DataCentre: g.GetDataCentre(), Incarnation: g.GetIncarnation(),
+			View: c.replicator.View(sent), Shards: g.GetShards(), Leaving: g.GetLeaving(),
+		}
+	})
 	if err != nil {
 		return
 	}
-	r, err := p.client.Exchange(d.ctx, &schema.ExchangeRequest{
-		Daemon: own.GetDaemon(), DataCentre: own.GetDataCentre(), Incarnation: own.GetIncarnation(),
-		View: own.GetView(), Shards: own.GetShards(), Leaving: own.GetLeaving(),
-	})
+	r, err := p.client.Exchange(d.ctx, request)
 	if err != nil {
 		d.metrics.Add(measurer.PeerErrors, 1)
-		if !p.lost.Swap(true) {
-			d.logger.Emit(logger.PeerLost, logger.String("peer", p.settings.Name), logger.Err(err))
-		}
-	} else {
-		p.heard.Store(int64(d.now()))
-		p.last.Store(r)
-		if p.lost.Swap(false) {
-			d.logger.Emit(logger.PeerBack, logger.String("peer", p.settings.Name))
-		}
+		return
+	}
+	d.post(func(c *core) { c.answered(p, sent, r) })
+}
+
+// answered takes in a peer's answer to a heartbeat that was sent at a time.
+func (c *core) answered(p *peer, sent clock.Millis, r *schema.ExchangeResponse) {
+	p.last.Store(r)
+	c.heardPeer(p, r.GetIncarnation(), r.GetLeaving())
+	id := claimer.Identity(r.GetDaemon(), r.GetIncarnation())
+	results, err := c.replicator.Answered(c.d.now(), sent, id, r.GetDataCentre(), r)
+	if err != nil {
+		c.d.logger.Emit(logger.RecordCorrupt, logger.String("peer", p.settings.Name), logger.Err(err))
 	}
-	d.post(func(c *core) { c.claimer.SetPeers(d.livePeers()) })
+	c.changed(results)
 }
 
 // silenceFactor is how many heartbeats a peer may miss before it counts as
@@ -125,18 +172,6 @@
 	return d.now().Sub(clock.Millis(p.heard.Load())) < silenceFactor*d.settings.Timing.Heartbeat
 }
 
-// livePeers gives the identities of the live daemons of the same data centre.
-func (d *Daemon) livePeers() []string {
-	var ids []string
-	for _, p := range d.peers {
-		last := p.last.Load()
-		if p.settings.DataCentre == d.settings.DataCentre && last != nil && !last.GetLeaving() && d.live(p) {
-			ids = append(ids, claimer.Identity(p.settings.Name, last.GetIncarnation()))
-		}
-	}
-	return ids
-}
-
 func (d *Daemon) askPromise(a claimer.Ask) {
 	for _, p := range d.peers {
 		if p.settings.Name != a.Daemon() {
@@ -149,11 +184,6 @@
 	}
 }
 
-func (d *Daemon) relayed(ctx context.Context, r *schema.RelayRequest) (*schema.RelayResponse, error) {
-	o, err := d.append(ctx, r.GetStream(), r.GetRecords())
-	return &schema.RelayResponse{FirstOffset: int64(o), ResultCode: int32(coder.Of(err))}, nil
-}
-
 func (c *core) outcomeOf(key string) *schema.OutcomeResponse {
 	o := c.outcome(key)
 	return &schema.OutcomeResponse{Known: o.Known(), ResultCode: int32(o.Code()), Answer: o.Answer(), State: o.State()}
--- a/daemon/requests.go
+++ b/daemon/requests.go
@@ -65,10 +65,7 @@
 	if home == "" {
 		return refusal(r.GetKey(), coder.New(coder.NotRun, "every data centre is taken out"), clock.Minute)
 	}
-	i := &schema.Intent{
-		Key: r.GetKey(), Team: r.GetTeam(), Job: r.GetJob(), Shard: home, Payload: r.GetPayload(),
-		Idempotent: job.Idempotent, ExclusiveKey: job.ExclusiveKey,
-	}
+	i := intentOf(job, r.GetKey(), home, r.GetPayload())
 	if r.GetTimeoutMillis() > 0 {
 		i.DeadlineMillis = int64(d.now()) + r.GetTimeoutMillis()
 	}
--- /dev/null
+++ b/daemon/shard.go
@@ -0,0 +1,149 @@
+package daemon
+
+import (
+	"galenawharf.example/galenawharf/claimer"
+	"galenawharf.example/galenawharf/clock"
+	"galenawharf.example/galenawharf/coder"
+	"galenawharf.example/galenawharf/declarer"
+	"galenawharf.example/galenawharf/keeper"
+	"galenawharf.example/galenawharf/meter"
+	"galenawharf.example/galenawharf/placer"
+	"galenawharf.example/galenawharf/provider"
+	"galenawharf.example/galenawharf/schema"
+	"galenawharf.example/galenawharf/sizer"
+)
+
+type (
+	// shard is what a daemon knows of one shard of its data centre: the lives
+	// of its tasks, where they go, and what they cost.
+	shard struct {
+		name     string
+		keeper   *keeper.Keeper
+		placer   *placer.Placer
+		meter    *meter.Meter
+		capacity map[string]sizer.Size
+		teams    []string
+		epoch    int64
+		// billAt is when the next usage record may be written.
+		billAt clock.Millis
+	}
+)
+
+const (
+	// billRetry is how long an hour's record is given to be read back.
+	billRetry = 10 * clock.Second
+)
+
+func newShard(name string, d *Daemon, r *keeper.Register) (*shard, error) {
+	p, err := placer.New()
+	if err != nil {
+		return nil, err
+	}
+	return &shard{
+		name:     name,
+		placer:   p,
+		meter:    meter.New(name),
+		capacity: map[string]sizer.Size{},
+		epoch:    claimer.NoEpoch,
+		keeper:   keeper.New(name, d.settings.DataCentre, d.settings.Name, r, keeper.WithPlacer(p.Place)),
+	}, nil
+}
+
+// setConfig sets the declarations in force. A team's quota is shared evenly
+// among the shards of the data centres that are not taken out.
+func (s *shard) setConfig(state *declarer.State) {
+	s.keeper.SetConfig(state)
+	shares := int64(0)
+	for _, dc := range state.DataCentres() {
+		if !state.DataCentreDrained(dc.Name) {
+			shares += int64(dc.Shards)
+		}
+	}
+	for _, t := range s.teams {
+		s.placer.ClearQuota(t)
+	}
+	s.teams = s.teams[:0]
+	for _, t := range state.Teams() {
+		s.teams = append(s.teams, t.Name)
+		s.placer.SetQuota(t.Name, shareOf(t.Quota.Size(), max(shares, 1)))
+	}
+}
+
+// shareOf divides a quota, rounded up.
+func shareOf(q sizer.Size, n int64) sizer.Size {
+	up := func(v int64) int64 { return (v + n - 1) / n }
+	return sizer.New(up(q.Millicores()), up(q.MemoryBytes()), up(q.Accelerators()))
+}
+
+func (s *shard) setWorkers(hosts []provider.Host) {
+	clear(s.capacity)
+	for _, h := range hosts {
+		s.capacity[h.Name] = h.Capacity.Size()
+	}
+	s.keeper.SetHosts(hosts)
+}
+
+// apply takes a record of the data centre's stream that counts.
+func (s *shard) apply(o provider.Offset, r *schema.Record) {
+	s.keeper.ApplyEvent(r)
+	if t := r.GetTask(); t.GetShard() == s.name {
+		s.meter.Apply(int64(o), clock.Millis(r.GetAtMillis()), t)
+	}
+}
+
+func (s *shard) step(now clock.Millis, a keeper.Authority) keeper.Actions {
+	s.epoch = a.Epoch()
+	actions := s.keeper.Step(now, a)
+	for _, e := range actions.Events() {
+		s.learn(e)
+	}
+	return actions
+}
+
+// learn tells those who decide and bill what a task did.
+func (s *shard) learn(e keeper.Event) {
+	switch e.Kind() {
+	case keeper.EventStarted:
+		s.placer.Started(e.At(), e.Task(), e.Worker())
+	case keeper.EventEvicted:
+		s.placer.Ended(e.At(), e.Task().ID(), placer.Stopped, e.RanFor(), e.Code(), "")
+	case keeper.EventEnded:
+		s.placer.Ended(e.At(), e.Task().ID(), outcomeOf(e.Code()), e.RanFor(), e.Code(), e.Code().String())
+	case keeper.EventUsage:
+		s.sampled(e)
+	}
+}
+
+func outcomeOf(c coder.Code) placer.Outcome {
+	switch c {
+	case coder.OK:
+		return placer.Succeeded
+	case coder.Failed:
+		return placer.Failed
+	}
+	return placer.Stopped
+}
+
+func (s *shard) sampled(e keeper.Event) {
+	u := e.Usage()
+	from, until := e.Span()
+	s.meter.Sample(u.Incarnation.Task, u.Incarnation.Number, from, until, u.Millicores, u.Memory, 0)
+	if c, known := s.capacity[e.Worker()]; known {
+		s.placer.Observe(e.At(), e.Worker(), c, []placer.Usage{placer.NewUsage(u.Incarnation.Task, from, until, u.Millicores, u.Memory, u.Progress)})
+	}
+}
+
+// due gives the usage record of an hour that is over, where the shard is owned
+// here and the bill has begun.
+func (s *shard) due(now clock.Millis, billing bool) *schema.Usage {
+	if !billing || s.epoch == claimer.NoEpoch || now < s.billAt {
+		return nil
+	}
+	u := s.meter.Due(now)
+	if u == nil {
+		return nil
+	}
+	s.billAt = now.Add(billRetry)
+	u.Epoch = s.epoch
+	return u
+}
--- a/daemon/status.go
+++ b/daemon/status.go
@@ -19,7 +19,15 @@
 		InFlight    int64         `json:"requests-in-flight"`
 		Shards      []ShardStatus `json:"shards"`
 		Peers       []PeerStatus  `json:"peers"`
-		Hosts       int           `json:"hosts"`
+		// StartsAllowed tells whether the declarations are fresh enough for
+		// work to start.
+		StartsAllowed bool `json:"starts-allowed"`
+		// ReachesLog tells whether the log was last reached directly.
+		ReachesLog bool `json:"reaches-log"`
+		// Unwritten is the number of records that were not read back yet.
+		Unwritten int `json:"unwritten-records"`
+		// Hosts is the number of workers known.
+		Hosts int `json:"workers"`
 	}
 
 	// ShardStatus is a shard of the own data centre.
@@ -62,10 +70,11 @@
 func (c *core) status() Status {
 	s := Status{
 		Daemon: c.d.settings.Name, DataCentre: c.d.settings.DataCentre, Incarnation: c.d.incarnation,
-		Leaving: c.d.leaving.Load(), Config: c.state.Next(), InFlight: c.d.inFlight.Load(), Hosts: len(c.hosts),
+		Leaving: c.d.leaving.Load(), Config: c.state.Next(), InFlight: c.d.inFlight.Load(), StartsAllowed: c.replicator.StartAllowed(c.d.now()),
+		ReachesLog: c.d.relayer.Reaches(), Unwritten: c.journal.Len(), Hosts: len(c.gatherer.Snapshot().Members(provider.RoleWorker)),
 	}
-	for _, name := range c.shards() {
-		n := c.keepers[name].Count()
+	for _, name := range c.names() {
+		n := c.shards[name].keeper.Count()
 		_, owned := c.claimer.Authority(name, c.d.now())
 		s.Shards = append(s.Shards, ShardStatus{
 			Name: name, Epoch: c.claimer.Ledger().Epoch(name), Holder: c.claimer.Ledger().Holder(name),
@@ -81,12 +90,7 @@
 		return "the daemon is leaving"
 	}
 	missing, err := within(d.ctx, d, func(c *core) string {
-		for _, s := range d.streams() {
-			if !c.caughtUp[s] {
-				return s
-			}
-		}
-		return ""
+		return c.missing()
 	})
 	switch {
 	case err != nil:
@@ -103,8 +107,8 @@
 // name, in words.
 func (c *core) workStates() map[string]string {
 	counts := map[string]keeper.Count{}
-	for _, name := range c.shards() {
-		for work, n := range c.keepers[name].Counts() {
+	for _, name := range c.names() {
+		for work, n := range c.shards[name].keeper.Counts() {
 			counts[work] = counts[work].Add(n)
 		}
 	}
