forecaster: looking back keeps jobs between terms; explainer: prices unrounded

Cause: the bands of jobs with school terms were wider than what they cost: a look back from August had dropped the work that was idle for a month. Price effects of cents came from the rounding of shares. Change: looking back, declared work counts if it ever ran; effects of prices come from unrounded costs.

--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -49,7 +49,7 @@
 	// AgainstNow compares a change that is only thought of with the forecast.
 	AgainstNow Against = "now"
 
-	maxOffsets = 3
+	maxOffsets = 1
 )
 
 // New gives an explainer of what the ledger and the declarations say at a
--- a/explainer/factors.go
+++ b/explainer/factors.go
@@ -35,7 +35,7 @@
 	for _, l := range lines {
 		p := f.place(l.Cell().DataCentre())
 		if l.Reserved() != 0 {
-			p.price[l.Resource()] = float64(l.CostMinor()) / float64(l.Reserved())
+			p.price[l.Resource()] = l.UnitPrice()
 			p.known[l.Resource()] = true
 		}
 		wasted := min(max(0, l.WastedAmount()), max(0, l.Reserved()))
--- a/forecaster/batch.go
+++ b/forecaster/batch.go
@@ -115,11 +115,11 @@
 func (m *model) byWeekday(w *work) func(span) vector {
 	levels := m.weekdayLevels(w)
 	run := declaredRun(w.batch).times(m.correction)
-	active := m.active(w.past)
+	ran := m.ran(w.past, m.known)
 	return func(s span) vector {
 		in := w.batch.Calendar.InTerm(s.from, m.h.zone)
 		v := levels[weekdayIn{weekday(s.start, m.h.zone), in}]
-		if v.isZero() && in && !active {
+		if v.isZero() && in && !ran {
 			n := len(w.batch.Calendar.Occurrences(s.from, s.until, m.h.zone))
 			return run.times(float64(n))
 		}
--- a/forecaster/model.go
+++ b/forecaster/model.go
@@ -104,7 +104,7 @@
 		declared[w.name] = true
 	}
 	for _, name := range slices.Sorted(maps.Keys(m.h.works)) {
-		if !declared[name] {
+		if !declared[name] && m.ran(m.h.works[name], activeDays) {
 			m.add(&work{name: name, team: m.h.works[name].team, kind: declarer.KindBatchJob})
 		}
 	}
@@ -116,14 +116,14 @@
 	if w.past == nil {
 		w.past = &past{team: w.team}
 	}
-	if m.trusting || m.active(w.past) {
+	if m.trusting || m.ran(w.past, m.known) {
 		m.works = append(m.works, w)
 	}
 }
 
-// active tells whether a work held something in the last days that are known.
-func (m *model) active(p *past) bool {
-	for d := max(0, m.known-activeDays); d < m.known; d++ {
+// ran tells whether a work held something in the last days that are known.
+func (m *model) ran(p *past, days int) bool {
+	for d := max(0, m.known-days); d < m.known; d++ {
 		if !p.total(d).isZero() {
 			return true
 		}
--- a/pricer/builder.go
+++ b/pricer/builder.go
@@ -200,8 +200,10 @@
 	lines := make([]Line, 0, len(cells))
 	for n, cost := range Share(whole, weights) {
 		a := *b.sums[cells[n]]
+		exact, _ := new(big.Float).SetInt(weights[n]).Float64()
 		lines = append(lines, Line{
 			cell: cells[n], resource: k.resource, costMinor: cost,
+			exact:    exact / millionths / float64(unitHours[k.resource]),
 			reserved: a[k.resource], wasted: a[wastedOf[k.resource]],
 			parts: split(cost, cells[n], k.resource, a),
 		})
--- a/pricer/line.go
+++ b/pricer/line.go
@@ -18,7 +18,9 @@
 		reserved  int64
 		wasted    int64
 		costMinor int64
-		parts     [Parts]int64
+		// exact is the cost before rounding.
+		exact float64
+		parts [Parts]int64
 	}
 )
 
@@ -54,6 +56,15 @@
 // CostMinor gives the cost in the smallest unit of the currency.
 func (l Line) CostMinor() int64 { return l.costMinor }
 
+// UnitPrice gives what the amount costs for each unit of meter.Amounts, before
+// rounding, in the smallest unit of the currency.
+func (l Line) UnitPrice() float64 {
+	if l.reserved == 0 {
+		return 0
+	}
+	return l.exact / float64(l.reserved)
+}
+
 // PartMinor gives what a part of the cost went for; the parts add up to it.
 func (l Line) PartMinor(p Part) int64 { return l.parts[p] }
 
--- a/reporter/plot.go
+++ b/reporter/plot.go
@@ -38,6 +38,8 @@
 	dayStep    = 5
 	barShare   = 0.6
 	lineWidth  = 2
+
+	legendPadding = 2
 )
 
 var (
@@ -83,6 +85,7 @@
 	p.Legend.TextStyle.Font = sans
 	p.Legend.Top = true
 	p.Legend.Left = true
+	p.Legend.Padding = legendPadding
 	grid := plotter.NewGrid()
 	grid.Vertical.Color = gridColour
 	grid.Horizontal.Color = gridColour
