forecaster: bands that count past errors at the present cost of each work

Cause: the band of the whole came from spans that held other work: a first run of invoices that was badly guessed widened the band of weeks without one, and the whole's band was wider than its teams' together. Change: each work's past errors count at its present cost; for the whole, work that was not known of then counts too.

--- a/forecaster/backtest_test.go
+++ b/forecaster/backtest_test.go
@@ -27,13 +27,13 @@
 
 var (
 	backtestDays = []int{1, 10, 20}
-	firstSeed    = uint64(200)
+	firstSeed    = uint64(300)
 	shapes       = map[string]func(testing.TB, uint64) *shape{"crossguard": crossguard, "sorica": sorica}
 )
 
 // walkForward plays days up to the end of a number of months and forecasts
 // each month after warm-up from what is known then.
-func walkForward(t testing.TB, s *shape, months, warmUp int, days ...int) []guess {
+func walkForward(t testing.TB, s *shape, months, warmUp int, bands bool, days ...int) []guess {
 	var guesses []guess
 	first := pricer.MonthOf(s.day, s.zone)
 	m := first
@@ -42,7 +42,7 @@
 		for day := 1; s.day < m.End(); day++ {
 			s.play(t)
 			if n >= warmUp && slices.Contains(days, day) {
-				guesses = append(guesses, s.guess(m, day))
+				guesses = append(guesses, s.guess(m, day, bands))
 			}
 		}
 		truth := pricer.Actual(s.ledger, pricer.NewTable(s.state), m).TotalMinor()
@@ -54,8 +54,12 @@
 	return guesses
 }
 
-func (s *shape) guess(m pricer.Month, day int) guess {
-	f := New(s.ledger, s.state, s.day+10*clock.Minute).Forecast(m)
+func (s *shape) guess(m pricer.Month, day int, bands bool) guess {
+	at := New(s.ledger, s.state, s.day+10*clock.Minute)
+	f := at.expect(m, at.model, at.table)
+	if bands {
+		f = at.Forecast(m)
+	}
 	toDate := float64(f.ToDate().TotalMinor())
 	return guess{
 		month: m, day: day, ours: f.Whole(),
@@ -106,9 +110,8 @@
 	for name, shape := range shapes {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			guesses := walkForward(t, shape(t, 1), 15, 3, 1)
+			guesses := walkForward(t, shape(t, 1), 15, 3, false, 1)
 			r := scoreOf(guesses, 1)
-			t.Log(r)
 			must.Eq(t, 12, r.n)
 			must.Less(t, math.Min(r.last, r.scaled)/2, r.ours)
 		})
@@ -123,7 +126,7 @@
 		years := make([][]guess, 8)
 		var wait sync.WaitGroup
 		for seed := range years {
-			wait.Go(func() { years[seed] = walkForward(b, shape(b, firstSeed+uint64(seed)), 15, 3, backtestDays...) })
+			wait.Go(func() { years[seed] = walkForward(b, shape(b, firstSeed+uint64(seed)), 15, 3, true, backtestDays...) })
 		}
 		wait.Wait()
 		guesses := slices.Concat(years...)
--- a/forecaster/forecast.go
+++ b/forecaster/forecast.go
@@ -74,17 +74,43 @@
 
 func (f *Forecast) line(g group, toDate, expected int64) Line {
 	l := Line{name: g.name, toDate: toDate, p10: expected, p50: expected, p90: expected}
-	filled := f.filled[g]
-	open := math.Max(0, float64(expected-toDate)-filled)
-	if g.name == pricer.CommittedUnused {
-		open = 0
-	}
-	half := math.Hypot(open*f.errors.spread(g), filled*gapError)
-	l.p10 = max(toDate, expected-int64(math.Round(half)))
-	l.p90 = expected + int64(math.Round(half))
+	half := math.Hypot(f.halfOf(g, float64(expected-toDate)), f.filled[g]*gapError)
+	l.p10 = max(toDate, expected-whole(half))
+	l.p90 = expected + whole(half)
 	return l
 }
 
+// halfOf gives half the width of the band of a group of which so much is not
+// known yet.
+func (f *Forecast) halfOf(g group, open float64) float64 {
+	switch g.by {
+	case pricer.ByDataCentre, pricer.ByResource:
+		return max(0, open-f.filled[g]) * f.errors.spread(g)
+	}
+	return f.errors.half(f.openOf(g), g == group{})
+}
+
+// openOf gives what the works of a group are still expected to cost, without
+// what is committed, which is known.
+func (f *Forecast) openOf(g group) map[string]float64 {
+	open := map[string]float64{}
+	for _, b := range []struct {
+		bill *pricer.Bill
+		sign float64
+	}{{f.expected, 1}, {f.toDate, -1}} {
+		for _, l := range b.bill.Lines() {
+			c := l.Cell()
+			if c.Work() != pricer.CommittedUnused && (g.by == "" || g.by.Of(c, l.Resource()) == g.name) {
+				open[c.Work()] += b.sign * float64(l.CostMinor())
+			}
+		}
+	}
+	for name := range open {
+		open[name] = max(0, open[name]-f.filled[group{pricer.ByWork, name}])
+	}
+	return open
+}
+
 // Name gives the line's name, "" for the whole.
 func (l Line) Name() string { return l.name }
 
--- a/forecaster/forecaster.go
+++ b/forecaster/forecaster.go
@@ -93,20 +93,24 @@
 }
 
 func (f *Forecaster) forecast(m pricer.Month, known *model, t *pricer.Table) *Forecast {
-	toDate := pricer.Actual(f.ledger, f.table, m)
+	r := f.expect(m, known, t)
+	if from := max(m.Start(), f.h.until); from < m.End() {
+		r.errors = errorsOf(f.h, f.state, t, from, m.End())
+	}
+	r.leftOut = f.leftOut(r)
+	return r
+}
+
+// expect gives a forecast without its band.
+func (f *Forecaster) expect(m pricer.Month, known *model, t *pricer.Table) *Forecast {
 	b := pricer.NewBuilder(t, m)
 	pricer.AddActual(b, f.ledger, m)
-	r := &Forecast{month: m, made: f.now, until: f.h.until, toDate: toDate, filled: map[group]float64{}}
+	r := &Forecast{month: m, made: f.now, until: f.h.until, toDate: pricer.Actual(f.ledger, f.table, m), filled: map[group]float64{}}
 	f.addFills(b, r, t)
-	from := max(m.Start(), f.h.until)
-	for _, s := range f.h.spansOf(from, m.End()) {
+	for _, s := range f.h.spansOf(max(m.Start(), f.h.until), m.End()) {
 		f.addSpan(b, known, t, s)
 	}
-	if from < m.End() {
-		r.errors = errorsOf(f.h, f.state, t, from, m.End())
-	}
 	r.expected = b.Bill()
-	r.leftOut = f.leftOut(r)
 	return r
 }
 
--- a/forecaster/interval.go
+++ b/forecaster/interval.go
@@ -37,9 +37,8 @@
 	maxLookBacks = 20
 	// trainingDays is the history that a forecast needs at least.
 	trainingDays = 35
-	// priorError and priorWeight stand for past forecasts where there are few.
-	priorError  = 0.02
-	priorWeight = 1
+	// priorError stands beside the errors of past forecasts.
+	priorError = 0.02
 	// unknownError is the error of what has no past forecast at all.
 	unknownError = 0.25
 	// gapError is the error of what is taken for hours without records.
@@ -114,22 +113,79 @@
 	}
 }
 
-// spread gives half the width of the band for a group, as a share of what is
-// expected of it: what past forecasts were off by at most, in as many cases as
-// the band is to hold.
+// half gives half the width of the band around what works are still expected to
+// cost: what past forecasts were off by at most, in as many cases as the band is
+// to hold. Each past error counts at the present cost of its work, so that spans
+// with other work in them can be compared. For the whole, work that was not known
+// of then counts too.
+func (e errors) half(open map[string]float64, whole bool) float64 {
+	total := 0.0
+	for _, name := range slices.Sorted(maps.Keys(open)) {
+		total += open[name]
+	}
+	var offs []float64
+	for _, l := range e.looks {
+		off := l.off(open)
+		if whole {
+			off += total * l.unknown()
+		}
+		offs = append(offs, math.Abs(off))
+	}
+	return bound(offs, total)
+}
+
+// spread gives half the width of the band around what is still expected of a
+// group, as a share of it.
 func (e errors) spread(g group) float64 {
-	offs := slices.Repeat([]float64{priorError}, priorWeight)
+	var offs []float64
 	for _, l := range e.looks {
-		expected, actual := l.expected[g], l.actual[g]
-		if expected+actual > 0 {
-			offs = append(offs, math.Abs(2*(actual-expected)/(actual+expected)))
+		if expected, actual := l.expected[g], l.actual[g]; expected > 0 {
+			offs = append(offs, math.Abs(off(expected, actual)))
 		}
 	}
-	if len(offs) == priorWeight {
-		return unknownError
+	return bound(offs, 1)
+}
+
+// bound gives what errors stay under in as many cases as the band is to hold,
+// of a cost. The next case stands beside those that were seen, as one more.
+func bound(offs []float64, cost float64) float64 {
+	if len(offs) == 0 {
+		return unknownError * cost
 	}
+	offs = append(offs, priorError*cost)
 	slices.Sort(offs)
-	// The next case stands beside those that were seen, as one more of them.
 	n := float64(len(offs))
 	return stat.Quantile(min(1, (2*upper-1)*(n+1)/n), stat.LinInterp, offs, nil)
 }
+
+// off gives what costs would be off by now if each work were off as it was then.
+func (l lookBack) off(open map[string]float64) float64 {
+	sum := 0.0
+	for _, name := range slices.Sorted(maps.Keys(open)) {
+		g := group{pricer.ByWork, name}
+		if expected := l.expected[g]; expected > 0 {
+			sum += open[name] * off(expected, l.actual[g])
+		}
+	}
+	return sum
+}
+
+// unknown gives the cost of work that was not expected at all, as a share of
+// what was.
+func (l lookBack) unknown() float64 {
+	sum := 0.0
+	for g, actual := range l.actual {
+		if g.by == pricer.ByWork && l.expected[g] == 0 {
+			sum += actual
+		}
+	}
+	if l.expected[group{}] == 0 {
+		return 0
+	}
+	return sum / l.expected[group{}]
+}
+
+// off gives an error as a share of what was expected, at most all of it.
+func off(expected, actual float64) float64 {
+	return max(-1, min(1, (actual-expected)/expected))
+}
