--- a/journaler/snapshot.go
+++ b/journaler/snapshot.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -22,6 +23,7 @@
 	// Assembler puts chunks together while a stream is read.
 	Assembler struct {
 		kind   string
+		limit  provider.Offset
 		parts  map[string]*parts
 		newest *Snapshot
 	}
@@ -83,9 +85,12 @@
 
 // NewAssembler gives a reader of snapshots of a kind.
 func NewAssembler(kind string) *Assembler {
-	return &Assembler{kind: kind, parts: map[string]*parts{}}
+	return &Assembler{kind: kind, limit: math.MaxInt64, parts: map[string]*parts{}}
 }
 
+// Limit has snapshots with a base above an offset passed over.
+func (a *Assembler) Limit(base provider.Offset) { a.limit = base }
+
 // Add takes a chunk; those of other kinds are passed over. It tells whether a
 // newer snapshot is whole now.
 func (a *Assembler) Add(c *schema.SnapshotChunk) bool {
@@ -116,6 +121,9 @@
 	if c.GetCount() < 1 || c.GetCount() > maxChunks || c.GetIndex() < 0 || c.GetIndex() >= c.GetCount() {
 		return false
 	}
+	if provider.Offset(c.GetBaseOffset()) > a.limit {
+		return false
+	}
 	return a.newest == nil || provider.Offset(c.GetBaseOffset()) > a.newest.base
 }
 
--- a/keeper/apply.go
+++ b/keeper/apply.go
@@ -232,6 +232,7 @@
 	}
 	if l := t.lease; l != nil && l.incarnation == t.name() {
 		k.move(l, leaseRecord)
+		k.mark(l)
 	}
 }
 
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -31,6 +31,19 @@
 	must.Eq(t, 1, w.starts("monday"))
 }
 
+// TestStartsAtOnce counts the steps from a submission to its start: placing,
+// reading the record back and ordering need no wait for a timer.
+func TestStartsAtOnce(t *testing.T) {
+	w := newWorld(2, sizer.New(4000, 8*sizer.GiB, 0))
+	w.declareUsual(t)
+	n := w.add("d1")
+	must.NoError(t, n.claim(clock.Minute))
+	w.run(2*clock.Second, 100)
+	must.NoError(t, w.submit("july", "invoice", nil))
+	w.run(200, 100)
+	must.Eq(t, 1, w.starts("july"))
+}
+
 func TestReplicasRunAndMove(t *testing.T) {
 	w := newWorld(2, sizer.New(4000, 8*sizer.GiB, 0))
 	w.declareUsual(t)
--- a/keeper/step.go
+++ b/keeper/step.go
@@ -256,6 +256,11 @@
 			k.results[id] = r
 		}
 	}
+	for id, t := range k.tasks {
+		if t.state == stateUnknown && k.results[id].at+answerRetention < k.now {
+			k.drop(id)
+		}
+	}
 	for id, r := range k.recent {
 		if r.at+recentRetention < k.now {
 			delete(k.recent, id)
--- a/keeper/world_test.go
+++ b/keeper/world_test.go
@@ -163,6 +163,27 @@
 	return nil
 }
 
+// restore begins from the snapshot that another node would write now.
+func (n *node) restore(from *node) {
+	s, ok := from.keeper.State()
+	if !ok {
+		return
+	}
+	data, err := proto.Marshal(s)
+	if err != nil {
+		panic(err)
+	}
+	read := &schema.ShardState{}
+	if err := proto.Unmarshal(data, read); err != nil {
+		panic(err)
+	}
+	n.register.Restore(from.intents, from.register.State())
+	n.keeper.Restore(read)
+	n.events = from.events
+	n.intents = from.intents
+	n.epoch = from.epoch
+}
+
 func (n *node) tail() {
 	n.tailEvents()
 	n.tailIntents()
