--- a/placer/placer.go
+++ b/placer/placer.go
@@ -27,13 +27,13 @@
 		sights     map[string]*sight
 		ended      []*run
 		// slowed counts the throttled tasks of each worker.
-		slowed map[string]int
-		serving    map[int]bool
-		uses       [learner.MaxClasses]float64
-		held       map[string]string
-		holders    map[string]string
-		call       uint64
-		guesses    map[string]guess
+		slowed  map[string]int
+		serving map[int]bool
+		uses    [learner.MaxClasses]float64
+		held    map[string]string
+		holders map[string]string
+		call    uint64
+		guesses map[string]guess
 
 		// effect gives what a class does to another at a load.
 		effect func(victim, aggressor int, load float64) learner.Effect
