--- a/placer/placer.go
+++ b/placer/placer.go
@@ -26,12 +26,14 @@
 		runs       map[string]*run
 		sights     map[string]*sight
 		ended      []*run
-		serving    map[int]bool
-		uses       [learner.MaxClasses]float64
-		held       map[string]string
-		holders    map[string]string
-		call       uint64
-		guesses    map[string]guess
+		// slowed counts the throttled tasks of each worker.
+		slowed  map[string]int
+		serving map[int]bool
+		uses    [learner.MaxClasses]float64
+		held    map[string]string
+		holders map[string]string
+		call    uint64
+		guesses map[string]guess
 
 		// effect gives what a class does to another at a load.
 		effect func(victim, aggressor int, load float64) learner.Effect
@@ -60,6 +62,7 @@
 		mechanisms: allMechanisms,
 		index:      newIndex(),
 		runs:       map[string]*run{},
+		slowed:     map[string]int{},
 		sights:     map[string]*sight{},
 		guesses:    map[string]guess{},
 		serving:    map[int]bool{},
