--- a/configurer/defaults.go
+++ b/configurer/defaults.go
@@ -26,6 +26,7 @@
 		PeerCall:     clock.Second,
 		Check:        2 * clock.Second,
 		Wait:         30 * clock.Second,
+		BillGrace:    2 * clock.Minute,
 		Shutdown:     30 * clock.Second,
 	}
 )
@@ -47,5 +48,6 @@
 	s.Timing.PeerCall = cmp.Or(s.Timing.PeerCall, defaultTiming.PeerCall)
 	s.Timing.Check = cmp.Or(s.Timing.Check, defaultTiming.Check)
 	s.Timing.Wait = cmp.Or(s.Timing.Wait, defaultTiming.Wait)
+	s.Timing.BillGrace = cmp.Or(s.Timing.BillGrace, defaultTiming.BillGrace)
 	s.Timing.Shutdown = cmp.Or(s.Timing.Shutdown, defaultTiming.Shutdown)
 }
--- a/configurer/settings.go
+++ b/configurer/settings.go
@@ -86,6 +86,9 @@
 		Check clock.Millis `json:"check"`
 		// Wait is the longest wait for submitted work in one call.
 		Wait clock.Millis `json:"wait"`
+		// BillGrace is how long after its end an hour's usage record waits
+		// for late samples.
+		BillGrace clock.Millis `json:"bill-grace"`
 		// Shutdown is how long requests in flight may take to end.
 		Shutdown clock.Millis `json:"shutdown"`
 	}
--- a/configurer/validate.go
+++ b/configurer/validate.go
@@ -78,6 +78,7 @@
 	v.period("$.timing.peer-call", t.PeerCall)
 	v.period("$.timing.check", t.Check)
 	v.period("$.timing.wait", t.Wait)
+	v.period("$.timing.bill-grace", t.BillGrace)
 	v.period("$.timing.shutdown", t.Shutdown)
 	if t.Claim < 4*t.LogPoll {
 		v.add(coder.OutOfRange, "$.timing.claim", "must be at least four times log-poll, or renewals come too late")
--- a/daemon/backend.go
+++ b/daemon/backend.go
@@ -32,8 +32,8 @@
 }
 
 func (d *Daemon) check(ctx context.Context, r *schema.CheckRequest) *schema.Answer {
-	if e := d.codeOfLeaving(); e != nil {
-		return refusal(r.GetRequestId(), e, 0)
+	if e := d.unable(); e != nil {
+		return refusal(r.GetRequestId(), e, d.settings.Timing.Heartbeat)
 	}
 	if r.GetTimeoutMillis() == 0 {
 		r.TimeoutMillis = int64(d.settings.Timing.Check)
--- a/daemon/changes.go
+++ b/daemon/changes.go
@@ -16,7 +16,7 @@
 // apply puts a change into the log and waits until it was read back, which is
 // when it is accepted or refused.
 func (d *Daemon) apply(ctx context.Context, r *schema.ApplyRequest) (*schema.ApplyResponse, error) {
-	if e := d.codeOfLeaving(); e != nil {
+	if e := d.unable(); e != nil {
 		return nil, e
 	}
 	for _, i := range r.GetItems() {
@@ -40,26 +40,37 @@
 
 // putChange puts a change into the config stream and waits for its verdict.
 func (d *Daemon) putChange(ctx context.Context, change *schema.Change) (confirmation, error) {
-	type proposal struct {
-		record *schema.Record
-		err    error
-	}
-	p, err := within(ctx, d, func(c *core) proposal {
-		r, err := c.replicator.Propose(d.now(), change)
-		return proposal{record: r, err: err}
-	})
+	r, err := d.propose(ctx, change)
 	if err != nil {
 		return confirmation{}, err
 	}
-	if p.err != nil {
-		return confirmation{}, p.err
-	}
-	records := []*schema.Record{p.record}
-	return d.putRecord(ctx, provider.StreamConfig, p.record, func(err error) {
+	records := []*schema.Record{r}
+	return d.putRecord(ctx, provider.StreamConfig, r, func(err error) {
 		d.post(func(c *core) { c.replicator.Appended(records, err) })
 	})
 }
 
+// propose gives the record that carries a change. A daemon that has just
+// started waits until it may change the configuration.
+func (d *Daemon) propose(ctx context.Context, change *schema.Change) (*schema.Record, error) {
+	type proposal struct {
+		record *schema.Record
+		err    error
+	}
+	for end := d.now().Add(d.settings.Timing.Wait); ; {
+		p, err := within(ctx, d, func(c *core) proposal {
+			r, err := c.replicator.Propose(d.now(), change)
+			return proposal{record: r, err: err}
+		})
+		if err != nil {
+			return nil, err
+		}
+		if coder.Of(p.err) != coder.NotReady || d.now() > end || ctx.Err() != nil || !d.sleep(d.settings.Timing.Heartbeat) {
+			return p.record, p.err
+		}
+	}
+}
+
 // put gives a record its id, appends it and waits until it was read back.
 func (d *Daemon) put(ctx context.Context, stream string, r *schema.Record) (confirmation, error) {
 	r.Id = d.id()
@@ -121,7 +132,7 @@
 
 // drain takes a data centre or host out, or brings it back.
 func (d *Daemon) drain(ctx context.Context, r *schema.DrainRequest) (*schema.DrainResponse, error) {
-	if e := d.codeOfLeaving(); e != nil {
+	if e := d.unable(); e != nil {
 		return nil, e
 	}
 	name := declarer.DrainOfHost(r.GetName())
--- a/daemon/core.go
+++ b/daemon/core.go
@@ -35,12 +35,16 @@
 		ledger   *meter.Ledger
 		caughtUp map[string]bool
 		next     map[string]provider.Offset
+		// endRead is when the last read began that reached a stream's end.
+		endRead map[string]clock.Millis
 		// confirmations are told when a record is read back, by its id.
 		confirmations map[string]func(confirmation)
 		waiters       map[string][]chan keeper.Outcome
 		held          []string
 		faults        []meter.Fault
 		calledUntil   clock.Millis
+		// listed tells whether the platform's list of hosts was ever read.
+		listed bool
 	}
 
 	// confirmation is what a record came to.
@@ -64,6 +68,7 @@
 		state:         declarer.NewState(),
 		caughtUp:      map[string]bool{},
 		next:          map[string]provider.Offset{},
+		endRead:       map[string]clock.Millis{},
 		confirmations: map[string]func(confirmation){},
 		waiters:       map[string][]chan keeper.Outcome{},
 	}
@@ -164,6 +169,7 @@
 
 func (c *core) atEnd(stream string, began clock.Millis) {
 	c.caughtUp[stream] = true
+	c.endRead[stream] = began
 	if stream == c.d.ownStream() {
 		c.claimer.CaughtUp(began)
 	}
@@ -291,6 +297,18 @@
 	c.d.metrics.Set(measurer.RunningTasks, float64(sum.Running()))
 	c.d.metrics.Set(measurer.WaitingTasks, float64(sum.Waiting()))
 	c.noteHeld(c.claimer.Held(now))
+	c.noteReady()
+}
+
+// noteReady shows whether the daemon may serve. Once it was ready it stays so,
+// also while the platform is down.
+func (c *core) noteReady() {
+	if c.d.ready.Load() || c.missing() != "" || !c.listed {
+		return
+	}
+	c.d.ready.Store(true)
+	c.d.metrics.Set(measurer.ReadyGauge, 1)
+	c.d.logger.Emit(logger.Ready)
 }
 
 func (c *core) names() []string {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -46,6 +46,7 @@
 		server      *server.Server
 		state       atomic.Pointer[declarer.State]
 		leaving     atomic.Bool
+		ready       atomic.Bool
 		inFlight    atomic.Int64
 		sequence    atomic.Int64
 		// rewound are streams that are to be read again from the start.
@@ -257,10 +258,14 @@
 	return d.settings.Name + "/" + formatInt(d.incarnation) + "/" + formatInt(d.sequence.Add(1))
 }
 
-func (d *Daemon) codeOfLeaving() *coder.Error {
+// unable gives why the daemon takes no new work, or nil.
+func (d *Daemon) unable() *coder.Error {
 	if d.leaving.Load() {
 		return coder.New(coder.ShuttingDown, "the daemon is shutting down: ask another entry host")
 	}
+	if !d.ready.Load() {
+		return coder.New(coder.NotReady, "the daemon has just started and is not ready: ask another entry host")
+	}
 	return nil
 }
 
--- a/daemon/loops.go
+++ b/daemon/loops.go
@@ -98,7 +98,11 @@
 		d.logger.Emit(logger.HostsDown, logger.Err(err))
 		return
 	}
-	d.post(func(c *core) { c.gatherer.Listed(d.now(), hosts) })
+	d.post(func(c *core) {
+		// An empty list is one that has not caught up.
+		c.listed = c.listed || len(hosts) > 0
+		c.gatherer.Listed(d.now(), hosts)
+	})
 }
 
 // step lets the core decide, and waits until it has.
--- a/daemon/requests.go
+++ b/daemon/requests.go
@@ -15,6 +15,16 @@
 	"galenawharf.example/galenawharf/schema"
 )
 
+type (
+	// whereabouts is what a daemon knows of a key.
+	whereabouts struct {
+		// home is the shard that decides about it, "" where it isn't known.
+		home string
+		// asOf is up to when every submission has been read.
+		asOf clock.Millis
+	}
+)
+
 const (
 	// remotePoll is how often work at home in another data centre is asked for.
 	remotePoll = 500 * clock.Millis(1)
@@ -23,8 +33,8 @@
 // submit puts work into the log under its key, and waits for its end as long
 // as the caller wishes. The first submission of a key counts.
 func (d *Daemon) submit(ctx context.Context, r *schema.SubmitRequest) *schema.Answer {
-	if e := d.codeOfLeaving(); e != nil {
-		return refusal(r.GetKey(), e, 0)
+	if e := d.unable(); e != nil {
+		return refusal(r.GetKey(), e, d.settings.Timing.Heartbeat)
 	}
 	d.begin()
 	defer d.end()
@@ -91,15 +101,22 @@
 		return refusal(r.GetKey(), coder.New(coder.Overloaded, "too many callers wait here"), clock.Second)
 	}
 	wait := min(clock.Millis(r.GetWaitMillis()), d.settings.Timing.Wait)
-	end := d.now().Add(wait)
+	asked := d.now()
+	end := asked.Add(wait)
 	w := make(chan keeper.Outcome, 1)
 	defer d.post(func(c *core) { c.forget(r.GetKey(), w) })
 	for {
-		home, err := within(ctx, d, func(c *core) string { return c.listen(r.GetKey(), w) })
+		at, err := within(ctx, d, func(c *core) whereabouts { return c.listen(r.GetKey(), w) })
 		if err != nil {
 			return refusal(r.GetKey(), coder.New(coder.Unknown, "%v", err), d.settings.Timing.Heartbeat)
 		}
-		a := d.look(ctx, r.GetKey(), home, w)
+		if at.home == "" {
+			if a := d.unheardOf(ctx, r.GetKey(), asked, at); a != nil {
+				return a
+			}
+			continue
+		}
+		a := d.look(ctx, r.GetKey(), at.home, w)
 		if left := end.Sub(d.now()); a != nil || left <= 0 || !d.pause(ctx, min(left, remotePoll), w) {
 			return finalOrPending(r.GetKey(), a)
 		}
@@ -114,12 +131,25 @@
 }
 
 // listen has the core tell w of the end of a key's work, at once where it has
-// ended, and gives its home.
-func (c *core) listen(key string, w chan keeper.Outcome) string {
+// ended, and gives where it is at home.
+func (c *core) listen(key string, w chan keeper.Outcome) whereabouts {
 	c.forget(key, w)
 	c.waiters[key] = append(c.waiters[key], w)
 	c.wake(key)
-	return c.home(key)
+	return whereabouts{home: c.home(key), asOf: c.endRead[provider.StreamIntents]}
+}
+
+// unheardOf gives the answer to a caller that asks for a key of which the
+// daemon knows nothing, or nil while submissions up to the time of asking are
+// still being read.
+func (d *Daemon) unheardOf(ctx context.Context, key string, asked clock.Millis, at whereabouts) *schema.Answer {
+	if at.asOf > asked {
+		return refusal(key, coder.New(coder.NotFound, "no work was submitted under %q", key), 0)
+	}
+	if d.now() > asked.Add(d.settings.Timing.PlatformCall) || ctx.Err() != nil || !d.sleep(d.settings.Timing.Tick) {
+		return refusal(key, coder.New(coder.Unknown, "the log can't be read, so it isn't known whether %q was submitted", key), d.settings.Timing.PlatformCall)
+	}
+	return nil
 }
 
 func (c *core) forget(key string, w chan keeper.Outcome) {
@@ -143,9 +173,6 @@
 		return answer(key, int32(o.Code()), o.Answer(), o.State())
 	default:
 	}
-	if home == "" {
-		return refusal(key, coder.New(coder.NotFound, "no work was submitted under %q", key), 0)
-	}
 	if o, known := d.askOutcome(ctx, home, key); known && coder.Code(o.GetResultCode()) != coder.Pending {
 		return answer(key, o.GetResultCode(), o.GetAnswer(), o.GetState())
 	}
--- a/daemon/shard.go
+++ b/daemon/shard.go
@@ -42,7 +42,7 @@
 	return &shard{
 		name:     name,
 		placer:   p,
-		meter:    meter.New(name),
+		meter:    meter.New(name, meter.WithGrace(d.settings.Timing.BillGrace)),
 		capacity: map[string]sizer.Size{},
 		epoch:    claimer.NoEpoch,
 		keeper:   keeper.New(name, d.settings.DataCentre, d.settings.Name, r, keeper.WithPlacer(p.Place)),
--- a/daemon/status.go
+++ b/daemon/status.go
@@ -84,19 +84,27 @@
 	return s
 }
 
+// hostList stands for the platform's list of hosts where streams are named.
+const hostList = "hosts"
+
 // readyReason gives for what the daemon waits before it serves, or "".
 func (d *Daemon) readyReason() string {
 	if d.leaving.Load() {
 		return "the daemon is leaving"
 	}
 	missing, err := within(d.ctx, d, func(c *core) string {
-		return c.missing()
+		if m := c.missing(); m != "" || c.listed {
+			return m
+		}
+		return hostList
 	})
 	switch {
 	case err != nil:
 		return err.Error()
 	case missing == provider.StreamConfig:
 		return "the declarations have not been read to their end"
+	case missing == hostList:
+		return "the platform's list of hosts has not been read"
 	case missing != "":
 		return "the stream " + missing + " has not been read to its end"
 	}
--- a/demonstrator/deployment.go
+++ b/demonstrator/deployment.go
@@ -36,6 +36,11 @@
 		Capacity sizer.Size
 		// Service is the service that the executors serve.
 		Service string
+		// Clock is where the daemons take their time from; the host's where
+		// it is nil.
+		Clock func() clock.Millis
+		// BillGrace is how long an hour's usage record waits.
+		BillGrace clock.Millis
 	}
 
 	// Deployment is a running deployment.
@@ -153,6 +158,7 @@
 				return err
 			}
 			s.Timing = configurer.Timing{LogPoll: 50, HostPoll: 200, Heartbeat: 200, Tick: 50}
+			s.Timing.BillGrace = d.shape.BillGrace
 			s.Defaults()
 			d.settings = append(d.settings, s)
 			d.list = append(d.list, provider.Host{Name: s.Name, Role: provider.RoleEntry, DataCentre: dc, Address: s.Listen.Callers})
@@ -192,7 +198,11 @@
 
 // StartDaemon starts the daemon of a number, or starts it anew.
 func (d *Deployment) StartDaemon(n int) error {
-	run, err := daemon.New(d.settings[n], daemon.WithLogOutput(d.output))
+	opts := []daemon.Option{daemon.WithLogOutput(d.output)}
+	if d.shape.Clock != nil {
+		opts = append(opts, daemon.WithClock(d.shape.Clock))
+	}
+	run, err := daemon.New(d.settings[n], opts...)
 	if err != nil {
 		return err
 	}
