placer, sharer: the submission with the least work left goes first

Cause: what was left was summed over all submissions of a declared job, and the wait outranked it after 200 s. Change: tasks name their submission, and a wait raises the priority by one in 2 min instead of 20 s. The idea is that of Ren and Wang, 'Managing flow transfers in enterprise datacenter networks with flow chasing', KSII 2016: the last part gates the whole, so the transfer with the least left goes first.

--- a/placer/place.go
+++ b/placer/place.go
@@ -82,19 +82,21 @@
 			need = t.size
 		}
 		wants = append(wants, want{task: t, class: p.learner.Class(t.class), need: need, seed: xxhash.Sum64String(t.id)})
-		requests = append(requests, sharer.NewRequest(t.id, t.team, t.work, tierOf(t), need, t.priority, t.submitted, t.deadline, p.runTime(now, t), left[t.work]))
+		requests = append(requests, sharer.NewRequest(t.id, t.team, t.work, tierOf(t), need, t.priority, t.submitted, t.deadline, p.runTime(now, t), left[t.Group()]))
 	}
 	return wants, requests
 }
 
-// remaining gives the core-seconds that each job with waiting tasks needs yet.
+// remaining gives the core-seconds that the waiting tasks of each submission
+// need yet. Since the last task gates the whole, the one with the least left
+// goes first among equals.
 func (p *Placer) remaining(now clock.Millis, waiting []Task) map[string]float64 {
 	if !p.mechanisms.has(JobOrder) {
 		return nil
 	}
 	left := map[string]float64{}
 	for _, t := range waiting {
-		left[t.work] += coresOf(t.size) * float64(p.runTime(now, t)) / float64(clock.Second)
+		left[t.Group()] += coresOf(t.size) * float64(p.runTime(now, t)) / float64(clock.Second)
 	}
 	return left
 }
--- a/placer/task.go
+++ b/placer/task.go
@@ -25,6 +25,7 @@
 		checkpoint clock.Millis
 		started    clock.Millis
 		tolerance  float64
+		group      string
 	}
 
 	// TaskOption sets up a Task.
@@ -72,6 +73,10 @@
 // WithStarted sets when a running task began.
 func WithStarted(at clock.Millis) TaskOption { return func(t *Task) { t.started = at } }
 
+// WithGroup sets the name of the submission that the task is part of, where a
+// job is submitted more than once; its tasks are finished together.
+func WithGroup(name string) TaskOption { return func(t *Task) { t.group = name } }
+
 // WithTolerance sets the slowdown by neighbours under which a service holds its
 // latency target: 0.25 for a quarter longer than alone.
 func WithTolerance(slowdown float64) TaskOption { return func(t *Task) { t.tolerance = slowdown } }
@@ -112,6 +117,15 @@
 // Started gives when it began to run, 0 while it waits.
 func (t Task) Started() clock.Millis { return t.started }
 
+// Group gives the submission that it is part of, its service or job where none
+// was set.
+func (t Task) Group() string {
+	if t.group == "" {
+		return t.work
+	}
+	return t.group
+}
+
 // Tolerance gives the slowdown that a service bears, 0.25 for a quarter longer
 // than alone.
 func (t Task) Tolerance() float64 { return t.tolerance }
--- a/placer/world_test.go
+++ b/placer/world_test.go
@@ -36,6 +36,7 @@
 	// kin is a job family as it is.
 	kin struct {
 		name       string
+		team       string
 		class      int
 		cores      float64
 		memory     int64
@@ -154,6 +155,7 @@
 	for i := range 12 {
 		k := &kin{
 			name:   fmt.Sprintf("job%02d", i),
+			team:   fmt.Sprintf("team%d", i%3),
 			class:  classHog + i%4,
 			cores:  1 + 3*r.Float64(),
 			memory: sizer.GiB + int64(float64(6*sizer.GiB)*r.Float64()),
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -30,7 +30,7 @@
 )
 
 const (
-	defaultAgeStep = 20 * clock.Second
+	defaultAgeStep = 2 * clock.Minute
 	defaultLead    = 30 * clock.Minute
 )
 
