placer, keeper: samples may come one by one, and the decided size is granted

Cause: the keeper reports samples one by one, and the pressure of a worker was that of the last call, so a batch task's sample hid a pressed service; and the keeper granted the declared size, whatever was decided, so that a worker with room for the decided size only was picked in vain. Change: pressure is kept per replica; a decision with a size is granted, recorded and billed with that size.

--- a/keeper/placing.go
+++ b/keeper/placing.go
@@ -161,10 +161,14 @@
 	for _, id := range d.Victims() {
 		k.evict(h, id)
 	}
-	if !t.spec.size.Fits(h.free()) {
+	size := d.Size()
+	if size.IsZero() {
+		size = t.spec.size
+	}
+	if !size.Fits(h.free()) {
 		return
 	}
-	l := &lease{task: t, size: t.spec.size, phase: phasePlanned, boot: h.clock.stamp.Boot, granted: k.now, lapseBy: clock.Never}
+	l := &lease{task: t, size: size, phase: phasePlanned, boot: h.clock.stamp.Boot, granted: k.now, lapseBy: clock.Never}
 	l.incarnation = t.name()
 	l.incarnation.Number++
 	h.leases[l.incarnation] = l
--- a/keeper/task.go
+++ b/keeper/task.go
@@ -77,12 +77,16 @@
 
 // reservation gives what a run that begins now holds, and who pays for it.
 func (t *task) reservation() *schema.Reservation {
+	size := t.spec.size
+	if t.lease != nil {
+		size = t.lease.size
+	}
 	return &schema.Reservation{
 		Team:         t.spec.team,
 		Work:         t.spec.work,
-		Millicores:   t.spec.size.Millicores(),
-		MemoryBytes:  t.spec.size.MemoryBytes(),
-		Accelerators: t.spec.size.Accelerators(),
+		Millicores:   size.Millicores(),
+		MemoryBytes:  size.MemoryBytes(),
+		Accelerators: size.Accelerators(),
 		Standing:     t.spec.kind == placer.Service || t.spec.kind == placer.Watch,
 	}
 }
--- a/learner/timeline.go
+++ b/learner/timeline.go
@@ -100,6 +100,7 @@
 			continue
 		}
 		known = append(known, s)
+		t.runs[i].cores = s.cores
 		if s.clean {
 			mix, load := t.mix(s, cores, used)
 			l.Observe(now, t.runs[i].class, mix[:], load, s.Slowdown())
--- a/placer/control.go
+++ b/placer/control.go
@@ -16,9 +16,12 @@
 	}
 	views := make([]throttler.View, 0, len(p.index.byName))
 	for name, e := range p.index.byName {
-		if s := p.sights[name]; s != nil {
-			views = append(views, throttler.NewView(name, s.pressure, s.until, p.culprits(now, e, p.throttler.Presses(s.pressure))))
+		seen := p.sights[name]
+		if seen == 0 || !e.serves() && p.slowed[name] == 0 {
+			continue
 		}
+		pressure := p.pressure(e, seen)
+		views = append(views, throttler.NewView(name, pressure, seen, p.culprits(now, e, p.throttler.Presses(pressure))))
 	}
 	slices.SortFunc(views, func(a, b throttler.View) int { return cmp.Compare(a.Worker(), b.Worker()) })
 	return p.throttler.Step(now, views)
--- a/placer/feedback.go
+++ b/placer/feedback.go
@@ -31,12 +31,10 @@
 		permille  int
 		changed   clock.Millis
 		maxMemory int64
-	}
-
-	// sight is what was last seen of a worker.
-	sight struct {
-		until    clock.Millis
+		// pressure is the last slowdown of a service over what it bears, of a
+		// sample that ended at seen.
 		pressure float64
+		seen     clock.Millis
 	}
 )
 
@@ -54,6 +52,8 @@
 	wholeShare = 1000
 	// endedKept is how long a run that ended waits for its last samples.
 	endedKept = 2 * clock.Minute
+	// alikeSpan is how far apart the ends of samples of one time lie.
+	alikeSpan = 5 * clock.Second
 )
 
 // NewUsage gives a sample. millicores and memory, in bytes, are means over the
@@ -170,19 +170,31 @@
 	p.see(worker, p.learner.Report(now, worker, coresOf(capacity), samples))
 }
 
-// see notes how hard pressed the services of a worker were.
+// see notes how hard pressed the services of a worker were. Samples may come
+// one by one or together.
 func (p *Placer) see(worker string, samples []learner.Sample) {
-	s := p.sights[worker]
-	if s == nil {
-		s = &sight{}
-		p.sights[worker] = s
-	}
-	pressure := 0.0
 	for _, u := range samples {
-		s.until = max(s.until, u.Until())
-		if r := p.runs[u.Task()]; r != nil && r.task.kind == Service {
-			pressure = max(pressure, u.Slowdown()/p.bears(p.learner.Class(r.task.class), r.task.tolerance))
+		r := p.runs[u.Task()]
+		if r == nil || r.ended != 0 || r.task.kind != Service || u.Until() < r.seen {
+			continue
+		}
+		r.pressure = u.Slowdown() / p.bears(p.learner.Class(r.task.class), r.task.tolerance)
+		r.seen = u.Until()
+		p.sights[worker] = max(p.sights[worker], u.Until())
+	}
+}
+
+// pressure gives the largest pressure on the services of a worker among the
+// samples that are about as new as the newest, which ended at seen.
+func (p *Placer) pressure(e *entry, seen clock.Millis) float64 {
+	most := 0.0
+	for _, t := range e.worker.residents {
+		if t.kind != Service {
+			continue
+		}
+		if r := p.runs[t.id]; r != nil && r.seen > seen-alikeSpan {
+			most = max(most, r.pressure)
 		}
 	}
-	s.pressure = pressure
+	return most
 }
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -24,7 +24,7 @@
 		sharer     *sharer.Sharer
 		throttler  *throttler.Throttler
 		runs       map[string]*run
-		sights     map[string]*sight
+		sights     map[string]clock.Millis
 		ended      []*run
 		// slowed counts the throttled tasks of each worker.
 		slowed  map[string]int
@@ -63,7 +63,7 @@
 		index:      newIndex(),
 		runs:       map[string]*run{},
 		slowed:     map[string]int{},
-		sights:     map[string]*sight{},
+		sights:     map[string]clock.Millis{},
 		guesses:    map[string]guess{},
 		serving:    map[int]bool{},
 		held:       map[string]string{},
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -315,6 +315,21 @@
 	must.Eq(t, 0, p.slowed["x"])
 }
 
+// TestSamplesOneByOne gives the samples of a worker in calls of their own: the
+// batch task's does not hide that the service is pressed.
+func TestSamplesOneByOne(t *testing.T) {
+	p := newPlacer(t)
+	capacity := gib(16, 60, 0)
+	check := NewTask("c", "t", "checks", "check", Service, gib(4, 4, 0))
+	hog := NewTask("hog", "t", "hogs", "hog", Batch, gib(6, 6, 0))
+	p.Started(1, check, "x")
+	p.Started(1, hog, "x")
+	p.Place(1, nil, []Worker{workerOf("x", "r", capacity, check, hog)})
+	p.Observe(20*clock.Second, "x", capacity, []Usage{NewUsage("c", 2, 10*clock.Second, 2000, 1, 400)})
+	p.Observe(20*clock.Second, "x", capacity, []Usage{NewUsage("hog", 2, 10*clock.Second+1, 6000, 1, 1000)})
+	must.Len(t, 1, p.Control(20*clock.Second))
+}
+
 // TestFailuresReachTheQuarantine parks a job that fails everywhere, and holds
 // back a worker that fails everything.
 func TestFailuresReachTheQuarantine(t *testing.T) {
