keeper, daemon, placer: services that are disturbed are relieved

Control is given the workers as they are, since Place is called only while tasks wait; the daemon carries its actions out every 2 s, and the keeper asks a worker for a share until it is confirmed.

--- a/daemon/shard.go
+++ b/daemon/shard.go
@@ -24,6 +24,8 @@
 		capacity map[string]sizer.Size
 		teams    []string
 		epoch    int64
+		// relieveAt is when the services are next looked at.
+		relieveAt clock.Millis
 		// billAt is when the next usage record may be written.
 		billAt clock.Millis
 	}
@@ -32,6 +34,8 @@
 const (
 	// billRetry is how long an hour's record is given to be read back.
 	billRetry = 10 * clock.Second
+	// relieveInterval is the time from one look at the services to the next.
+	relieveInterval = 2 * clock.Second
 )
 
 func newShard(name string, d *Daemon, r *keeper.Register) (*shard, error) {
@@ -97,9 +101,25 @@
 	for _, e := range actions.Events() {
 		s.learn(e)
 	}
+	if s.epoch != claimer.NoEpoch && now >= s.relieveAt {
+		s.relieveAt = now.Add(relieveInterval)
+		s.relieve(now)
+	}
 	return actions
 }
 
+// relieve throttles and evicts batch tasks that disturb services.
+func (s *shard) relieve(now clock.Millis) {
+	for _, a := range s.placer.Control(now, s.keeper.Workers()) {
+		if a.Evict() {
+			s.keeper.Evict(a.Task())
+			continue
+		}
+		s.keeper.Throttle(a.Task(), a.Permille())
+		s.placer.Throttled(now, a.Task(), a.Permille())
+	}
+}
+
 // learn tells those who decide and bill what a task did.
 func (s *shard) learn(e keeper.Event) {
 	switch e.Kind() {
--- a/keeper/lease.go
+++ b/keeper/lease.go
@@ -36,6 +36,10 @@
 		checkpointed clock.Millis
 		report       *provider.TaskReport
 		ending       ending
+		// share is what the task may use of its processors, in thousandths,
+		// and sharing what the worker has confirmed; 0 where none was set.
+		share   int
+		sharing int
 		// successor is the replica that is to run elsewhere before this run
 		// of it is stopped.
 		successor *task
--- a/keeper/ordering.go
+++ b/keeper/ordering.go
@@ -58,6 +58,9 @@
 			return true
 		}
 	}
+	if k.throttle(h, all) {
+		return true
+	}
 	for _, l := range all {
 		if l.phase == phaseReady && k.start(h, l) {
 			return true
--- /dev/null
+++ b/keeper/relief_test.go
@@ -0,0 +1,45 @@
+package keeper
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"galenawharf.example/galenawharf/clock"
+	"galenawharf.example/galenawharf/imitator"
+	"galenawharf.example/galenawharf/sizer"
+)
+
+// TestThrottleIsAskedUntilConfirmed loses the answers of the first orders.
+func TestThrottleIsAskedUntilConfirmed(t *testing.T) {
+	w := newWorld(1, sizer.New(4000, 8*sizer.GiB, 0))
+	w.declareUsual(t)
+	n := w.add("d1")
+	must.NoError(t, n.claim(clock.Minute))
+	must.NoError(t, w.submit("monday", "roster", nil))
+	w.run(3*clock.Second, 100)
+	n.keeper.Throttle("unknown", 500)
+	n.keeper.Throttle("monday", 0)
+	must.Eq(t, 0, n.keeper.tasks["monday"].lease.share)
+	n.keeper.Throttle("monday", 500)
+	w.workers["south-w0000"].SetFaults(imitator.WorkerFaults{LoseAnswers: 2})
+	w.run(10*clock.Second, 100)
+	must.Eq(t, 500, n.keeper.tasks["monday"].lease.sharing)
+	must.Eq(t, 1, w.starts("monday"))
+}
+
+func TestEvictedWorkResumes(t *testing.T) {
+	w := newWorld(1, sizer.New(4000, 8*sizer.GiB, 0))
+	w.declareUsual(t)
+	n := w.add("d1")
+	must.NoError(t, n.claim(clock.Minute))
+	must.NoError(t, w.submit("monday", "roster", nil))
+	must.NoError(t, w.submit("july", "invoice", nil))
+	w.run(3*clock.Second, 100)
+	n.keeper.Evict("monday")
+	n.keeper.Evict("july")
+	n.keeper.Evict("unknown")
+	w.run(3*clock.Second, 100)
+	must.Eq(t, 2, w.starts("monday"))
+	must.Eq(t, 1, w.starts("july"))
+}
--- a/keeper/results.go
+++ b/keeper/results.go
@@ -32,6 +32,8 @@
 		k.confirm(h, h.leases[o.start.Incarnation])
 	case OrderStop:
 		k.stopped(h, o)
+	case OrderThrottle:
+		k.throttled(h, o)
 	case OrderCheckpoint:
 		k.saved(h, o, r.reply)
 	case OrderForget:
--- a/placer/control.go
+++ b/placer/control.go
@@ -8,12 +8,13 @@
 	"galenawharf.example/galenawharf/throttler"
 )
 
-// Control gives what relieves services that are disturbed, on the workers as
-// they were at the last call of Place.
-func (p *Placer) Control(now clock.Millis) []throttler.Action {
+// Control gives what relieves services that are disturbed, given every worker
+// as it is now.
+func (p *Placer) Control(now clock.Millis, workers []Worker) []throttler.Action {
 	if !p.mechanisms.has(Throttling) {
 		return nil
 	}
+	p.sync(workers)
 	views := make([]throttler.View, 0, len(p.index.byName))
 	for name, e := range p.index.byName {
 		seen := p.sights[name]
--- a/placer/driver_test.go
+++ b/placer/driver_test.go
@@ -167,12 +167,7 @@
 
 // decide lets the policy act on one data centre.
 func (w *world) decide(c string) {
-	var workers []Worker
-	for _, h := range w.hosts {
-		if h.centre == c && h.up {
-			workers = append(workers, h.seen(w.drained[c] != 0 || w.p.oracle && h.bad))
-		}
-	}
+	workers := w.workersOf(c)
 	pl := w.placers[c]
 	w.waiting[c] = slices.DeleteFunc(w.waiting[c], func(j *job) bool {
 		_, parked := pl.Parked(j.task.work)
@@ -191,7 +186,7 @@
 		return
 	}
 	w.execute(pl.Place(w.now, waiting, workers))
-	for _, a := range pl.Control(w.now) {
+	for _, a := range pl.Control(w.now, w.workersOf(c)) {
 		j := w.jobs[a.Task()]
 		if j == nil || j.host == nil {
 			continue
@@ -205,6 +200,17 @@
 	}
 }
 
+// workersOf gives the workers of a data centre as they are now.
+func (w *world) workersOf(c string) []Worker {
+	var workers []Worker
+	for _, h := range w.hosts {
+		if h.centre == c && h.up {
+			workers = append(workers, h.seen(w.drained[c] != 0 || w.p.oracle && h.bad))
+		}
+	}
+	return workers
+}
+
 func (w *world) execute(decisions []Decision) {
 	started := map[*job]bool{}
 	for _, d := range decisions {
--- a/placer/feedback_bench_test.go
+++ b/placer/feedback_bench_test.go
@@ -66,7 +66,7 @@
 			b.ReportAllocs()
 			b.ResetTimer()
 			for i := range b.N {
-				p.Control(clock.Millis(i)*clock.Second + clock.Minute)
+				p.Control(clock.Millis(i)*clock.Second+clock.Minute, workers)
 			}
 		})
 	}
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -285,15 +285,15 @@
 	now := clock.Second
 	p.Started(now, check, "x")
 	p.Started(now, hog, "x")
-	p.Place(now, nil, []Worker{workerOf("x", "r", capacity, check, hog)})
-	must.Len(t, 0, p.Control(now))
+	workers := []Worker{workerOf("x", "r", capacity, check, hog)}
+	must.Len(t, 0, p.Control(now, workers))
 	p.Observe(now+20*clock.Second, "x", capacity, []Usage{NewUsage("c", now, now+10*clock.Second, 2000, 1, 500)})
-	got := p.Control(now + 20*clock.Second)
+	got := p.Control(now+20*clock.Second, workers)
 	must.Len(t, 1, got)
 	must.Eq(t, "hog", got[0].Task())
 	must.Eq(t, 500, got[0].Permille())
 	p.Throttled(now+21*clock.Second, "hog", 500)
-	must.Len(t, 0, p.Control(now+22*clock.Second))
+	must.Len(t, 0, p.Control(now+22*clock.Second, workers))
 }
 
 // TestThrottledSampleComesAfterTheEnd has the last sample of a throttled task
@@ -324,10 +324,9 @@
 	hog := NewTask("hog", "t", "hogs", "hog", Batch, gib(6, 6, 0))
 	p.Started(1, check, "x")
 	p.Started(1, hog, "x")
-	p.Place(1, nil, []Worker{workerOf("x", "r", capacity, check, hog)})
 	p.Observe(20*clock.Second, "x", capacity, []Usage{NewUsage("c", 2, 10*clock.Second, 2000, 1, 400)})
 	p.Observe(20*clock.Second, "x", capacity, []Usage{NewUsage("hog", 2, 10*clock.Second+1, 6000, 1, 1000)})
-	must.Len(t, 1, p.Control(20*clock.Second))
+	must.Len(t, 1, p.Control(20*clock.Second, []Worker{workerOf("x", "r", capacity, check, hog)}))
 }
 
 // TestFailuresReachTheQuarantine parks a job that fails everywhere, and holds
