placer, keeper, daemon: tasks of a parked job are answered, a changed job is tried again

Cause: the tasks of a job that the quarantiner had parked waited for ever, with no answer to the caller, and standing work would never have been tried again. Change: the keeper records such tasks as parked; a changed declaration unparks its job; services and watch jobs are only held back for a while.

--- a/daemon/shard.go
+++ b/daemon/shard.go
@@ -24,6 +24,8 @@
 		capacity map[string]sizer.Size
 		teams    []string
 		epoch    int64
+		// versions are those of the jobs in force.
+		versions map[string]int64
 		// relieveAt is when the services are next looked at.
 		relieveAt clock.Millis
 		// billAt is when the next usage record may be written.
@@ -48,6 +50,7 @@
 		placer:   p,
 		meter:    meter.New(name),
 		capacity: map[string]sizer.Size{},
+		versions: map[string]int64{},
 		epoch:    claimer.NoEpoch,
 		keeper:   keeper.New(name, d.settings.DataCentre, d.settings.Name, r, keeper.WithPlacer(p.Place)),
 	}, nil
@@ -57,6 +60,7 @@
 // among the shards of the data centres that are not taken out.
 func (s *shard) setConfig(state *declarer.State) {
 	s.keeper.SetConfig(state)
+	s.unpark(state)
 	shares := int64(0)
 	for _, dc := range state.DataCentres() {
 		if !state.DataCentreDrained(dc.Name) {
@@ -73,6 +77,17 @@
 	}
 }
 
+// unpark lets jobs whose declaration was changed be tried again.
+func (s *shard) unpark(state *declarer.State) {
+	for _, i := range state.Items(declarer.KindBatchJob) {
+		name := i.Key().Name()
+		if s.versions[name] != i.Version() {
+			s.placer.Unpark(name)
+		}
+		s.versions[name] = i.Version()
+	}
+}
+
 // shareOf divides a quota, rounded up.
 func shareOf(q sizer.Size, n int64) sizer.Size {
 	up := func(v int64) int64 { return (v + n - 1) / n }
@@ -104,6 +119,9 @@
 	if s.epoch != claimer.NoEpoch && now >= s.relieveAt {
 		s.relieveAt = now.Add(relieveInterval)
 		s.relieve(now)
+		for _, job := range s.placer.AllParked() {
+			s.keeper.Park(job)
+		}
 	}
 	return actions
 }
--- a/keeper/placing.go
+++ b/keeper/placing.go
@@ -207,16 +207,23 @@
 		return
 	}
 	for _, t := range candidates {
-		if t.intent == nil || t.pending != "" || t.lease != nil || k.fitsSome(t.spec.size) {
-			continue
+		if !k.fitsSome(t.spec.size) {
+			k.park(t, coder.NeverFits)
 		}
-		k.record(t, &schema.TaskEvent{
-			Task: t.id, Incarnation: t.incarnation,
-			State: schema.TaskState_TASK_STATE_PARKED, ResultCode: int32(coder.NeverFits),
-		})
 	}
 }
 
+// park ends a waiting task that will not be tried again.
+func (k *Keeper) park(t *task, c coder.Code) {
+	if t.intent == nil || t.pending != "" || t.lease != nil {
+		return
+	}
+	k.record(t, &schema.TaskEvent{
+		Task: t.id, Incarnation: t.incarnation,
+		State: schema.TaskState_TASK_STATE_PARKED, ResultCode: int32(c),
+	})
+}
+
 func (k *Keeper) fitsSome(s sizer.Size) bool {
 	for _, h := range k.ordered {
 		if s.Fits(h.capacity) {
--- a/keeper/relief.go
+++ b/keeper/relief.go
@@ -1,6 +1,7 @@
 package keeper
 
 import (
+	"galenawharf.example/galenawharf/coder"
 	"galenawharf.example/galenawharf/placer"
 	"galenawharf.example/galenawharf/provider"
 )
@@ -29,6 +30,19 @@
 	}
 }
 
+// Park ends the waiting tasks of a batch job that is not tried again until it
+// is changed.
+func (k *Keeper) Park(job string) {
+	if !k.authority.holds(k.now) {
+		return
+	}
+	for _, t := range sortedTasks(k.waiting) {
+		if t.spec != nil && t.spec.work == job && (t.spec.kind == placer.Batch || t.spec.kind == placer.Exclusive) {
+			k.park(t, coder.Parked)
+		}
+	}
+}
+
 // throttle orders the first share that the worker has not confirmed.
 func (k *Keeper) throttle(h *host, all []*lease) bool {
 	for _, l := range all {
--- a/keeper/relief_test.go
+++ b/keeper/relief_test.go
@@ -6,6 +6,7 @@
 	"github.com/shoenig/test/must"
 
 	"galenawharf.example/galenawharf/clock"
+	"galenawharf.example/galenawharf/coder"
 	"galenawharf.example/galenawharf/imitator"
 	"galenawharf.example/galenawharf/sizer"
 )
@@ -28,6 +29,24 @@
 	must.Eq(t, 1, w.starts("monday"))
 }
 
+func TestParkedJobIsAnswered(t *testing.T) {
+	w := newWorld(1, sizer.New(1000, sizer.GiB, 0))
+	w.declareUsual(t)
+	n := w.add("d1")
+	must.NoError(t, n.claim(clock.Minute))
+	must.NoError(t, w.submit("monday", "roster", nil))
+	w.run(3*clock.Second, 100)
+	must.NoError(t, w.submit("tuesday", "roster", nil))
+	must.NoError(t, w.submit("july", "invoice", nil))
+	w.run(clock.Second, 100)
+	n.keeper.Park("roster")
+	w.run(clock.Second, 100)
+	must.Eq(t, coder.Parked, n.keeper.Outcome("tuesday").Code())
+	must.Eq(t, coder.Pending, n.keeper.Outcome("monday").Code())
+	must.Eq(t, coder.Pending, n.keeper.Outcome("july").Code())
+	must.Eq(t, 0, w.starts("tuesday"))
+}
+
 func TestEvictedWorkResumes(t *testing.T) {
 	w := newWorld(1, sizer.New(4000, 8*sizer.GiB, 0))
 	w.declareUsual(t)
--- a/placer/place.go
+++ b/placer/place.go
@@ -74,7 +74,7 @@
 	requests := make([]sharer.Request, 0, len(waiting))
 	left := p.remaining(now, waiting)
 	for _, t := range waiting {
-		if p.mechanisms.has(Quarantine) && !p.quarantine.Ready(now, t.work) {
+		if p.mechanisms.has(Quarantine) && !p.ready(now, t) {
 			continue
 		}
 		need := p.grant(now, t)
@@ -87,6 +87,15 @@
 	return wants, requests
 }
 
+// ready tells whether a task may be tried after failures of its service or
+// job. Standing work is never given up.
+func (p *Placer) ready(now clock.Millis, t Task) bool {
+	if t.kind == Service || t.kind == Watch {
+		return p.quarantine.Rested(now, t.work)
+	}
+	return p.quarantine.Ready(now, t.work)
+}
+
 // remaining gives the core-seconds that the waiting tasks of each submission
 // need yet. Since the last task gates the whole, the one with the least left
 // goes first among equals.
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -148,6 +148,9 @@
 // Parked gives why a service or job is not tried again until it is changed.
 func (p *Placer) Parked(work string) (quarantiner.Parking, bool) { return p.quarantine.Parked(work) }
 
+// AllParked gives the names of the jobs that are not tried again, in order.
+func (p *Placer) AllParked() []string { return p.quarantine.AllParked() }
+
 // Unpark lets a service or job be tried again, after it was changed.
 func (p *Placer) Unpark(work string) { p.quarantine.Unpark(work) }
 
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -350,6 +350,9 @@
 	must.Eq(t, quarantiner.Quarantined, p.WorkerState("v"))
 	waiting := []Task{NewTask("1", "t", "bad", "c", Batch, gib(1, 1, 0)), serviceOf("2", gib(1, 1, 0))}
 	must.Len(t, 0, p.Place(3, waiting, []Worker{workerOf("v", "r", gib(16, 60, 0))}))
+	standing := NewTask("3", "t", "bad", "c", Watch, gib(1, 1, 0))
+	must.Len(t, 0, p.Place(3, []Task{standing}, []Worker{workerOf("u", "r", gib(16, 60, 0))}))
+	must.Len(t, 1, p.Place(clock.Hour, []Task{standing, waiting[0]}, []Worker{workerOf("u", "r", gib(16, 60, 0))}))
 	p.Unpark("bad")
 	must.Len(t, 1, p.Place(3, waiting[:1], []Worker{workerOf("u", "r", gib(16, 60, 0))}))
 }
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -99,6 +99,13 @@
 	return j == nil || j.parked == nil && now >= j.retryAt
 }
 
+// Rested tells whether the wait after a job's last failure is over, parked or
+// not. Standing work is tried again for ever.
+func (q *Quarantiner) Rested(now clock.Millis, jobName string) bool {
+	j := q.jobs[jobName]
+	return j == nil || now >= j.retryAt
+}
+
 // Parked gives why a job is parked.
 func (q *Quarantiner) Parked(jobName string) (Parking, bool) {
 	j := q.jobs[jobName]
@@ -108,6 +115,18 @@
 	return *j.parked, true
 }
 
+// AllParked gives the names of the jobs that are parked, in order.
+func (q *Quarantiner) AllParked() []string {
+	var out []string
+	for name, j := range q.jobs {
+		if j.parked != nil {
+			out = append(out, name)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // Unpark lets a job be tried again, after it was changed.
 func (q *Quarantiner) Unpark(jobName string) { delete(q.jobs, jobName) }
 
--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -122,6 +122,8 @@
 		b.run(w, "fine", false)
 		must.Eq(t, Healthy, b.q.State(w))
 	}
+	must.True(t, b.q.Rested(b.now+longestRetry, "bad"))
+	must.Eq(t, []string{"bad"}, b.q.AllParked())
 	b.q.Unpark("bad")
 	must.True(t, b.q.Ready(b.now, "bad"))
 }
