--- a/ejector/ejector.go
+++ b/ejector/ejector.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 
 	"galenawharf.example/galenawharf/clock"
@@ -53,6 +54,7 @@
 // Step takes the reports of every executor of the pool and gives the changes of state.
 func (e *Ejector) Step(now clock.Millis, reports []Report) []Change {
 	e.follow(reports)
+	e.shrink(now)
 	median := e.median(reports)
 	var changes []Change
 	for _, r := range reports {
@@ -81,6 +83,24 @@
 	}
 }
 
+// shrink ends the ejections that end soonest anyway, where the pool has become
+// too small for them.
+func (e *Ejector) shrink(now clock.Millis) {
+	for excess := e.ejected - len(e.members)/poolShare; excess > 0; excess-- {
+		var soonest *member
+		for _, address := range slices.Sorted(maps.Keys(e.members)) {
+			m := e.members[address]
+			if m.lifecycle.Is(Ejected) && now.Before(m.until) && (soonest == nil || m.until.Before(soonest.until)) {
+				soonest = m
+			}
+		}
+		if soonest == nil {
+			return
+		}
+		soonest.until = now
+	}
+}
+
 func (e *Ejector) judge(changes []Change, now clock.Millis, r Report, median clock.Millis) []Change {
 	m := e.members[r.address]
 	switch {
--- /dev/null
+++ b/ejector/ejector_test.go
@@ -0,0 +1,120 @@
+package ejector
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"galenawharf.example/galenawharf/clock"
+)
+
+// tooMany tells whether more of a pool is ejected than its share.
+func tooMany(ejected, pool int) bool { return ejected > pool/poolShare }
+
+// Every event of the table leads from its states to its state, and no other is taken.
+func TestLifecycle(t *testing.T) {
+	for _, state := range []string{Healthy, Ejected, Probing} {
+		for _, e := range transitions {
+			l := newLifecycle()
+			l.SetState(state)
+			allowed := false
+			for _, src := range e.Src {
+				allowed = allowed || src == state
+			}
+			err := l.Event(t.Context(), e.Name)
+			must.Eq(t, allowed, err == nil)
+			if allowed {
+				must.Eq(t, e.Dst, l.Current())
+			}
+		}
+	}
+}
+
+func TestCauses(t *testing.T) {
+	tests := map[string]struct {
+		bad  Report
+		want Cause
+	}{
+		"good":         {bad: NewReport("0", 100, 0, 20)},
+		"some fail":    {bad: NewReport("0", 100, maxFailures-1, 20)},
+		"all fail":     {bad: NewReport("0", 100, maxFailures, 20), want: CauseFailures},
+		"slow":         {bad: NewReport("0", 100, 0, 100), want: CauseLatency},
+		"a bit slow":   {bad: NewReport("0", 100, 0, 60)},
+		"slow at once": {bad: NewReport("0", minAnswers-1, 0, 100)},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			e := New()
+			reports := []Report{tc.bad}
+			var fresh []Report
+			for i := range 9 {
+				reports = append(reports, NewReport(fmt.Sprint(i+1), 100, 0, 20))
+			}
+			for _, r := range reports {
+				fresh = append(fresh, NewReport(r.address, 0, 0, 0))
+			}
+			must.SliceEmpty(t, e.Step(0, fresh))
+			changes := e.Step(100, reports)
+			if tc.want == "" {
+				must.SliceEmpty(t, changes)
+				return
+			}
+			must.Len(t, 1, changes)
+			must.Eq(t, tc.want, changes[0].Cause())
+			must.Eq(t, Ejected, e.State("0"))
+		})
+	}
+}
+
+// An ejected executor is probed after a pause that doubles, and comes back when
+// it answers.
+func TestProbeBack(t *testing.T) {
+	e := New()
+	reports := func(answers int64, failures int) []Report {
+		return []Report{NewReport("x", answers, failures, 20), NewReport("y", 9, 0, 20), NewReport("z", 9, 0, 20)}
+	}
+	now := clock.Millis(0)
+	for n := range 4 {
+		e.Step(now, reports(0, maxFailures))
+		must.Eq(t, Ejected, e.State("x"))
+		now += firstPause << n
+		e.Step(now-1, reports(0, 0))
+		must.Eq(t, Ejected, e.State("x"))
+		e.Step(now, reports(0, 0))
+		must.Eq(t, Probing, e.State("x"))
+		now++
+	}
+	e.Step(now, reports(minAnswers, 0))
+	must.Eq(t, Healthy, e.State("x"))
+	must.Eq(t, 0, e.Ejected())
+}
+
+// Whatever the reports, never more than the share of the pool is ejected.
+func TestShareOfPool(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		e := New()
+		for now := clock.Millis(0); now < 20*clock.Second; now += clock.Millis(rapid.IntRange(1, 2000).Draw(r, "step")) {
+			var reports []Report
+			for i := range rapid.IntRange(0, 12).Draw(r, "pool") {
+				reports = append(reports, NewReport(fmt.Sprint(i), int64(now), rapid.IntRange(0, 6).Draw(r, "failures"), clock.Millis(rapid.IntRange(0, 200).Draw(r, "latency"))))
+			}
+			e.Step(now, reports)
+			ejected := 0
+			for _, p := range reports {
+				if e.State(p.address) == Ejected {
+					ejected++
+				}
+			}
+			must.Eq(t, ejected, e.Ejected())
+			must.False(t, tooMany(ejected, len(reports)))
+		}
+	})
+}
+
+// The check for the share finds a rule that ejects whatever fails.
+func TestShareIsChecked(t *testing.T) {
+	must.True(t, tooMany(4, 9))
+	must.False(t, tooMany(3, 9))
+}
--- /dev/null
+++ b/retrier/retrier_test.go
@@ -0,0 +1,55 @@
+package retrier
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"galenawharf.example/galenawharf/clock"
+)
+
+// exceeds tells whether more attempts were taken than a tenth of the successes
+// and the capacity allow.
+func exceeds(taken, successes, capacity int) bool { return taken > capacity+successes/successSteps }
+
+func TestBudgetBound(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		capacity := rapid.IntRange(0, 100).Draw(r, "capacity")
+		b := NewBudget(capacity)
+		taken, successes := 0, 0
+		for range 500 {
+			if rapid.Bool().Draw(r, "success") {
+				b.Success()
+				successes++
+				continue
+			}
+			if b.Take() {
+				taken++
+			}
+			must.False(t, exceeds(taken, successes, max(capacity, minCapacity)))
+		}
+		must.GreaterEq(t, 0, b.Left())
+	})
+}
+
+// The check for too many attempts finds a rule without a budget.
+func TestBudgetBoundIsChecked(t *testing.T) {
+	must.True(t, exceeds(3*100, 100, minCapacity))
+}
+
+func TestPause(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		n := rapid.IntRange(0, 100).Draw(r, "n")
+		p := Pause(n, rapid.Uint64().Draw(r, "r"))
+		must.Between(t, 0, p, firstPause<<MaxAttempts)
+	})
+	must.Eq(t, Pause(1, 3), Pause(1, 3))
+}
+
+func TestJitter(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		d := clock.Millis(rapid.IntRange(0, 10_000).Draw(r, "d"))
+		must.Between(t, d, Jitter(d, rapid.Uint64().Draw(r, "r")), d+d/2)
+	})
+}
