--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -228,7 +228,7 @@
 	if t == nil {
 		return
 	}
-	if !r.route.budget.Take() {
+	if !r.route.budget.TakeSpare() {
 		t.Release()
 		return
 	}
--- a/dispatcher/trial_test.go
+++ b/dispatcher/trial_test.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -45,7 +46,9 @@
 		callerRetries int
 		// timeout is that of requests, trialTimeout where it is 0.
 		timeout clock.Millis
-		at      func(w *world)
+		// duration is how long requests are sent, trialDuration where it is 0.
+		duration time.Duration
+		at       func(w *world)
 	}
 
 	// checker is an entry host as callers see it.
@@ -59,6 +62,7 @@
 	world struct {
 		deployment
 		seed      uint64
+		duration  time.Duration
 		backends  []*imitator.Executor
 		hosts     []provider.Host
 		entryList []provider.Host
@@ -71,6 +75,10 @@
 		outcomes  map[coder.Code]int
 		attempts  int
 		requests  int
+		// checks is how many requests entry hosts got, those sent again included.
+		checks int
+		// waited is the most requests that an executor reported as waiting.
+		waited []int
 	}
 
 	// network carries the requests of one entry host, on connections that are
@@ -83,7 +91,7 @@
 		all  []*connection
 	}
 
-	connection struct{ silent bool }
+	connection struct{ silent atomic.Bool }
 
 	// tally is what came out of a trial.
 	tally struct {
@@ -132,7 +140,7 @@
 
 func newWorld(t *testing.T, p deployment, seed uint64, entry func(*network, string, string) checker) *world {
 	t.Helper()
-	w := &world{deployment: p, seed: seed, outcomes: map[coder.Code]int{}, dead: make([]bool, p.entries)}
+	w := &world{deployment: p, seed: seed, waited: make([]int, p.executors), outcomes: map[coder.Code]int{}, dead: make([]bool, p.entries)}
 	for i := range p.executors {
 		address := fmt.Sprint(i)
 		w.backends = append(w.backends, imitator.NewExecutor(trialSlots, sleep, func(r provider.Request) clock.Millis {
@@ -157,7 +165,7 @@
 		Run: func(ctx context.Context, address string, r provider.Request) (provider.Response, error) {
 			n.w.countAttempt()
 			c := n.open(address)
-			if c.silent {
+			if c.silent.Load() {
 				<-ctx.Done()
 				return provider.Response{}, ctx.Err()
 			}
@@ -166,9 +174,10 @@
 			}
 			a, err := run.Run(ctx, address, r)
 			if err == nil {
+				n.w.sawWaiting(address, a.Waiting)
 				err = n.travel(ctx, address)
 			}
-			if c.silent {
+			if c.silent.Load() {
 				<-ctx.Done()
 			}
 			if ctx.Err() != nil {
@@ -220,7 +229,9 @@
 	defer n.mu.Unlock()
 	r := rand.New(rand.NewPCG(n.w.seed, 7))
 	for _, c := range n.all {
-		c.silent = c.silent || r.Float64() < share
+		if r.Float64() < share {
+			c.silent.Store(true)
+		}
 	}
 }
 
@@ -232,6 +243,18 @@
 
 func (w *world) find(address string) *imitator.Executor { return w.backends[indexOf(address)] }
 
+func (w *world) sawWaiting(address string, n int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.waited[indexOf(address)] = max(w.waited[indexOf(address)], n)
+}
+
+func (w *world) countCheck() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.checks++
+}
+
 func (w *world) countAttempt() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -256,6 +279,7 @@
 
 // drive sends requests at a load for the time of a trial, and waits for the answers.
 func (w *world) drive(s scenario) {
+	w.duration = cmp.Or(s.duration, trialDuration)
 	r := rand.New(rand.NewPCG(w.seed, 1))
 	rate := s.load * float64(w.executors*trialSlots) / trialMean * 1000
 	if s.at != nil {
@@ -263,7 +287,7 @@
 	}
 	var callers sync.WaitGroup
 	start := time.Now()
-	for i := 0; time.Since(start) < trialDuration; i++ {
+	for i := 0; time.Since(start) < w.duration; i++ {
 		time.Sleep(time.Duration(r.ExpFloat64() / rate * float64(time.Second)))
 		e := w.balance(r)
 		callers.Go(func() { w.call(w.entries[e], fmt.Sprint(i), s) })
@@ -283,6 +307,7 @@
 	start := time.Now()
 	var a *schema.Answer
 	for range 1 + s.callerRetries {
+		w.countCheck()
 		a = e.Check(context.Background(), request(id, cmp.Or(s.timeout, trialTimeout)))
 		if codeOf(a) == coder.OK {
 			break
@@ -308,7 +333,7 @@
 		}
 		return w.latencies[int(p*float64(len(w.latencies)-1))]
 	}
-	capacity := float64(w.executors*trialSlots) / trialMean * 1000 * trialDuration.Seconds()
+	capacity := float64(w.executors*trialSlots) / trialMean * 1000 * w.duration.Seconds()
 	onTime, _ := slices.BinarySearch(w.latencies, trialTarget.Duration()+1)
 	return tally{
 		onTime: float64(onTime) / float64(w.requests),
--- a/retrier/budget.go
+++ b/retrier/budget.go
@@ -40,10 +40,16 @@
 }
 
 // Take takes one attempt from the budget, or tells that none is left.
-func (b *Budget) Take() bool {
+func (b *Budget) Take() bool { return b.takeAbove(0) }
+
+// TakeSpare takes one attempt from the upper half of the budget, for an
+// attempt that could be done without; the lower half is kept for retries.
+func (b *Budget) TakeSpare() bool { return b.takeAbove(b.capacity.Load() / 2) }
+
+func (b *Budget) takeAbove(floor int64) bool {
 	for {
 		t := b.tokens.Load()
-		if t < successSteps {
+		if t < floor+successSteps {
 			return false
 		}
 		if b.tokens.CompareAndSwap(t, t-successSteps) {
--- a/retrier/retrier_test.go
+++ b/retrier/retrier_test.go
@@ -24,6 +24,14 @@
 				successes++
 				continue
 			}
+			if rapid.Bool().Draw(r, "spare") {
+				left := b.Left()
+				if b.TakeSpare() {
+					taken++
+					must.Greater(t, max(capacity, minCapacity)/2, left)
+				}
+				continue
+			}
 			if b.Take() {
 				taken++
 			}
