dispatcher: the pace of a queue follows from its slots

Change: the pace uses the slots that may be used at present, looked at each time the queue is swept.

--- a/dispatcher/controller.go
+++ b/dispatcher/controller.go
@@ -81,6 +81,7 @@
 	for name, r := range routes {
 		c.drift(r, seen)
 		c.eject(name, r)
+		r.measure()
 	}
 	c.seen = seen
 	for name := range c.ejectors {
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -73,6 +73,7 @@
 	d.snapshot.Store(s)
 	for _, r := range s.routes {
 		r.pool.Refresh()
+		r.measure()
 	}
 	d.scheduler.nudge()
 }
--- a/dispatcher/scheduler.go
+++ b/dispatcher/scheduler.go
@@ -193,6 +193,7 @@
 			delete(s.empty, name)
 			continue
 		}
+		r.measure()
 		s.sweepRoute(r, q)
 	}
 }
--- a/dispatcher/service.go
+++ b/dispatcher/service.go
@@ -18,6 +18,7 @@
 		latency    router.Latency
 		waiting    atomic.Int64
 		attempts   atomic.Int64
+		slots      atomic.Int64
 		lastAnswer atomic.Int64
 	}
 
@@ -41,16 +42,16 @@
 	return &service{gate: limiter.NewGate(l), budget: retrier.NewBudget(0)}
 }
 
-// pace gives how fast requests to the service are served.
+// pace gives how fast requests to the service are served while requests wait,
+// when every slot that may be used is.
 func (s *service) pace() limiter.Pace {
-	interval := s.gate.Interval()
-	n := s.attempts.Load()
-	if n > 0 {
-		interval = max(interval, s.latency.MeanMicros()/n)
-	}
-	return limiter.NewPace(interval, s.latency.P95())
+	n := max(min(s.slots.Load(), s.gate.Concurrent()), 1)
+	return limiter.NewPace(max(s.gate.Interval(), s.latency.MeanMicros()/n), s.latency.P95())
 }
 
+// measure takes note of the slots that may be used at present.
+func (r *route) measure() { r.slots.Store(int64(r.pool.Limit())) }
+
 // answered takes note of an answer after d.
 func (s *service) answered(now, d clock.Millis) {
 	s.lastAnswer.Store(int64(now))
--- a/limiter/gate.go
+++ b/limiter/gate.go
@@ -55,6 +55,9 @@
 // InFlight gives the requests that are in.
 func (g *Gate) InFlight() int64 { return g.inFlight.Load() }
 
+// Concurrent gives the most requests that may be in.
+func (g *Gate) Concurrent() int64 { return g.concurrent.Load() }
+
 // Interval gives the least time between two requests in the long run, in
 // microseconds.
 func (g *Gate) Interval() int64 { return g.interval.Load() }
--- a/router/pool.go
+++ b/router/pool.go
@@ -48,6 +48,16 @@
 	return n
 }
 
+// Limit gives the attempts that may be in flight at present, executors that
+// get nothing left out.
+func (p *Pool) Limit() int {
+	n := 0
+	for _, t := range p.targets {
+		n += int(t.limit())
+	}
+	return n
+}
+
 // Refresh looks again at which executors have room, once the pool is in use.
 func (p *Pool) Refresh() {
 	for _, t := range p.targets {
