--- a/keeper/step.go
+++ b/keeper/step.go
@@ -13,10 +13,10 @@
 // that lost the shard passes NoAuthority.
 func (k *Keeper) Step(now clock.Millis, a Authority) Actions {
 	k.now = max(k.now, now)
+	k.authority = a
 	if a.epoch != k.epoch {
 		k.take(a.epoch)
 	}
-	k.authority = a
 	k.purge()
 	if a.holds(k.now) && len(k.queue) == 0 && len(k.verdicts) == 0 {
 		k.watchLeases()
@@ -43,7 +43,7 @@
 	k.tookAt = k.now
 	k.out = Actions{}
 	for _, h := range k.ordered {
-		clear(h.leases)
+		h.clearLeases()
 		h.taken = -1
 		h.inflight = nil
 		h.retryAt = 0
@@ -81,14 +81,14 @@
 		task:        t,
 		phase:       phaseUnclear,
 		boot:        t.boot,
-		lapseBy:     k.now + ShortLease + 2*ShortLease*provider.RateMarginPermille/1000,
+		lapseBy:     max(k.now, k.authority.clearAt) + ShortLease + 2*ShortLease*provider.RateMarginPermille/1000,
 		granted:     k.now,
 		size:        t.reserved,
 	}
 	if t.service() {
 		l.lapseBy = clock.Never
 	}
-	h.leases[l.incarnation] = l
+	h.put(l)
 	h.taken = -1
 	t.lease = l
 	if x := t.intent.GetExclusiveKey(); x != "" {
@@ -127,7 +127,7 @@
 	}
 	k.move(l, leaseLapse)
 	if l.task == nil {
-		delete(h.leases, l.incarnation)
+		h.remove(l)
 		return
 	}
 	k.touch(l.task)
@@ -153,6 +153,7 @@
 	}
 	l.task = nil
 	l.stopFor = stopSurplus
+	l.host.stale = true
 	t.lease = nil
 	t.state = stateWaiting
 	k.waiting[t.id] = t
@@ -203,19 +204,12 @@
 
 // mark has the next step look for an order about a lease.
 func (k *Keeper) mark(l *lease) {
-	for _, h := range k.ordered {
-		if h.leases[l.incarnation] == l {
-			h.dirty = true
-		}
-	}
+	l.host.dirty = true
+	l.host.stale = true
 }
 
 func (k *Keeper) removeLease(l *lease) {
-	for _, h := range k.ordered {
-		if h.leases[l.incarnation] == l {
-			delete(h.leases, l.incarnation)
-		}
-	}
+	l.host.remove(l)
 	if t := l.task; t != nil {
 		t.lease = nil
 		if x := t.intent.GetExclusiveKey(); x != "" && k.exclusive[x] == t && t.state == stateWaiting {
@@ -256,6 +250,11 @@
 			k.results[id] = r
 		}
 	}
+	for id, t := range k.tasks {
+		if t.state == stateUnknown && k.results[id].at+answerRetention < k.now {
+			k.drop(id)
+		}
+	}
 	for id, r := range k.recent {
 		if r.at+recentRetention < k.now {
 			delete(k.recent, id)
