dialer: a silent connection takes its idle neighbours with it

Cause: a connection that something between the ends has lost track of is closed when its call is given up, but others that were idle meanwhile are as dead and each costs the next request its patience. Change: connections are counted by address; a call that ends without an answer by its deadline or for silence closes those that carry no call. A request that can't be sent at all counts as not run. Idle connections end after 30 s.

--- a/dialer/client.go
+++ b/dialer/client.go
@@ -7,7 +7,10 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
 
 	"github.com/pkg/errors"
 
@@ -19,8 +22,9 @@
 type (
 	// Client carries calls to hosts by their address, an IP number and port.
 	Client struct {
-		http    *http.Client
-		timeout clock.Millis
+		http        *http.Client
+		timeout     clock.Millis
+		connections *connections
 	}
 
 	// Option sets up a Client.
@@ -32,11 +36,13 @@
 	defaultTimeout  = 5 * clock.Second
 	defaultPerHost  = 16
 	idleConnections = 4
+	idleTimeout     = 30 * clock.Second
 )
 
 // New gives a client.
 func New(opts ...Option) *Client {
-	c := &Client{timeout: defaultTimeout, http: &http.Client{Transport: transport(defaultPerHost)}}
+	c := &Client{timeout: defaultTimeout, connections: newConnections()}
+	c.http = &http.Client{Transport: c.transport(defaultPerHost)}
 	for _, o := range opts {
 		o(c)
 	}
@@ -48,20 +54,31 @@
 
 // WithConnectionsPerHost bounds the connections to one address.
 func WithConnectionsPerHost(n int) Option {
-	return func(c *Client) { c.http.Transport = transport(n) }
+	return func(c *Client) { c.http.Transport = c.transport(n) }
 }
 
 // Close drops idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
-func transport(perHost int) *http.Transport {
+func (c *Client) transport(perHost int) *http.Transport {
 	return &http.Transport{
+		DialContext:         c.dial,
 		MaxConnsPerHost:     perHost,
 		MaxIdleConnsPerHost: min(perHost, idleConnections),
+		IdleConnTimeout:     idleTimeout.Duration(),
 		DisableCompression:  true,
 	}
 }
 
+func (c *Client) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	var d net.Dialer
+	n, err := d.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return c.connections.add(address, n), nil
+}
+
 // Log gives the log at an address.
 func (c *Client) Log(address string) provider.Log {
 	return provider.Log{
@@ -114,7 +131,11 @@
 func (c *Client) Executors() provider.Executors {
 	return provider.Executors{
 		Run: func(ctx context.Context, address string, r provider.Request) (provider.Response, error) {
-			return call[provider.Response](ctx, c, address, "/run", r)
+			a, err := call[provider.Response](ctx, c, address, "/run", r)
+			if neverSent(err) {
+				return a, coder.New(coder.NotRun, "the executor at %s can't be reached", address)
+			}
+			return a, err
 		},
 		Cancel: func(ctx context.Context, address, id string) (provider.CancelState, error) {
 			r, err := call[provider.CancelResult](ctx, c, address, "/cancel", provider.CancelCall{ID: id})
@@ -131,6 +152,8 @@
 	if err != nil {
 		return out, errors.Wrap(err, "dialer.call")
 	}
+	ctx, ended := watch(ctx)
+	defer ended()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(body))
 	if err != nil {
 		return out, errors.Wrap(err, "dialer.call")
@@ -138,12 +161,49 @@
 	req.Header.Set("Content-Type", "application/json")
 	resp, err := c.http.Do(req)
 	if err != nil {
+		if silent(ctx) {
+			c.connections.closeIdle(address)
+		}
 		return out, errors.Wrap(err, "dialer.call")
 	}
 	defer func() { _ = resp.Body.Close() }()
 	return out, read(resp, &out)
 }
 
+// watch gives a context under which the connection of a call counts as in use until the
+// call has ended.
+func watch(ctx context.Context) (watched context.Context, ended func()) {
+	var used atomic.Pointer[connection]
+	got := func(i httptrace.GotConnInfo) {
+		c, known := i.Conn.(*connection)
+		if !known {
+			return
+		}
+		c.calls.Add(1)
+		if old := used.Swap(c); old != nil {
+			old.calls.Add(-1)
+		}
+	}
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: got}), func() {
+		if c := used.Swap(nil); c != nil {
+			c.calls.Add(-1)
+		}
+	}
+}
+
+// silent tells whether a call ended since nothing came, and not since its
+// caller needed it no more.
+func silent(ctx context.Context) bool {
+	cause := context.Cause(ctx)
+	return errors.Is(cause, context.DeadlineExceeded) || errors.Is(cause, provider.ErrSilent)
+}
+
+// neverSent tells whether a call failed before anything was sent.
+func neverSent(err error) bool {
+	var o *net.OpError
+	return errors.As(err, &o) && o.Op == "dial"
+}
+
 func read(resp *http.Response, out any) error {
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
 	if err != nil {
--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -14,7 +14,7 @@
 	attempt struct {
 		target *router.Target
 		start  clock.Millis
-		cancel context.CancelFunc
+		cancel context.CancelCauseFunc
 		state  attemptState
 	}
 
--- a/dispatcher/result.go
+++ b/dispatcher/result.go
@@ -53,7 +53,7 @@
 // settle ends an attempt: it holds no slot any more.
 func (r *run) settle(a *attempt, s attemptState) {
 	a.state = s
-	a.cancel()
+	a.cancel(nil)
 	a.target.Release()
 	r.pending--
 	r.route.attempts.Add(-1)
@@ -120,7 +120,7 @@
 			r.abandon(i, now)
 		}
 	}
-	r.lastErr = errSilent
+	r.lastErr = provider.ErrSilent
 	r.failures++
 	return r.retry(now)
 }
@@ -129,6 +129,7 @@
 // and asks the executor what became of it.
 func (r *run) abandon(i int, now clock.Millis) {
 	a := &r.attempts[i]
+	a.cancel(provider.ErrSilent)
 	r.settle(a, attemptUnknown)
 	a.target.Abandoned(now - a.start)
 	if a.target.Failed(silentWeight) >= router.SuspectFailures {
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -188,7 +188,7 @@
 // launch sends the request to an executor.
 func (r *run) launch(t *router.Target) {
 	now := r.d.now()
-	ctx, cancel := context.WithCancel(r.c.ctx)
+	ctx, cancel := context.WithCancelCause(r.c.ctx)
 	i := r.n
 	r.attempts[i] = attempt{target: t, start: now, cancel: cancel}
 	r.tried[i] = t
