daemon: an authority carries until when earlier holders may go on

Cause: the keeper was not told, so that work of a worker that doesn't answer would run again while an earlier holder could still extend it.

--- a/daemon/core.go
+++ b/daemon/core.go
@@ -310,7 +310,7 @@
 		return keeper.NoAuthority()
 	}
 	starts := c.replicator.StartAllowed(now) && !c.state.DataCentreDrained(c.d.settings.DataCentre)
-	return keeper.NewAuthority(a.Epoch(), a.Until(), starts)
+	return keeper.NewAuthority(a.Epoch(), a.Until(), starts).ClearAt(a.ClearAt())
 }
 
 // missing gives a stream that was not read to its end yet, or "".
