--- a/coder/codes.go
+++ b/coder/codes.go
@@ -117,6 +117,6 @@
 	OverBudget Code = 5006
 	// HistoryShort is work with too little history to forecast from.
 	HistoryShort Code = 5007
-	// UsageTooOld is a usage record of a time before the ledger's.
+	// UsageTooOld is a usage record that comes too late to be counted.
 	UsageTooOld Code = 5008
 )
--- a/forecaster/batch.go
+++ b/forecaster/batch.go
@@ -24,7 +24,6 @@
 	maxRuns = 8
 	// fading is the weight of a run for that of the one after it.
 	fading        = 0.8
-	runHistory    = 200
 	daysOfWeek    = 7
 	maxCorrection = 3.0
 	// maxGrowth bounds the growth of a day, and growthWeeks is what it is
@@ -39,15 +38,14 @@
 // runsOf gives what the last runs of a job with a calendar held, in order: what
 // it held from the day of an occurrence to the day of the next.
 func (m *model) runsOf(w *work) []vector {
-	if m.known == 0 {
+	if m.known == 0 || w.kind != declarer.KindBatchJob || w.batch.Name == "" {
 		return nil
 	}
 	end := m.h.until
 	if m.known < len(m.h.days) {
 		end = m.h.days[m.known]
 	}
-	first := m.h.days[max(0, m.known-runHistory)]
-	times := w.batch.Calendar.Occurrences(first, end, m.h.zone)
+	times := m.h.occurrences(w.batch.Calendar, end)
 	var runs []vector
 	for n := max(0, len(times)-maxRuns-1); n < len(times); n++ {
 		until := end
@@ -74,7 +72,7 @@
 
 // byRun expects what a job's runs held so far of each run to come.
 func (m *model) byRun(w *work) func(span) vector {
-	run := faded(m.runsOf(w))
+	run := faded(w.runs)
 	if run.isZero() {
 		run = declaredRun(w.batch).times(m.correction)
 	}
--- a/forecaster/forecaster.go
+++ b/forecaster/forecaster.go
@@ -83,7 +83,7 @@
 // Plan gives what a month costs if everything holds what it declares, from its
 // first day to its last; work without a calendar has no plan.
 func (f *Forecaster) Plan(m pricer.Month) *pricer.Bill {
-	h := &history{zone: f.table.Zone(), until: m.Start()}
+	h := &history{zone: f.table.Zone(), until: m.Start(), runs: map[calendarKey][]clock.Millis{}}
 	b := pricer.NewBuilder(f.table, m)
 	known := newModel(h, 0, f.state, true)
 	for _, s := range h.spansOf(m.Start(), m.End()) {
--- a/forecaster/gap.go
+++ b/forecaster/gap.go
@@ -34,8 +34,8 @@
 			continue
 		}
 		v := usual.times(share)
-		if n < len(held) {
-			held[n] = held[n].plus(v)
+		if n < len(h.days) {
+			p.add(dataCentre, n, len(h.days), v)
 		} else {
 			p.today = p.today.plus(v)
 		}
@@ -54,11 +54,11 @@
 }
 
 // usually gives the mean of the last days before n that have something.
-func usually(held []vector, n int) vector {
+func usually(held []short, n int) vector {
 	var sum vector
 	count := 0
 	for d := min(n, len(held)) - 1; d >= 0 && count < baselineDays; d-- {
-		sum = sum.plus(held[d])
+		sum = sum.plus(held[d].vector())
 		count++
 	}
 	if count == 0 {
--- a/forecaster/history.go
+++ b/forecaster/history.go
@@ -21,6 +21,7 @@
 		// weekdays is the day of the week of each day.
 		weekdays []time.Weekday
 		works    map[string]*past
+		runs     map[calendarKey][]clock.Millis
 		// fills is what is taken for hours without records.
 		fills []fill
 	}
@@ -28,8 +29,9 @@
 	// past is the history of one work.
 	past struct {
 		team string
-		// held is by data centre and by day.
-		held map[string][]vector
+		// held is by data centre and by day, and totals by day.
+		held   map[string][]short
+		totals []vector
 		// today is what was held in the part of today that has records.
 		today vector
 		// sums is every amount of the last days, for the ratios between them.
@@ -54,7 +56,7 @@
 )
 
 func newHistory(l *meter.Ledger) *history {
-	h := &history{zone: l.Zone(), until: l.Until(), works: map[string]*past{}}
+	h := &history{zone: l.Zone(), until: l.Until(), works: map[string]*past{}, runs: map[calendarKey][]clock.Millis{}}
 	from := max(l.First(), meter.DayOf(h.until, h.zone)-historyDays*clock.Day)
 	from = meter.DayOf(from+clock.Hour, h.zone)
 	today := meter.DayOf(h.until, h.zone)
@@ -79,7 +81,7 @@
 	for _, c := range d.Cells() {
 		a := d.Amounts(c)
 		p := h.past(c)
-		p.days(c.DataCentre(), len(h.days))[n] = vectorOf(a)
+		p.add(c.DataCentre(), n, len(h.days), vectorOf(a))
 		if d.Start() >= h.until-sumDays {
 			p.sums.Add(a)
 		}
@@ -99,27 +101,32 @@
 func (h *history) past(c meter.Cell) *past {
 	p := h.works[c.Work()]
 	if p == nil {
-		p = &past{team: c.Team(), held: map[string][]vector{}}
+		p = &past{team: c.Team(), held: map[string][]short{}}
 		h.works[c.Work()] = p
 	}
 	p.team = c.Team()
 	return p
 }
 
-func (p *past) days(dataCentre string, n int) []vector {
+// add adds what a work held in a data centre on one of so many days.
+func (p *past) add(dataCentre string, day, days int, v vector) {
 	if p.held[dataCentre] == nil {
-		p.held[dataCentre] = make([]vector, n)
+		p.held[dataCentre] = make([]short, days)
 	}
-	return p.held[dataCentre]
+	if p.totals == nil {
+		p.totals = make([]vector, days)
+	}
+	held := p.held[dataCentre]
+	held[day] = held[day].vector().plus(v).short()
+	p.totals[day] = p.totals[day].plus(v)
 }
 
 // total gives what a work held on a day in all data centres.
 func (p *past) total(day int) vector {
-	var v vector
-	for _, held := range p.held {
-		v = v.plus(held[day])
+	if p.totals == nil {
+		return vector{}
 	}
-	return v
+	return p.totals[day]
 }
 
 // amounts gives every amount that goes with what a work holds, in the ratios
--- a/forecaster/interval.go
+++ b/forecaster/interval.go
@@ -73,7 +73,7 @@
 		for _, name := range h.names() {
 			p := h.works[name]
 			for _, dc := range slices.Sorted(maps.Keys(p.held)) {
-				count(b.actual, p.team, name, dc, p.held[dc][d].scaled(rates(dc)))
+				count(b.actual, p.team, name, dc, p.held[dc][d].vector().scaled(rates(dc)))
 			}
 		}
 	}
--- a/forecaster/model.go
+++ b/forecaster/model.go
@@ -36,8 +36,10 @@
 		batch declarer.BatchJob
 		// unit is what one task is declared to hold in a millisecond, and rate
 		// what all replicas of standing work are.
-		unit   vector
-		rate   vector
+		unit vector
+		rate vector
+		// runs is what its last runs held, where it has a calendar.
+		runs   []vector
 		expect func(day span) vector
 		shares map[string]float64
 		// sizeFactor and timeFactor are how much larger and longer tasks are
@@ -70,6 +72,9 @@
 	m.declare()
 	m.undeclared()
 	slices.SortFunc(m.works, func(a, b *work) int { return cmp.Compare(a.name, b.name) })
+	for _, w := range m.works {
+		w.runs = m.runsOf(w)
+	}
 	m.growth = m.growthOf()
 	m.correction = m.correctionOf()
 	for _, w := range m.works {
@@ -150,8 +155,7 @@
 		if w.kind != declarer.KindBatchJob || w.batch.Calendar.Every == declarer.EveryNone || w.batch.Name == "" {
 			continue
 		}
-		runs := m.runsOf(w)
-		for _, r := range runs {
+		for _, r := range w.runs {
 			held += r[pricer.Processors]
 			declared += declaredRun(w.batch)[pricer.Processors]
 		}
--- a/forecaster/share.go
+++ b/forecaster/share.go
@@ -26,8 +26,8 @@
 	for _, dc := range slices.Sorted(maps.Keys(w.past.held)) {
 		held := w.past.held[dc]
 		for d := max(0, m.known-days); d < m.known; d++ {
-			shares[dc] += held[d][pricer.Processors]
-			total += held[d][pricer.Processors]
+			shares[dc] += float64(held[d][pricer.Processors])
+			total += float64(held[d][pricer.Processors])
 		}
 	}
 	if m.trusting {
--- a/meter/ledger.go
+++ b/meter/ledger.go
@@ -50,6 +50,9 @@
 const (
 	// Keep is how long days are kept.
 	Keep = 13 * 31 * clock.Day
+	// keepMarks is how long it is remembered which hours have a record, and so
+	// how late a record may be.
+	keepMarks = 70 * clock.Day
 	// openDays is how long days are kept unpacked.
 	openDays = 3 * clock.Day
 )
@@ -77,7 +80,7 @@
 // Add counts the record at an offset of the stream "usage". Only the first of a
 // shard and hour counts; Add tells whether this one did. It gives a fault of
 // code UsageDiffers for a later one that says otherwise, UsageTooOld for one
-// from before what is kept, and nil else.
+// that is more than 70 days late, and nil else.
 func (l *Ledger) Add(offset int64, u *schema.Usage) (bool, *Fault) {
 	if offset < l.next {
 		return false, nil
@@ -92,8 +95,8 @@
 		f := NewFault(coder.UsageDiffers, offset, fmt.Sprintf("usage of %s at %s differs from that at offset %d, which counts", u.GetShard(), h, first.offset))
 		return false, &f
 	}
-	if h < l.last-Keep {
-		f := NewFault(coder.UsageTooOld, offset, fmt.Sprintf("usage of %s at %s is from before what is kept", u.GetShard(), h))
+	if h < l.last-keepMarks {
+		f := NewFault(coder.UsageTooOld, offset, fmt.Sprintf("usage of %s at %s is too late to be counted", u.GetShard(), h))
 		return false, &f
 	}
 	l.mark(u.GetShard(), h, mark{offset: offset, digest: d})
@@ -165,7 +168,7 @@
 		}
 	}
 	for _, hours := range l.shards {
-		maps.DeleteFunc(hours, func(h clock.Millis, _ mark) bool { return h < l.last-Keep })
+		maps.DeleteFunc(hours, func(h clock.Millis, _ mark) bool { return h < l.last-keepMarks })
 	}
 }
 
--- a/meter/pack.go
+++ b/meter/pack.go
@@ -139,5 +139,5 @@
 	}
 	_, _ = w.Write(b)
 	_ = w.Close()
-	return slices.Clip(out.Bytes())
+	return bytes.Clone(out.Bytes())
 }
