--- a/imitator/worker.go
+++ b/imitator/worker.go
@@ -81,6 +81,7 @@
 	defaultUsageLag = 5 * clock.Second
 	sampleSpan      = 10 * clock.Second
 	samplesKept     = 10 * clock.Minute
+	reportsInReply  = 8
 	wholeShare      = 1000
 )
 
@@ -222,17 +223,26 @@
 	return provider.Stamp{Boot: strconv.Itoa(w.boot), Reading: int64(w.reading())}
 }
 
-// reply gives an answer that says how many of the shard's tasks have ended.
+// reply gives an answer that says what of the shard's tasks has ended.
 func (w *Worker) reply(f provider.Fence) provider.Reply {
 	r := provider.Reply{Stamp: w.stamp()}
-	for _, t := range w.tasks {
+	for i, t := range w.tasks {
 		if t.order.Fence.Shard == f.Shard && t.phase != provider.PhaseRunning {
 			r.Ended++
+			r.Reports = append(r.Reports, t.report(i, w.reading()))
 		}
 	}
+	sortReports(r.Reports)
+	r.Reports = r.Reports[:min(len(r.Reports), reportsInReply)]
 	return r
 }
 
+func sortReports(all []provider.TaskReport) {
+	slices.SortFunc(all, func(a, b provider.TaskReport) int {
+		return strings.Compare(a.Incarnation.String(), b.Incarnation.String())
+	})
+}
+
 // settle brings tasks that have ended or lapsed up to date.
 func (w *Worker) settle() {
 	now := w.reading()
@@ -376,7 +386,9 @@
 		return provider.Reply{}, err
 	}
 	t.checkpointAt(w.reading())
-	return provider.Reply{Stamp: w.stamp(), Checkpoint: t.checkpoint}, nil
+	r := w.reply(o.Fence)
+	r.Checkpoint = t.checkpoint
+	return r, nil
 }
 
 func (w *Worker) throttle(o provider.TaskOrder) (provider.Reply, error) {
@@ -386,7 +398,7 @@
 	}
 	w.sample(t, w.reading())
 	t.permille = o.Permille
-	return provider.Reply{Stamp: w.stamp()}, nil
+	return w.reply(o.Fence), nil
 }
 
 func (w *Worker) stop(o provider.TaskOrder) (provider.Reply, error) {
@@ -398,7 +410,9 @@
 		t.checkpointAt(w.reading())
 		w.end(t, w.reading(), provider.PhaseStopped)
 	}
-	return provider.Reply{Stamp: w.stamp(), Checkpoint: t.checkpoint}, nil
+	r := w.reply(o.Fence)
+	r.Checkpoint = t.checkpoint
+	return r, nil
 }
 
 func (w *Worker) forget(o provider.TaskOrder) (provider.Reply, error) {
@@ -409,7 +423,7 @@
 	if t.phase != provider.PhaseRunning {
 		delete(w.tasks, o.Incarnation)
 	}
-	return provider.Reply{Stamp: w.stamp()}, nil
+	return w.reply(o.Fence), nil
 }
 
 func (w *Worker) inventory(f provider.Fence) (provider.Inventory, error) {
@@ -422,9 +436,7 @@
 			inv.Tasks = append(inv.Tasks, t.report(i, w.reading()))
 		}
 	}
-	slices.SortFunc(inv.Tasks, func(a, b provider.TaskReport) int {
-		return strings.Compare(a.Incarnation.String(), b.Incarnation.String())
-	})
+	sortReports(inv.Tasks)
 	return inv, nil
 }
 
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -96,7 +96,7 @@
 	LongLease = clock.Day
 
 	heartbeatInterval = 3 * clock.Second
-	inventoryInterval = clock.Minute
+	inventoryInterval = 5 * clock.Minute
 	// checkpointInterval is how often a worker is looked over for runs whose
 	// state is to be saved.
 	checkpointInterval = clock.Second
--- a/keeper/measure_test.go
+++ b/keeper/measure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"runtime"
 	"testing"
@@ -72,17 +73,22 @@
 			b.ReportAllocs()
 			var bytes, heap, steps int
 			for b.Loop() {
+				b.StopTimer()
 				before := heapInUse()
+				b.StartTimer()
 				n := w.add("d2")
 				must.NoError(b, n.claim(clock.Minute))
 				n.tail()
-				heap = max(heap, heapInUse()-before)
 				bytes = n.bytes
 				steps = 0
 				for len(n.told) < s.replicas+s.tasks {
 					n.step()
 					steps++
 				}
+				b.StopTimer()
+				n.told = nil
+				heap = max(heap, heapInUse()-before)
+				b.StartTimer()
 			}
 			b.ReportMetric(float64(bytes), "log-bytes")
 			b.ReportMetric(float64(heap), "heap-bytes")
@@ -117,6 +123,7 @@
 	for name, s := range scales {
 		b.Run(name, func(b *testing.B) {
 			w, n := loaded(b, s)
+			w.orderBytes = 0
 			count, spent, orders, appended := 0, time.Duration(0), 0, 0
 			for b.Loop() {
 				for range 10 * startsPerSecond {
@@ -130,7 +137,9 @@
 			}
 			b.ReportMetric(float64(spent.Microseconds())/float64(count), "µs/start")
 			b.ReportMetric(float64(appended)/float64(count), "written-bytes/start")
-			b.ReportMetric(float64(orders)/float64(count), "orders/start")
+			seconds := float64(count) / startsPerSecond
+			b.ReportMetric(float64(orders)/seconds, "orders/s")
+			b.ReportMetric(float64(w.orderBytes)/seconds, "order-bytes/s")
 		})
 	}
 }
@@ -147,7 +156,9 @@
 		given := n.act()
 		spent += time.Since(begin)
 		for _, o := range given {
+			w.orderBytes += jsonSize(o.start, o.kind == OrderStart) + jsonSize(o.lease, o.kind == OrderExtend) + jsonSize(o.task, o.kind > OrderExtend)
 			r := o.Do(context.Background(), w.provider())
+			w.orderBytes += jsonSize(r.inventory, o.kind == OrderInventory) + jsonSize(r.usage, o.kind == OrderUsage) + jsonSize(r.reply, true)
 			begin := time.Now()
 			n.keeper.Done(w.clock.Now(), r)
 			spent += time.Since(begin)
@@ -161,6 +172,18 @@
 	return spent, orders, bytes
 }
 
+// jsonSize gives the bytes of a document that is sent.
+func jsonSize(v any, sent bool) int {
+	if !sent {
+		return 0
+	}
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return len(data)
+}
+
 func heapInUse() int {
 	runtime.GC()
 	var m runtime.MemStats
--- a/keeper/results.go
+++ b/keeper/results.go
@@ -25,6 +25,9 @@
 	h.failures = 0
 	h.heard = k.now
 	k.read(h, r)
+	for _, report := range r.reply.Reports {
+		k.adoptOne(h, r.reply.Stamp.Boot, report)
+	}
 	switch o.kind {
 	case OrderInventory:
 		k.adopt(h, r.inventory)
@@ -190,8 +193,8 @@
 	if l == nil || l.phase != phaseStopping {
 		return
 	}
-	// A stop of what had ended already gives the same answer: only the
-	// inventory says which it was.
+	// A stop of what had ended already gives the same answer: only the report
+	// says which it was.
 	k.move(l, leaseMiss)
 	h.taken = -1
 }
--- a/keeper/world_test.go
+++ b/keeper/world_test.go
@@ -30,6 +30,8 @@
 		state   *declarer.State
 		nodes   map[string]*node
 		ids     int
+		// orderBytes are the documents between owners and workers.
+		orderBytes int
 	}
 
 	// node is one daemon with the keeper of one shard.
--- a/provider/worker.go
+++ b/provider/worker.go
@@ -80,6 +80,8 @@
 		// Ended is the number of the shard's tasks that have ended and were
 		// not forgotten.
 		Ended int `json:"ended,omitempty"`
+		// Reports are those of some of them.
+		Reports []TaskReport `json:"reports,omitempty"`
 	}
 
 	// TaskPhase is where a task on a worker is in its life.
