--- a/dispatcher/trial_test.go
+++ b/dispatcher/trial_test.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -45,7 +46,9 @@
 		callerRetries int
 		// timeout is that of requests, trialTimeout where it is 0.
 		timeout clock.Millis
-		at      func(w *world)
+		// duration is how long requests are sent, trialDuration where it is 0.
+		duration time.Duration
+		at       func(w *world)
 	}
 
 	// checker is an entry host as callers see it.
@@ -59,6 +62,7 @@
 	world struct {
 		deployment
 		seed      uint64
+		duration  time.Duration
 		backends  []*imitator.Executor
 		hosts     []provider.Host
 		entryList []provider.Host
@@ -69,8 +73,18 @@
 		mu        sync.Mutex
 		latencies []time.Duration
 		outcomes  map[coder.Code]int
-		attempts  int
-		requests  int
+		// lies is how many requests ran that callers were told had not.
+		lies     int
+		attempts int
+		requests int
+		// checks is how many requests entry hosts got, those sent again included.
+		checks int
+		// steady is how many answers came after trialRamp and before the last
+		// request was sent.
+		steady int
+		start  time.Time
+		// waited is the most requests that an executor reported as waiting.
+		waited []int
 	}
 
 	// network carries the requests of one entry host, on connections that are
@@ -83,7 +97,7 @@
 		all  []*connection
 	}
 
-	connection struct{ silent bool }
+	connection struct{ silent atomic.Bool }
 
 	// tally is what came out of a trial.
 	tally struct {
@@ -103,6 +117,7 @@
 	trialTarget   = 200 * clock.Millis(1)
 	trialDuration = 3 * time.Second
 	trialFault    = time.Second
+	trialRamp     = 200 * time.Millisecond
 )
 
 var (
@@ -132,7 +147,7 @@
 
 func newWorld(t *testing.T, p deployment, seed uint64, entry func(*network, string, string) checker) *world {
 	t.Helper()
-	w := &world{deployment: p, seed: seed, outcomes: map[coder.Code]int{}, dead: make([]bool, p.entries)}
+	w := &world{deployment: p, seed: seed, waited: make([]int, p.executors), outcomes: map[coder.Code]int{}, dead: make([]bool, p.entries)}
 	for i := range p.executors {
 		address := fmt.Sprint(i)
 		w.backends = append(w.backends, imitator.NewExecutor(trialSlots, sleep, func(r provider.Request) clock.Millis {
@@ -157,7 +172,7 @@
 		Run: func(ctx context.Context, address string, r provider.Request) (provider.Response, error) {
 			n.w.countAttempt()
 			c := n.open(address)
-			if c.silent {
+			if c.silent.Load() {
 				<-ctx.Done()
 				return provider.Response{}, ctx.Err()
 			}
@@ -166,9 +181,10 @@
 			}
 			a, err := run.Run(ctx, address, r)
 			if err == nil {
+				n.w.sawWaiting(address, a.Waiting)
 				err = n.travel(ctx, address)
 			}
-			if c.silent {
+			if c.silent.Load() {
 				<-ctx.Done()
 			}
 			if ctx.Err() != nil {
@@ -220,7 +236,9 @@
 	defer n.mu.Unlock()
 	r := rand.New(rand.NewPCG(n.w.seed, 7))
 	for _, c := range n.all {
-		c.silent = c.silent || r.Float64() < share
+		if r.Float64() < share {
+			c.silent.Store(true)
+		}
 	}
 }
 
@@ -232,6 +250,18 @@
 
 func (w *world) find(address string) *imitator.Executor { return w.backends[indexOf(address)] }
 
+func (w *world) sawWaiting(address string, n int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.waited[indexOf(address)] = max(w.waited[indexOf(address)], n)
+}
+
+func (w *world) countCheck() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.checks++
+}
+
 func (w *world) countAttempt() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -256,14 +286,15 @@
 
 // drive sends requests at a load for the time of a trial, and waits for the answers.
 func (w *world) drive(s scenario) {
+	w.duration = cmp.Or(s.duration, trialDuration)
 	r := rand.New(rand.NewPCG(w.seed, 1))
 	rate := s.load * float64(w.executors*trialSlots) / trialMean * 1000
 	if s.at != nil {
 		time.AfterFunc(trialFault, func() { s.at(w) })
 	}
 	var callers sync.WaitGroup
-	start := time.Now()
-	for i := 0; time.Since(start) < trialDuration; i++ {
+	w.start = time.Now()
+	for i := 0; time.Since(w.start) < w.duration; i++ {
 		time.Sleep(time.Duration(r.ExpFloat64() / rate * float64(time.Second)))
 		e := w.balance(r)
 		callers.Go(func() { w.call(w.entries[e], fmt.Sprint(i), s) })
@@ -283,6 +314,7 @@
 	start := time.Now()
 	var a *schema.Answer
 	for range 1 + s.callerRetries {
+		w.countCheck()
 		a = e.Check(context.Background(), request(id, cmp.Or(s.timeout, trialTimeout)))
 		if codeOf(a) == coder.OK {
 			break
@@ -293,11 +325,30 @@
 	defer w.mu.Unlock()
 	w.requests++
 	w.outcomes[codeOf(a)]++
+	if saysNotRun(codeOf(a)) && w.ran(id) {
+		w.lies++
+	}
+	if at := time.Since(w.start); codeOf(a) == coder.OK && at >= trialRamp && at < w.duration {
+		w.steady++
+	}
 	if codeOf(a) == coder.OK {
 		w.latencies = append(w.latencies, d)
 	}
 }
 
+// saysNotRun tells whether a code says that the request did not run.
+func saysNotRun(c coder.Code) bool {
+	switch c {
+	case coder.OK, coder.Unknown, coder.Incomplete, coder.Cancelled, coder.Pending, coder.Failed:
+		return false
+	}
+	return true
+}
+
+func (w *world) ran(id string) bool {
+	return slices.ContainsFunc(w.backends, func(e *imitator.Executor) bool { return e.Ran("t/"+id) > 0 })
+}
+
 // tally gives the latencies of answers, the share of requests answered, the
 // answers in a second in units of the capacity, and the attempts for each request.
 func (w *world) tally() tally {
@@ -308,13 +359,13 @@
 		}
 		return w.latencies[int(p*float64(len(w.latencies)-1))]
 	}
-	capacity := float64(w.executors*trialSlots) / trialMean * 1000 * trialDuration.Seconds()
+	capacity := float64(w.executors*trialSlots) / trialMean * 1000 * (w.duration - trialRamp).Seconds()
 	onTime, _ := slices.BinarySearch(w.latencies, trialTarget.Duration()+1)
 	return tally{
 		onTime: float64(onTime) / float64(w.requests),
 		p50:    at(0.5), p99: at(0.99), p999: at(0.999),
 		answered: float64(len(w.latencies)) / float64(w.requests),
-		goodput:  float64(len(w.latencies)) / capacity,
+		goodput:  float64(w.steady) / capacity,
 		attempts: float64(w.attempts) / float64(w.requests),
 	}
 }
