--- a/placer/hold.go
+++ b/placer/hold.go
@@ -22,7 +22,7 @@
 	}
 	var best *entry
 	for _, e := range p.index.byName {
-		if e.worker.closed || !w.need.Add(reserveOf(e.worker.capacity)).Fits(e.worker.capacity) || p.holders[e.worker.name] != "" {
+		if e.worker.closed || !w.need.Fits(e.worker.capacity) || p.holders[e.worker.name] != "" {
 			continue
 		}
 		if best == nil || roomier(e, best) {
--- a/placer/place.go
+++ b/placer/place.go
@@ -210,7 +210,7 @@
 	if holder := p.holders[e.worker.name]; holder != "" && holder != w.task.id {
 		return false
 	}
-	return !p.mechanisms.has(Reserve) || w.need.Add(reserveOf(e.worker.capacity)).Fits(e.free)
+	return !p.mechanisms.has(Reserve) || w.room(e.worker.capacity).Fits(e.free)
 }
 
 func (p *Placer) sound(now clock.Millis, w *want, e *entry) bool {
@@ -218,6 +218,17 @@
 	return p.quarantine.Admits(now, name, w.task.kind == Batch) && !p.quarantine.Avoids(w.task.work, name)
 }
 
+// room gives what must be free on a worker for a batch task: its size and what
+// is left for urgent work, or its size alone where both are more than the worker
+// has.
+func (w *want) room(capacity sizer.Size) sizer.Size {
+	both := w.need.Add(reserveOf(capacity))
+	if both.Fits(capacity) {
+		return both
+	}
+	return w.need
+}
+
 func reserveOf(capacity sizer.Size) sizer.Size {
 	return sizer.New(capacity.Millicores()/reservePart, capacity.MemoryBytes()/reservePart, 0)
 }
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -79,6 +79,11 @@
 			workers: []Worker{workerOf("x", "r", whole, batchOf("0", gib(30, 60, 0)))},
 			want:    map[string]string{"2": "x"},
 		},
+		"a whole worker": {
+			waiting: []Task{batchOf("1", gib(32, 1, 0)), batchOf("2", gib(1, 125, 0))},
+			workers: []Worker{workerOf("x", "r", whole, batchOf("0", gib(1, 1, 0))), workerOf("y", "r", whole), workerOf("z", "r", whole)},
+			want:    map[string]string{"1": "y", "2": "z"},
+		},
 		"closed takes nothing": {
 			waiting: []Task{serviceOf("1", gib(1, 1, 0))},
 			workers: []Worker{NewWorker("x", "a", "r", whole, whole, nil, true)},
