--- /dev/null
+++ b/checker/takeover_test.go
@@ -0,0 +1,88 @@
+package checker_test
+
+import (
+	"slices"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"galenawharf.example/galenawharf/claimer"
+	"galenawharf.example/galenawharf/clock"
+	"galenawharf.example/galenawharf/imitator"
+)
+
+// TestDeathToNextStart: work that waits when its owner dies starts within the
+// lapse of the claim, the margins, the stagger and some rounds to the log and
+// the workers.
+func TestDeathToNextStart(t *testing.T) {
+	const bound = claimer.DefaultRenewEvery + claimer.DefaultLapse + 4*clock.Second
+	var delays []clock.Millis
+	for seed := range uint64(20) {
+		f := newFleet(seed, breachNone)
+		f.declare(t)
+		f.run(10 * clock.Second)
+		for _, n := range f.nodes {
+			if f.owns(n) {
+				n.dead = true
+			}
+		}
+		died := f.now.Now()
+		f.submit()
+		before := f.starts()
+		for f.starts() == before {
+			f.run(tick)
+			must.LessEq(t, died+bound, f.now.Now())
+		}
+		delays = append(delays, f.now.Now()-died)
+		must.Eq(t, "", f.violations())
+	}
+	slices.Sort(delays)
+	t.Logf("median %d ms, worst of %d %d ms, bound %d ms", delays[len(delays)/2], len(delays), delays[len(delays)-1], bound)
+}
+
+// TestLogOutage: work that runs as the log goes down ends as without the outage,
+// and what waits starts when the log is back.
+func TestLogOutage(t *testing.T) {
+	const outage = 10 * clock.Minute
+	ends := map[bool]int{}
+	for _, down := range []bool{false, true} {
+		f := newFleet(3, breachNone)
+		f.declare(t)
+		for range 4 {
+			f.submit()
+		}
+		f.run(10 * clock.Second)
+		must.Positive(t, f.starts())
+		f.log.SetFaults(imitator.LogFaults{Down: down})
+		f.run(outage)
+		if down {
+			must.Eq(t, 2, f.owners())
+		}
+		f.log.SetFaults(imitator.LogFaults{})
+		f.submit()
+		f.heal()
+		must.Eq(t, "", f.violations())
+		must.Eq(t, "", f.open())
+		ends[down] = len(f.told)
+	}
+	must.Eq(t, ends[false], ends[true])
+	t.Logf("%d pieces of work ended with and without an outage of %d s", ends[true], outage/clock.Second)
+}
+
+func (f *fleet) owners() int {
+	owners := 0
+	for _, n := range f.nodes {
+		if f.owns(n) {
+			owners++
+		}
+	}
+	return owners
+}
+
+func (f *fleet) starts() int {
+	starts := 0
+	for _, w := range f.workers {
+		starts += len(w.Starts())
+	}
+	return starts
+}
--- a/replicator/delay_test.go
+++ b/replicator/delay_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"github.com/shoenig/test/must"
+	"google.golang.org/protobuf/proto"
 
 	"galenawharf.example/galenawharf/clock"
 	"galenawharf.example/galenawharf/declarer"
@@ -224,6 +225,33 @@
 	must.Eq(t, 1, m.State().Len())
 }
 
+// TestSnapshotAfterRecords: many changes bring one snapshot, also where its
+// answer is long on the way.
+func TestSnapshotAfterRecords(t *testing.T) {
+	f := newFleet(1, 2, 2)
+	f.run(5*clock.Second, func() {})
+	version := int64(0)
+	for range snapshotRecords {
+		_, err := f.propose(f.members[0], team("t", version))
+		must.NoError(t, err)
+		f.run(3*tick, func() {})
+		version = f.members[0].State().Get(declarer.KindTeam, "t").Version()
+	}
+	f.maxWait = 20 * clock.Second
+	f.run(3*clock.Minute, func() {})
+	page, err := f.log.Provider().Read(t.Context(), provider.StreamConfig, 0, 10_000)
+	must.NoError(t, err)
+	snapshots := 0
+	for _, e := range page.Entries {
+		r := &schema.Record{}
+		must.NoError(t, proto.Unmarshal(e.Data, r))
+		if r.GetSnapshot() != nil {
+			snapshots++
+		}
+	}
+	must.Between(t, 1, snapshots, 2)
+}
+
 func dataCentre(name string) *schema.Change {
 	return &schema.Change{Operator: "ana", Items: []*schema.ChangeItem{{Kind: string(declarer.KindDataCentre), Name: name, Document: []byte(`{"name":"` + name + `","region":"r"}`)}}}
 }
--- a/replicator/propose.go
+++ b/replicator/propose.go
@@ -144,7 +144,7 @@
 		due = r.joinedAt + snapshotEvery
 	}
 	if since >= snapshotRecords {
-		due = min(due, r.direct)
+		due = add(r.snapshotAt, snapshotStagger)
 	}
 	if now < due+clock.Millis(r.rank())*snapshotStagger {
 		return nil
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -83,7 +83,7 @@
 	// isn't dropped.
 	dropAgainAfter  = 10 * clock.Minute
 	snapshotEvery   = 6 * clock.Hour
-	snapshotRecords = 2000
+	snapshotRecords = 500
 	snapshotStagger = clock.Minute
 	repeatAfter     = 2 * clock.Second
 	chunkBytes      = 256 << 10
