--- a/keeper/chaos_test.go
+++ b/keeper/chaos_test.go
@@ -404,6 +404,9 @@
 	for n := 0; n < 15_000 && (n < 600 || !c.allEnded()); n++ {
 		c.tick()
 	}
+	for range 50 {
+		c.tick()
+	}
 	for _, key := range c.keys {
 		if c.outcome(key) == coder.Unknown {
 			c.checker.Add(checker.WorkEnded(c.clock.Now(), key))
--- a/keeper/measure_test.go
+++ b/keeper/measure_test.go
@@ -15,6 +15,8 @@
 	"galenawharf.example/galenawharf/coder"
 	"galenawharf.example/galenawharf/declarer"
 	"galenawharf.example/galenawharf/imitator"
+	"galenawharf.example/galenawharf/provider"
+	"galenawharf.example/galenawharf/schema"
 	"galenawharf.example/galenawharf/sizer"
 )
 
@@ -237,3 +239,28 @@
 	}
 	return n
 }
+
+// BenchmarkRegister holds as many keys as the target's jobs of 62 days.
+func BenchmarkRegister(b *testing.B) {
+	for _, keys := range []int{29_140, 145_700, 291_400} {
+		b.Run(fmt.Sprintf("keys=%06d", keys), func(b *testing.B) {
+			heap, size := 0, 0
+			for b.Loop() {
+				before := heapInUse()
+				r := NewRegister()
+				for n := range keys {
+					r.Apply(provider.Offset(n), &schema.Record{AtMillis: int64(clock.Hour), Body: &schema.Record_Intent{
+						Intent: &schema.Intent{Key: fmt.Sprintf("invoice-%d", n), Shard: testShard},
+					}})
+				}
+				heap = heapInUse() - before
+				data, err := proto.Marshal(r.State())
+				must.NoError(b, err)
+				size = len(data)
+				must.Eq(b, keys, r.Len())
+			}
+			b.ReportMetric(float64(heap), "heap-bytes")
+			b.ReportMetric(float64(size), "snapshot-bytes")
+		})
+	}
+}
--- a/keeper/register.go
+++ b/keeper/register.go
@@ -1,7 +1,8 @@
 package keeper
 
 import (
-	"cmp"
+	"encoding/binary"
+	"maps"
 	"math"
 	"slices"
 	"strings"
@@ -58,6 +59,9 @@
 	// purgeSlack keeps keys longer than any daemon's clock is off.
 	purgeSlack = clock.Day
 
+	// entryBytes is the size of an entry in a snapshot.
+	entryBytes = 17
+
 	// forever stands for the time of a key that is never free again.
 	forever = math.MaxUint32
 )
@@ -234,40 +238,46 @@
 
 // State gives the snapshot of the register.
 func (r *Register) State() *schema.RegisterState {
-	s := &schema.RegisterState{Shards: slices.Clone(r.shards)}
-	for h, e := range r.entries {
-		s.Entries = append(s.Entries, &schema.RegisterEntry{
-			Hash:      h,
-			AtSeconds: e.at,
-			Shard:     uint32(e.shard),
-			Hop:       uint32(e.hop),
-			Cancelled: e.cancelled,
-		})
+	packed := make([]byte, 0, len(r.entries)*entryBytes)
+	for _, h := range slices.Sorted(maps.Keys(r.entries)) {
+		e := r.entries[h]
+		packed = binary.LittleEndian.AppendUint64(packed, h)
+		packed = binary.LittleEndian.AppendUint32(packed, e.at)
+		packed = binary.LittleEndian.AppendUint16(packed, e.shard)
+		packed = binary.LittleEndian.AppendUint16(packed, e.hop)
+		packed = append(packed, byteOf(e.cancelled))
 	}
-	slices.SortFunc(s.Entries, func(a, b *schema.RegisterEntry) int { return cmp.Compare(a.GetHash(), b.GetHash()) })
-	return s
+	return &schema.RegisterState{Shards: slices.Clone(r.shards), Entries: packed}
 }
 
 // Restore sets the register to a snapshot that covers the offsets before next.
+// Entries of a shard that the snapshot doesn't name are passed over.
 func (r *Register) Restore(next provider.Offset, s *schema.RegisterState) {
 	*r = *NewRegister()
 	r.next = next
 	for _, name := range s.GetShards() {
 		r.index(name)
 	}
-	for _, e := range s.GetEntries() {
-		if int(e.GetShard()) >= len(r.shards) {
-			continue
+	for packed := s.GetEntries(); len(packed) >= entryBytes; packed = packed[entryBytes:] {
+		e := registered{
+			at:        binary.LittleEndian.Uint32(packed[8:]),
+			shard:     binary.LittleEndian.Uint16(packed[12:]),
+			hop:       binary.LittleEndian.Uint16(packed[14:]),
+			cancelled: packed[16] == 1,
 		}
-		r.entries[e.GetHash()] = registered{
-			at:        e.GetAtSeconds(),
-			shard:     uint16(e.GetShard()),
-			hop:       uint16(e.GetHop()),
-			cancelled: e.GetCancelled(),
+		if int(e.shard) < len(r.shards) {
+			r.entries[binary.LittleEndian.Uint64(packed)] = e
 		}
 	}
 }
 
+func byteOf(set bool) byte {
+	if set {
+		return 1
+	}
+	return 0
+}
+
 func (e registered) expired(now, slack clock.Millis) bool {
 	return e.at != forever && clock.Millis(e.at)*clock.Second+KeyRetention+slack < now
 }
