--- a/daemon/shard.go
+++ b/daemon/shard.go
@@ -24,6 +24,10 @@
 		capacity map[string]sizer.Size
 		teams    []string
 		epoch    int64
+		// versions are those of the jobs in force.
+		versions map[string]int64
+		// relieveAt is when the services are next looked at.
+		relieveAt clock.Millis
 		// billAt is when the next usage record may be written.
 		billAt clock.Millis
 	}
@@ -32,6 +36,8 @@
 const (
 	// billRetry is how long an hour's record is given to be read back.
 	billRetry = 10 * clock.Second
+	// relieveInterval is the time from one look at the services to the next.
+	relieveInterval = 2 * clock.Second
 )
 
 func newShard(name string, d *Daemon, r *keeper.Register) (*shard, error) {
@@ -44,6 +50,7 @@
 		placer:   p,
 		meter:    meter.New(name, meter.WithGrace(d.settings.Timing.BillGrace)),
 		capacity: map[string]sizer.Size{},
+		versions: map[string]int64{},
 		epoch:    claimer.NoEpoch,
 		keeper:   keeper.New(name, d.settings.DataCentre, d.settings.Name, r, keeper.WithPlacer(p.Place)),
 	}, nil
@@ -53,6 +60,7 @@
 // among the shards of the data centres that are not taken out.
 func (s *shard) setConfig(state *declarer.State) {
 	s.keeper.SetConfig(state)
+	s.unpark(state)
 	shares := int64(0)
 	for _, dc := range state.DataCentres() {
 		if !state.DataCentreDrained(dc.Name) {
@@ -69,6 +77,17 @@
 	}
 }
 
+// unpark lets jobs whose declaration was changed be tried again.
+func (s *shard) unpark(state *declarer.State) {
+	for _, i := range state.Items(declarer.KindBatchJob) {
+		name := i.Key().Name()
+		if s.versions[name] != i.Version() {
+			s.placer.Unpark(name)
+		}
+		s.versions[name] = i.Version()
+	}
+}
+
 // shareOf divides a quota, rounded up.
 func shareOf(q sizer.Size, n int64) sizer.Size {
 	up := func(v int64) int64 { return (v + n - 1) / n }
@@ -97,9 +116,28 @@
 	for _, e := range actions.Events() {
 		s.learn(e)
 	}
+	if s.epoch != claimer.NoEpoch && now >= s.relieveAt {
+		s.relieveAt = now.Add(relieveInterval)
+		s.relieve(now)
+		for _, job := range s.placer.AllParked() {
+			s.keeper.Park(job)
+		}
+	}
 	return actions
 }
 
+// relieve throttles and evicts batch tasks that disturb services.
+func (s *shard) relieve(now clock.Millis) {
+	for _, a := range s.placer.Control(now, s.keeper.Workers()) {
+		if a.Evict() {
+			s.keeper.Evict(a.Task())
+			continue
+		}
+		s.keeper.Throttle(a.Task(), a.Permille())
+		s.placer.Throttled(now, a.Task(), a.Permille())
+	}
+}
+
 // learn tells those who decide and bill what a task did.
 func (s *shard) learn(e keeper.Event) {
 	switch e.Kind() {
--- a/placer/control.go
+++ b/placer/control.go
@@ -8,17 +8,21 @@
 	"galenawharf.example/galenawharf/throttler"
 )
 
-// Control gives what relieves services that are disturbed, on the workers as
-// they were at the last call of Place.
-func (p *Placer) Control(now clock.Millis) []throttler.Action {
+// Control gives what relieves services that are disturbed, given every worker
+// as it is now.
+func (p *Placer) Control(now clock.Millis, workers []Worker) []throttler.Action {
 	if !p.mechanisms.has(Throttling) {
 		return nil
 	}
+	p.sync(workers)
 	views := make([]throttler.View, 0, len(p.index.byName))
 	for name, e := range p.index.byName {
-		if s := p.sights[name]; s != nil {
-			views = append(views, throttler.NewView(name, s.pressure, s.until, p.culprits(now, e, p.throttler.Presses(s.pressure))))
+		seen := p.sights[name]
+		if seen == 0 || !e.serves() && p.slowed[name] == 0 {
+			continue
 		}
+		pressure := p.pressure(e, seen)
+		views = append(views, throttler.NewView(name, pressure, seen, p.culprits(now, e, p.throttler.Presses(pressure))))
 	}
 	slices.SortFunc(views, func(a, b throttler.View) int { return cmp.Compare(a.Worker(), b.Worker()) })
 	return p.throttler.Step(now, views)
--- a/placer/place.go
+++ b/placer/place.go
@@ -74,7 +74,7 @@
 	requests := make([]sharer.Request, 0, len(waiting))
 	left := p.remaining(now, waiting)
 	for _, t := range waiting {
-		if p.mechanisms.has(Quarantine) && !p.quarantine.Ready(now, t.work) {
+		if p.mechanisms.has(Quarantine) && !p.ready(now, t) {
 			continue
 		}
 		need := p.grant(now, t)
@@ -82,19 +82,30 @@
 			need = t.size
 		}
 		wants = append(wants, want{task: t, class: p.learner.Class(t.class), need: need, seed: xxhash.Sum64String(t.id)})
-		requests = append(requests, sharer.NewRequest(t.id, t.team, t.work, tierOf(t), need, t.priority, t.submitted, t.deadline, p.runTime(now, t), left[t.work]))
+		requests = append(requests, sharer.NewRequest(t.id, t.team, t.work, tierOf(t), need, t.priority, t.submitted, t.deadline, p.runTime(now, t), left[t.Group()]))
 	}
 	return wants, requests
 }
 
-// remaining gives the core-seconds that each job with waiting tasks needs yet.
+// ready tells whether a task may be tried after failures of its service or
+// job. Standing work is never given up.
+func (p *Placer) ready(now clock.Millis, t Task) bool {
+	if t.kind == Service || t.kind == Watch {
+		return p.quarantine.Rested(now, t.work)
+	}
+	return p.quarantine.Ready(now, t.work)
+}
+
+// remaining gives the core-seconds that the waiting tasks of each submission
+// need yet. Since the last task gates the whole, the one with the least left
+// goes first among equals.
 func (p *Placer) remaining(now clock.Millis, waiting []Task) map[string]float64 {
 	if !p.mechanisms.has(JobOrder) {
 		return nil
 	}
 	left := map[string]float64{}
 	for _, t := range waiting {
-		left[t.work] += coresOf(t.size) * float64(p.runTime(now, t)) / float64(clock.Second)
+		left[t.Group()] += coresOf(t.size) * float64(p.runTime(now, t)) / float64(clock.Second)
 	}
 	return left
 }
@@ -199,7 +210,7 @@
 	if holder := p.holders[e.worker.name]; holder != "" && holder != w.task.id {
 		return false
 	}
-	return !p.mechanisms.has(Reserve) || w.need.Add(reserveOf(e.worker.capacity)).Fits(e.free)
+	return !p.mechanisms.has(Reserve) || w.room(e.worker.capacity).Fits(e.free)
 }
 
 func (p *Placer) sound(now clock.Millis, w *want, e *entry) bool {
@@ -207,6 +218,17 @@
 	return p.quarantine.Admits(now, name, w.task.kind == Batch) && !p.quarantine.Avoids(w.task.work, name)
 }
 
+// room gives what must be free on a worker for a batch task: its size and what
+// is left for urgent work, or its size alone where both are more than the worker
+// has.
+func (w *want) room(capacity sizer.Size) sizer.Size {
+	both := w.need.Add(reserveOf(capacity))
+	if both.Fits(capacity) {
+		return both
+	}
+	return w.need
+}
+
 func reserveOf(capacity sizer.Size) sizer.Size {
 	return sizer.New(capacity.Millicores()/reservePart, capacity.MemoryBytes()/reservePart, 0)
 }
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -24,7 +24,7 @@
 		sharer     *sharer.Sharer
 		throttler  *throttler.Throttler
 		runs       map[string]*run
-		sights     map[string]*sight
+		sights     map[string]clock.Millis
 		ended      []*run
 		// slowed counts the throttled tasks of each worker.
 		slowed  map[string]int
@@ -63,7 +63,7 @@
 		index:      newIndex(),
 		runs:       map[string]*run{},
 		slowed:     map[string]int{},
-		sights:     map[string]*sight{},
+		sights:     map[string]clock.Millis{},
 		guesses:    map[string]guess{},
 		serving:    map[int]bool{},
 		held:       map[string]string{},
@@ -148,6 +148,9 @@
 // Parked gives why a service or job is not tried again until it is changed.
 func (p *Placer) Parked(work string) (quarantiner.Parking, bool) { return p.quarantine.Parked(work) }
 
+// AllParked gives the names of the jobs that are not tried again, in order.
+func (p *Placer) AllParked() []string { return p.quarantine.AllParked() }
+
 // Unpark lets a service or job be tried again, after it was changed.
 func (p *Placer) Unpark(work string) { p.quarantine.Unpark(work) }
 
