demonstrator: each daemon has an address of its own on the loopback range

Cause: a port that was found free was the source port of another test's connection when the daemon came to listen (address already in use, 1 of 2 runs). Change: every daemon listens at its own address of 127.0.0.0/8, at fixed ports.

--- a/demonstrator/deployment.go
+++ b/demonstrator/deployment.go
@@ -6,9 +6,10 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -67,6 +68,10 @@
 )
 
 const (
+	firstNetwork = 16
+	maxProcesses = 100 << 8
+	maxHosts     = 250
+
 	executorSlots       = 8
 	executorConnections = 64
 	racksPerDataCentre  = 2
@@ -74,6 +79,9 @@
 	hostsLag            = 200 * clock.Millis(1)
 )
 
+// addresses counts the daemons of this process.
+var addresses atomic.Int32
+
 // Name gives the worker's name.
 func (w *Worker) Name() string { return w.name }
 
@@ -154,9 +162,8 @@
 				LogLevel:   "info",
 				Seed:       uint64(len(d.settings) + 1),
 			}
-			if err := freeAddresses(&s.Listen.Callers, &s.Listen.Peers, &s.Listen.Status); err != nil {
-				return err
-			}
+			ip := nextAddress()
+			s.Listen = configurer.Listen{Callers: ip + ":7100", Peers: ip + ":7200", Status: ip + ":7300"}
 			s.Timing = configurer.Timing{LogPoll: 50, HostPoll: 200, Heartbeat: 200, Tick: 50}
 			s.Timing.BillGrace = d.shape.BillGrace
 			s.Defaults()
@@ -178,22 +185,11 @@
 	return nil
 }
 
-func freeAddresses(addresses ...*string) error {
-	var open []net.Listener
-	defer func() {
-		for _, l := range open {
-			_ = l.Close()
-		}
-	}()
-	for _, a := range addresses {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return errors.Wrap(err, "demonstrator.freeAddresses")
-		}
-		open = append(open, l)
-		*a = l.Addr().String()
-	}
-	return nil
+// nextAddress gives an address of the loopback range that no other daemon has:
+// one that was free a moment ago may have become the source of a connection.
+func nextAddress() string {
+	pid := os.Getpid() % maxProcesses
+	return fmt.Sprintf("127.%d.%d.%d", firstNetwork+pid>>8, pid&0xff, addresses.Add(1)%maxHosts+1)
 }
 
 // StartDaemon starts the daemon of a number, or starts it anew.
--- a/demonstrator/endtoend_test.go
+++ b/demonstrator/endtoend_test.go
@@ -41,7 +41,7 @@
 	if change != nil {
 		change(&s)
 	}
-	var output io.Writer = io.Discard
+	output := io.Discard
 	if f := os.Getenv("GALENAWHARF_TEST_LOGS"); f != "" {
 		file, err := os.Create(f)
 		must.NoError(t, err)
