--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -155,13 +155,18 @@
 	return held
 }
 
-// Restore sets a shard's state from a snapshot whose base is next.
+// Restore sets a shard's state from a snapshot whose base is next. After a hole
+// every shard is restored, and then Skip goes to the lowest base.
 func (c *Claimer) Restore(now clock.Millis, o *schema.Ownership, next provider.Offset) {
 	c.ledger.Restore(o, next)
 	c.shard(o.GetShard()).restore(now, o)
 	c.publish()
 }
 
+// Skip passes over offsets of the stream below next: those before a snapshot, or
+// of a record that can't be decoded.
+func (c *Claimer) Skip(next provider.Offset) { c.ledger.Skip(next) }
+
 // Observe takes in the record at an offset of the data centre's stream and
 // tells whether it counts. Any offset but the ledger's next is passed over.
 func (c *Claimer) Observe(now clock.Millis, offset provider.Offset, r *schema.Record) bool {
--- a/claimer/ledger.go
+++ b/claimer/ledger.go
@@ -18,6 +18,8 @@
 	Ledger struct {
 		next   provider.Offset
 		shards map[string]*schema.Ownership
+		// bases are the first offsets that restored states don't cover.
+		bases map[string]provider.Offset
 	}
 
 	// owned is a record that is written under an epoch of a shard.
@@ -33,7 +35,9 @@
 )
 
 // NewLedger gives the ledger of a stream that is read from its first record.
-func NewLedger() *Ledger { return &Ledger{shards: map[string]*schema.Ownership{}} }
+func NewLedger() *Ledger {
+	return &Ledger{shards: map[string]*schema.Ownership{}, bases: map[string]provider.Offset{}}
+}
 
 // Next gives the first offset that was not observed.
 func (l *Ledger) Next() provider.Offset { return l.next }
@@ -46,6 +50,9 @@
 		return false
 	}
 	l.next = offset + 1
+	if offset < l.bases[shardOf(r)] {
+		return false
+	}
 	switch b := r.GetBody().(type) {
 	case *schema.Record_Claim:
 		return l.claim(offset, r, b.Claim)
@@ -109,10 +116,12 @@
 	return names
 }
 
-// Restore sets the state of a shard from a snapshot whose base is next.
+// Restore sets the state of a shard from a snapshot whose base is next; records
+// of the shard before it are passed over. After a hole every shard is restored,
+// and then Skip goes to the lowest base.
 func (l *Ledger) Restore(o *schema.Ownership, next provider.Offset) {
 	l.shards[o.GetShard()] = o
-	l.Skip(next)
+	l.bases[o.GetShard()] = next
 }
 
 func (l *Ledger) claim(offset provider.Offset, r *schema.Record, c *schema.Claim) bool {
@@ -174,6 +183,17 @@
 	return true
 }
 
+// shardOf gives the shard that a record is under, or "".
+func shardOf(r *schema.Record) string {
+	if c := r.GetClaim(); c != nil {
+		return c.GetShard()
+	}
+	if o, under := ownedBy(r); under {
+		return o.GetShard()
+	}
+	return ""
+}
+
 func inForce(o *schema.Ownership, epoch int64) bool {
 	return epoch != NoEpoch && !o.GetReleased() && o.GetEpoch() == epoch
 }
--- a/claimer/ledger_test.go
+++ b/claimer/ledger_test.go
@@ -56,27 +56,33 @@
 	}
 }
 
-// TestLedgerRestored: a ledger restored at any point ends as one that read all.
+// TestLedgerRestored: a ledger restored at any points, one for each shard, ends as
+// one that read all.
 func TestLedgerRestored(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		whole := NewLedger()
+		whole, part := NewLedger(), NewLedger()
 		records := drawRecords(t)
-		cut := rapid.IntRange(0, len(records)).Draw(t, "cut")
-		part := NewLedger()
+		cuts := map[string]int{}
+		for _, s := range []string{"a/0", "a/1"} {
+			cuts[s] = rapid.IntRange(0, len(records)-1).Draw(t, s)
+		}
+		first := min(cuts["a/0"], cuts["a/1"])
+		verdicts := make([]bool, len(records))
 		for n, r := range records {
-			if n == cut {
-				part.Skip(provider.Offset(n))
-				for _, s := range whole.Shards() {
+			for s, cut := range cuts {
+				if n == cut {
 					part.Restore(whole.Ownership(s), provider.Offset(n))
 				}
 			}
-			a := whole.Observe(provider.Offset(n), r)
-			if n >= cut {
-				must.Eq(t, a, part.Observe(provider.Offset(n), r))
-			}
+			verdicts[n] = whole.Observe(provider.Offset(n), r)
+		}
+		part.Skip(provider.Offset(first))
+		for n := first; n < len(records); n++ {
+			got := part.Observe(provider.Offset(n), records[n])
+			must.Eq(t, verdicts[n] && n >= cuts[shardOf(records[n])], got)
 		}
-		if cut < len(records) {
-			must.Eq(t, whole.Epoch("a/0"), part.Epoch("a/0"))
+		for s := range cuts {
+			must.Eq(t, whole.Epoch(s), part.Epoch(s))
 		}
 	})
 }
@@ -85,14 +91,35 @@
 	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) *schema.Record {
 		e := rapid.Int64Range(-1, 6).Draw(t, "epoch")
 		s := rapid.Int64Range(0, 3).Draw(t, "sequence")
-		switch rapid.IntRange(0, 3).Draw(t, "kind") {
-		case 0:
-			return claimOf("x", e, s)
-		case 1:
-			return renewalOf(e, s)
-		case 2:
-			return releaseOf(e)
+		one := drawRecord(t, e, s)
+		if rapid.Bool().Draw(t, "other shard") {
+			move(one, "a/1")
 		}
-		return taskOf(e)
-	}), 0, 30).Draw(t, "records")
+		return one
+	}), 1, 30).Draw(t, "records")
+}
+
+func drawRecord(t *rapid.T, epoch, sequence int64) *schema.Record {
+	switch rapid.IntRange(0, 3).Draw(t, "kind") {
+	case 0:
+		return claimOf("x", epoch, sequence)
+	case 1:
+		return renewalOf(epoch, sequence)
+	case 2:
+		return releaseOf(epoch)
+	}
+	return taskOf(epoch)
+}
+
+func move(r *schema.Record, shard string) {
+	switch b := r.GetBody().(type) {
+	case *schema.Record_Claim:
+		b.Claim.Shard = shard
+	case *schema.Record_Renewal:
+		b.Renewal.Shard = shard
+	case *schema.Record_Release:
+		b.Release.Shard = shard
+	case *schema.Record_Task:
+		b.Task.Shard = shard
+	}
 }
--- a/daemon/core.go
+++ b/daemon/core.go
@@ -149,6 +149,9 @@
 	if err != nil {
 		c.d.metrics.Add(measurer.CorruptRecords, 1)
 		c.d.logger.Emit(logger.RecordCorrupt, logger.String("stream", stream), logger.Int("offset", int64(e.Offset)), logger.Err(err))
+		if stream == c.d.ownStream() {
+			c.claimer.Skip(e.Offset + 1)
+		}
 		return
 	}
 	c.journal.Seen(r.GetId())
