--- a/daemon/bill.go
+++ b/daemon/bill.go
@@ -112,6 +112,13 @@
 	if err != nil {
 		return nil, err
 	}
+	if items := r.GetWhatIf(); len(items) > 0 {
+		x, err := e.WhatIf(m, &schema.Change{Items: items})
+		if err != nil {
+			return nil, err
+		}
+		return x.Response(), nil
+	}
 	against := explainer.Against(r.GetAgainst())
 	if against == "" {
 		against = explainer.AgainstLastMonth
