--- a/forecaster/alert.go
+++ b/forecaster/alert.go
@@ -25,8 +25,13 @@
 		if l.toDate > t.Budget {
 			how = "has passed"
 		}
-		text := fmt.Sprintf("team %s %s its budget of %d in %s: %d to date, %d expected, %d at the upper end", l.name, how, t.Budget, f.month, l.toDate, l.p50, l.p90)
+		text := fmt.Sprintf("team %s %s its budget of %s in %s: %s to date, %s expected, %s at the upper end",
+			l.name, how, f.money(t.Budget), f.month, f.money(l.toDate), f.money(l.p50), f.money(l.p90))
 		alerts = append(alerts, meter.NewFault(coder.OverBudget, -1, text))
 	}
 	return alerts
 }
+
+func (f *Forecast) money(minor int64) string {
+	return pricer.Grouped(minor, f.expected.Currency()) + " " + f.expected.Currency()
+}
--- a/reporter/money.go
+++ b/pricer/money.go
@@ -1,4 +1,4 @@
-package reporter
+package pricer
 
 import (
 	"strconv"
--- a/reporter/encoding.go
+++ b/reporter/encoding.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
 
+	"galenawharf.example/galenawharf/pricer"
 	"galenawharf.example/galenawharf/schema"
 )
 
@@ -28,7 +29,7 @@
 	row := func(name string, amounts ...int64) {
 		cells := []string{r.GetMonth(), r.GetCurrency(), safe(name)}
 		for _, a := range amounts {
-			cells = append(cells, Plain(a, r.GetCurrency()))
+			cells = append(cells, pricer.Plain(a, r.GetCurrency()))
 		}
 		rows = append(rows, cells)
 	}
@@ -46,11 +47,11 @@
 	row := func(kind, work, amount, usage, config string) {
 		rows = append(rows, []string{r.GetMonth(), c, r.GetAgainst(), kind, safe(work), amount, usage, config})
 	}
-	row("was", "", Plain(r.GetFromMinor(), c), "", "")
+	row("was", "", pricer.Plain(r.GetFromMinor(), c), "", "")
 	for _, x := range r.GetCauses() {
-		row(x.GetKind(), x.GetName(), Plain(x.GetAmountMinor(), c), offsets(x.GetOffsets()), offsets(x.GetConfigOffsets()))
+		row(x.GetKind(), x.GetName(), pricer.Plain(x.GetAmountMinor(), c), offsets(x.GetOffsets()), offsets(x.GetConfigOffsets()))
 	}
-	row("is", "", Plain(r.GetToMinor(), c), "", "")
+	row("is", "", pricer.Plain(r.GetToMinor(), c), "", "")
 	return writeCSV(w, rows)
 }
 
--- a/reporter/page.go
+++ b/reporter/page.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"galenawharf.example/galenawharf/pricer"
 	"galenawharf.example/galenawharf/schema"
 )
 
@@ -46,7 +47,7 @@
 	pageText string
 
 	pageTemplate = template.Must(template.New("page").Funcs(template.FuncMap{
-		"money": Grouped, "signed": Signed, "name": nameOf, "offsets": offsets,
+		"money": pricer.Grouped, "signed": pricer.Signed, "name": nameOf, "offsets": offsets,
 		"minus": func(a, b int64) int64 { return a - b },
 	}).Parse(pageText))
 )
--- a/reporter/plot.go
+++ b/reporter/plot.go
@@ -15,6 +15,7 @@
 	"gonum.org/v1/plot/vg/draw"
 	"gonum.org/v1/plot/vg/vgsvg"
 
+	"galenawharf.example/galenawharf/pricer"
 	"galenawharf.example/galenawharf/schema"
 )
 
@@ -56,7 +57,7 @@
 	ticks := plot.DefaultTicks{}.Ticks(low, high)
 	for n, t := range ticks {
 		if t.Label != "" {
-			ticks[n].Label = Grouped(int64(math.Round(t.Value)), m.currency)
+			ticks[n].Label = pricer.Grouped(int64(math.Round(t.Value)), m.currency)
 		}
 	}
 	return ticks
--- a/reporter/table.go
+++ b/reporter/table.go
@@ -9,6 +9,7 @@
 	"io"
 	"unicode/utf8"
 
+	"galenawharf.example/galenawharf/pricer"
 	"galenawharf.example/galenawharf/schema"
 )
 
@@ -68,11 +69,11 @@
 	_, _ = fmt.Fprintf(w, "%s against %s, in %s\n\n", r.GetMonth(), r.GetAgainst(), c)
 	t := &table{}
 	t.add("cause", "amount", "usage offsets", "config offsets")
-	t.add("was", Grouped(r.GetFromMinor(), c), "", "")
+	t.add("was", pricer.Grouped(r.GetFromMinor(), c), "", "")
 	for _, x := range r.GetCauses() {
-		t.add(x.GetKind()+" of "+nameOf(x.GetName()), Signed(x.GetAmountMinor(), c), offsets(x.GetOffsets()), offsets(x.GetConfigOffsets()))
+		t.add(x.GetKind()+" of "+nameOf(x.GetName()), pricer.Signed(x.GetAmountMinor(), c), offsets(x.GetOffsets()), offsets(x.GetConfigOffsets()))
 	}
-	t.add("is", Grouped(r.GetToMinor(), c), "", "")
+	t.add("is", pricer.Grouped(r.GetToMinor(), c), "", "")
 	t.write(w)
 	writeList(w, "Left out, or taken for what is missing", r.GetLeftOut())
 }
@@ -80,7 +81,7 @@
 func forecastCells(r *schema.ForecastResponse, amounts ...int64) []string {
 	cells := make([]string, 0, len(amounts))
 	for _, a := range amounts {
-		cells = append(cells, Grouped(a, r.GetCurrency()))
+		cells = append(cells, pricer.Grouped(a, r.GetCurrency()))
 	}
 	return cells
 }
@@ -88,7 +89,7 @@
 func partTexts(r *schema.ForecastResponse) []string {
 	var texts []string
 	for _, p := range r.GetParts() {
-		texts = append(texts, p.GetName()+" "+Grouped(p.GetAmountMinor(), r.GetCurrency()))
+		texts = append(texts, p.GetName()+" "+pricer.Grouped(p.GetAmountMinor(), r.GetCurrency()))
 	}
 	return texts
 }
