--- a/dispatcher/path_test.go
+++ b/dispatcher/path_test.go
@@ -8,6 +8,7 @@
 	"testing"
 
 	"galenawharf.example/galenawharf/clock"
+	"galenawharf.example/galenawharf/declarer"
 	"galenawharf.example/galenawharf/dialer"
 	"galenawharf.example/galenawharf/imitator"
 	"galenawharf.example/galenawharf/provider"
@@ -37,7 +38,7 @@
 		if err != nil {
 			b.Fatal(err)
 		}
-		d.SetView(NewView([]provider.Host{{Address: address, Service: "s", Slots: 64, Connections: 64}}, nil, nil, nil))
+		d.SetView(NewView([]provider.Host{{Address: address, Service: "s", Slots: 64, Connections: 64}}, nil, []declarer.Service{{Name: "s", Limits: declarer.RequestLimits{PerSecond: 1_000_000}}}, nil))
 		b.ReportAllocs()
 		for b.Loop() {
 			a := d.Check(b.Context(), request(fmt.Sprint(n.Add(1)), 10_000))
