--- a/dispatcher/controller.go
+++ b/dispatcher/controller.go
@@ -29,7 +29,7 @@
 )
 
 const (
-	controlEvery = 100 * time.Millisecond
+	controlEvery = 250 * time.Millisecond
 	// An executor without answers for driftAfter is taken to be as fast as its
 	// peers, little by little.
 	driftAfter = clock.Second
--- a/dispatcher/path_test.go
+++ b/dispatcher/path_test.go
@@ -50,3 +50,58 @@
 		_ = d.Close(b.Context())
 	})
 }
+
+// BenchmarkView takes a new view, and BenchmarkControl a look at all executors.
+func BenchmarkView(b *testing.B) {
+	for _, n := range []int{50, 200, 1000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			d := idle(b, n)
+			v := viewOf(n)
+			b.ReportAllocs()
+			for b.Loop() {
+				d.SetView(v)
+			}
+		})
+	}
+}
+
+func BenchmarkControl(b *testing.B) {
+	for _, n := range []int{50, 200, 1000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			d := idle(b, n)
+			c := newController(d.now, d.snapshot.Load, newCalls(), d.policy)
+			b.ReportAllocs()
+			for b.Loop() {
+				c.step()
+			}
+		})
+	}
+}
+
+func idle(b *testing.B, executors int) *Dispatcher {
+	b.Helper()
+	d, err := New(WithExecutors(provider.Executors{
+		Run: func(context.Context, string, provider.Request) (provider.Response, error) {
+			return provider.Response{}, nil
+		},
+		Cancel: func(context.Context, string, string) (provider.CancelState, error) { return "", nil },
+	}), WithName("e0"), WithDataCentre("d0"))
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { _ = d.Close(context.Background()) })
+	d.SetView(viewOf(executors))
+	return d
+}
+
+// viewOf gives a view in which entry hosts grow with the executors, 8 to 56.
+func viewOf(executors int) *View {
+	var hosts, entries []provider.Host
+	for i := range executors {
+		hosts = append(hosts, provider.Host{Address: fmt.Sprint(i), Service: "s", DataCentre: fmt.Sprint("d", i%8), Slots: 8, Connections: 64})
+	}
+	for i := range 8 + 48*executors/1000 {
+		entries = append(entries, provider.Host{Name: fmt.Sprint("e", i), DataCentre: fmt.Sprint("d", i%8)})
+	}
+	return NewView(hosts, entries, nil, nil)
+}
--- a/dispatcher/viewer.go
+++ b/dispatcher/viewer.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"slices"
 	"sync"
 
 	"galenawharf.example/galenawharf/apportioner"
@@ -18,6 +19,14 @@
 		share      func(t *apportioner.Table, entry, address string) int
 		services   map[string]*service
 		targets    map[string]*router.Target
+		divisions  map[string]division
+	}
+
+	// division is how the executors of a service are divided among entry hosts.
+	division struct {
+		entries   []apportioner.Entry
+		executors []apportioner.Executor
+		table     *apportioner.Table
 	}
 
 	// distance is how far an executor is: 0 for the same data centre, 1 for the
@@ -114,10 +123,17 @@
 		}
 	}
 	entries := v.entriesOf(w)
+	divisions := make(map[string]division, len(executors))
 	tables := make(map[string]*apportioner.Table, len(executors))
 	for name, e := range executors {
-		tables[name] = apportioner.NewTable(entries, e)
+		d, known := v.divisions[name]
+		if !known || !slices.Equal(d.entries, entries) || !slices.Equal(d.executors, e) {
+			d = division{entries: entries, executors: e, table: apportioner.NewTable(entries, e)}
+		}
+		divisions[name] = d
+		tables[name] = d.table
 	}
+	v.divisions = divisions
 	return tables
 }
 
