--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -79,6 +79,11 @@
 			workers: []Worker{workerOf("x", "r", whole, batchOf("0", gib(30, 60, 0)))},
 			want:    map[string]string{"2": "x"},
 		},
+		"a whole worker": {
+			waiting: []Task{batchOf("1", gib(32, 1, 0)), batchOf("2", gib(1, 125, 0))},
+			workers: []Worker{workerOf("x", "r", whole, batchOf("0", gib(1, 1, 0))), workerOf("y", "r", whole), workerOf("z", "r", whole)},
+			want:    map[string]string{"1": "y", "2": "z"},
+		},
 		"closed takes nothing": {
 			waiting: []Task{serviceOf("1", gib(1, 1, 0))},
 			workers: []Worker{NewWorker("x", "a", "r", whole, whole, nil, true)},
@@ -285,15 +290,15 @@
 	now := clock.Second
 	p.Started(now, check, "x")
 	p.Started(now, hog, "x")
-	p.Place(now, nil, []Worker{workerOf("x", "r", capacity, check, hog)})
-	must.Len(t, 0, p.Control(now))
+	workers := []Worker{workerOf("x", "r", capacity, check, hog)}
+	must.Len(t, 0, p.Control(now, workers))
 	p.Observe(now+20*clock.Second, "x", capacity, []Usage{NewUsage("c", now, now+10*clock.Second, 2000, 1, 500)})
-	got := p.Control(now + 20*clock.Second)
+	got := p.Control(now+20*clock.Second, workers)
 	must.Len(t, 1, got)
 	must.Eq(t, "hog", got[0].Task())
 	must.Eq(t, 500, got[0].Permille())
 	p.Throttled(now+21*clock.Second, "hog", 500)
-	must.Len(t, 0, p.Control(now+22*clock.Second))
+	must.Len(t, 0, p.Control(now+22*clock.Second, workers))
 }
 
 // TestThrottledSampleComesAfterTheEnd has the last sample of a throttled task
@@ -324,10 +329,9 @@
 	hog := NewTask("hog", "t", "hogs", "hog", Batch, gib(6, 6, 0))
 	p.Started(1, check, "x")
 	p.Started(1, hog, "x")
-	p.Place(1, nil, []Worker{workerOf("x", "r", capacity, check, hog)})
 	p.Observe(20*clock.Second, "x", capacity, []Usage{NewUsage("c", 2, 10*clock.Second, 2000, 1, 400)})
 	p.Observe(20*clock.Second, "x", capacity, []Usage{NewUsage("hog", 2, 10*clock.Second+1, 6000, 1, 1000)})
-	must.Len(t, 1, p.Control(20*clock.Second))
+	must.Len(t, 1, p.Control(20*clock.Second, []Worker{workerOf("x", "r", capacity, check, hog)}))
 }
 
 // TestFailuresReachTheQuarantine parks a job that fails everywhere, and holds
@@ -351,6 +355,9 @@
 	must.Eq(t, quarantiner.Quarantined, p.WorkerState("v"))
 	waiting := []Task{NewTask("1", "t", "bad", "c", Batch, gib(1, 1, 0)), serviceOf("2", gib(1, 1, 0))}
 	must.Len(t, 0, p.Place(3, waiting, []Worker{workerOf("v", "r", gib(16, 60, 0))}))
+	standing := NewTask("3", "t", "bad", "c", Watch, gib(1, 1, 0))
+	must.Len(t, 0, p.Place(3, []Task{standing}, []Worker{workerOf("u", "r", gib(16, 60, 0))}))
+	must.Len(t, 1, p.Place(clock.Hour, []Task{standing, waiting[0]}, []Worker{workerOf("u", "r", gib(16, 60, 0))}))
 	p.Unpark("bad")
 	must.Len(t, 1, p.Place(3, waiting[:1], []Worker{workerOf("u", "r", gib(16, 60, 0))}))
 }
