--- a/configurer/defaults.go
+++ b/configurer/defaults.go
@@ -14,8 +14,12 @@
 		Checks:  2048,
 		Waiters: 4096,
 		Orders:  64,
+
+		SnapshotRecords: 50_000,
 	}
 
+	defaultRetention = 7 * clock.Day
+
 	defaultTiming = Timing{
 		Tick:         100,
 		LogPoll:      250,
@@ -39,6 +43,8 @@
 	s.Limits.Checks = cmp.Or(s.Limits.Checks, defaultLimits.Checks)
 	s.Limits.Waiters = cmp.Or(s.Limits.Waiters, defaultLimits.Waiters)
 	s.Limits.Orders = cmp.Or(s.Limits.Orders, defaultLimits.Orders)
+	s.Limits.SnapshotRecords = cmp.Or(s.Limits.SnapshotRecords, defaultLimits.SnapshotRecords)
+	s.Platform.Retention = cmp.Or(s.Platform.Retention, defaultRetention)
 	s.Timing.Tick = cmp.Or(s.Timing.Tick, defaultTiming.Tick)
 	s.Timing.LogPoll = cmp.Or(s.Timing.LogPoll, defaultTiming.LogPoll)
 	s.Timing.HostPoll = cmp.Or(s.Timing.HostPoll, defaultTiming.HostPoll)
--- a/configurer/settings.go
+++ b/configurer/settings.go
@@ -50,6 +50,8 @@
 	Platform struct {
 		Log   string `json:"log"`
 		Hosts string `json:"hosts"`
+		// Retention is how long the log keeps records.
+		Retention clock.Millis `json:"retention"`
 	}
 
 	// Limits bound what one daemon takes.
@@ -64,6 +66,9 @@
 		Waiters int `json:"waiters"`
 		// Orders is the most orders to workers in flight.
 		Orders int `json:"orders"`
+		// SnapshotRecords is after how many records of a stream a snapshot
+		// is written, if its time has not come before.
+		SnapshotRecords int `json:"snapshot-records"`
 	}
 
 	// Timing are the periods and time limits of a daemon.
--- a/configurer/validate.go
+++ b/configurer/validate.go
@@ -19,6 +19,9 @@
 	minPeriod = clock.Millis(10)
 	maxBody   = 64 << 20
 	maxCount  = 1_000_000
+
+	minRetention = clock.Day
+	maxRetention = 365 * clock.Day
 )
 
 // Validate gives every fault of s.
@@ -58,6 +61,9 @@
 func (v *validator) platform(p Platform) {
 	v.reachable("$.platform.log", p.Log)
 	v.reachable("$.platform.hosts", p.Hosts)
+	if p.Retention < minRetention || p.Retention > maxRetention {
+		v.add(coder.OutOfRange, "$.platform.retention", "%s is not between %s and %s", p.Retention.Duration(), minRetention.Duration(), maxRetention.Duration())
+	}
 }
 
 func (v *validator) limits(l Limits) {
@@ -66,6 +72,7 @@
 	v.between("$.limits.checks", int64(l.Checks), 1, maxCount)
 	v.between("$.limits.waiters", int64(l.Waiters), 1, maxCount)
 	v.between("$.limits.orders", int64(l.Orders), 1, maxCount)
+	v.between("$.limits.snapshot-records", int64(l.SnapshotRecords), 1, maxCount)
 }
 
 func (v *validator) timing(t Timing) {
--- a/daemon/bill.go
+++ b/daemon/bill.go
@@ -26,7 +26,7 @@
 		return
 	}
 	c.ledger = meter.NewLedger(zone)
-	c.d.rewind(provider.StreamUsage)
+	c.readAgain(provider.StreamUsage, 0)
 }
 
 // usage counts an hour's record.
--- a/daemon/core.go
+++ b/daemon/core.go
@@ -39,6 +39,7 @@
 		endRead map[string]clock.Millis
 		// confirmations are told when a record is read back, by its id.
 		confirmations map[string]func(confirmation)
+		snapshots     *snapshots
 		waiters       map[string][]chan keeper.Outcome
 		held          []string
 		faults        []meter.Fault
@@ -72,6 +73,7 @@
 		confirmations: map[string]func(confirmation){},
 		waiters:       map[string][]chan keeper.Outcome{},
 	}
+	c.snapshots = newSnapshots(d)
 	t := d.settings.Timing
 	var err error
 	c.claimer, err = claimer.New(d.settings.Name, d.incarnation, d.settings.DataCentre, claimer.WithLapse(t.Claim, t.Claim/renewalsPerClaim))
@@ -136,17 +138,32 @@
 // page takes in a part of any other stream; began is when its read began.
 func (c *core) page(stream string, p provider.Page, began clock.Millis) {
 	if p.Oldest > c.next[stream] {
-		c.d.logger.Emit(logger.LogHole, logger.String("stream", stream), logger.Int("from", int64(c.next[stream])), logger.Int("to", int64(p.Oldest)))
-		c.next[stream] = p.Oldest
+		c.hole(stream, p.Oldest)
+	}
+	if c.paused(stream) {
+		return
 	}
 	for _, e := range p.Entries {
-		c.entry(stream, e)
+		if e.Offset > c.next[stream] {
+			c.d.rewind(stream, c.next[stream])
+			return
+		}
+		if e.Offset == c.next[stream] {
+			c.entry(stream, e)
+		}
 	}
 	if c.next[stream] >= p.Next {
 		c.atEnd(stream, began)
 	}
 }
 
+// readAgain has a stream read anew from an offset.
+func (c *core) readAgain(stream string, from provider.Offset) {
+	c.next[stream] = from
+	c.caughtUp[stream] = false
+	c.d.rewind(stream, from)
+}
+
 func (c *core) entry(stream string, e provider.Entry) {
 	c.next[stream] = e.Offset + 1
 	c.d.metrics.Add(measurer.ReadBytes, int64(len(e.Data)))
@@ -154,12 +171,14 @@
 	if err != nil {
 		c.d.metrics.Add(measurer.CorruptRecords, 1)
 		c.d.logger.Emit(logger.RecordCorrupt, logger.String("stream", stream), logger.Int("offset", int64(e.Offset)), logger.Err(err))
-		if stream == c.d.ownStream() {
-			c.claimer.Skip(e.Offset + 1)
-		}
+		c.passOver(stream, e.Offset)
 		return
 	}
 	c.journal.Seen(r.GetId())
+	if c.snapshots.seen(c.d.now(), stream, r) {
+		c.passOver(stream, e.Offset)
+		return
+	}
 	switch stream {
 	case provider.StreamIntents:
 		c.intent(e.Offset, r)
@@ -170,7 +189,19 @@
 	}
 }
 
+// passOver notes a record of which nothing follows. While a stream is read for
+// its snapshot alone, those who follow it have not reached it yet.
+func (c *core) passOver(stream string, o provider.Offset) {
+	if stream == c.d.ownStream() && !c.snapshots.scanning(stream) {
+		c.claimer.Skip(o + 1)
+	}
+}
+
 func (c *core) atEnd(stream string, began clock.Millis) {
+	if c.snapshots.scanning(stream) {
+		c.recover(stream)
+		return
+	}
 	c.caughtUp[stream] = true
 	c.endRead[stream] = began
 	if stream == c.d.ownStream() {
@@ -294,6 +325,7 @@
 		sum = sum.Add(s.keeper.Count())
 	}
 	c.callJobs(now)
+	c.writeSnapshots(now)
 	for _, b := range c.journal.Step(now) {
 		c.d.appendBatch(b)
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -49,7 +49,7 @@
 		ready       atomic.Bool
 		inFlight    atomic.Int64
 		sequence    atomic.Int64
-		// rewound are streams that are to be read again from the start.
+		// rewound has the offsets from which streams are to be read again.
 		rewound sync.Map
 		// mailbox carries work to the goroutine that owns the core.
 		mailbox chan func(*core)
--- a/daemon/loops.go
+++ b/daemon/loops.go
@@ -47,8 +47,8 @@
 	var next provider.Offset
 	down := false
 	for {
-		if _, again := d.rewound.LoadAndDelete(stream); again {
-			next = 0
+		if to, again := d.rewound.LoadAndDelete(stream); again {
+			next = to.(provider.Offset)
 		}
 		began := d.now()
 		ctx, cancel := d.platformContext()
@@ -75,8 +75,8 @@
 	}
 }
 
-// rewind has a stream read again from the start.
-func (d *Daemon) rewind(stream string) { d.rewound.Store(stream, true) }
+// rewind has a stream read again from an offset.
+func (d *Daemon) rewind(stream string, to provider.Offset) { d.rewound.Store(stream, to) }
 
 func (d *Daemon) noteLog(stream string, err error) {
 	if err != nil {
--- a/daemon/requests.go
+++ b/daemon/requests.go
@@ -97,6 +97,9 @@
 
 // await waits for the end of submitted work.
 func (d *Daemon) await(ctx context.Context, r *schema.AwaitRequest) *schema.Answer {
+	if !d.ready.Load() {
+		return refusal(r.GetKey(), coder.New(coder.NotReady, "the daemon has just started and is not ready: ask another entry host"), d.settings.Timing.Heartbeat)
+	}
 	if d.inFlight.Load() > int64(d.settings.Limits.Waiters) {
 		return refusal(r.GetKey(), coder.New(coder.Overloaded, "too many callers wait here"), clock.Second)
 	}
--- a/daemon/status.go
+++ b/daemon/status.go
@@ -93,10 +93,13 @@
 		return "the daemon is leaving"
 	}
 	missing, err := within(d.ctx, d, func(c *core) string {
-		if m := c.missing(); m != "" || c.listed {
+		if m := c.missing(); m != "" {
 			return m
 		}
-		return hostList
+		if !d.ready.Load() {
+			return hostList
+		}
+		return ""
 	})
 	switch {
 	case err != nil:
--- a/demonstrator/deployment.go
+++ b/demonstrator/deployment.go
@@ -42,6 +42,8 @@
 		Clock func() clock.Millis
 		// BillGrace is how long an hour's usage record waits.
 		BillGrace clock.Millis
+		// SnapshotRecords is after how many records a snapshot is written.
+		SnapshotRecords int
 	}
 
 	// Deployment is a running deployment.
@@ -166,6 +168,7 @@
 			s.Listen = configurer.Listen{Callers: ip + ":7100", Peers: ip + ":7200", Status: ip + ":7300"}
 			s.Timing = configurer.Timing{LogPoll: 50, HostPoll: 200, Heartbeat: 200, Tick: 50}
 			s.Timing.BillGrace = d.shape.BillGrace
+			s.Limits.SnapshotRecords = d.shape.SnapshotRecords
 			s.Defaults()
 			d.settings = append(d.settings, s)
 			d.list = append(d.list, provider.Host{Name: s.Name, Role: provider.RoleEntry, DataCentre: dc, Address: s.Listen.Callers})
--- a/imitator/log.go
+++ b/imitator/log.go
@@ -105,6 +105,16 @@
 	return l.total
 }
 
+// Discard drops the records of a stream below an offset, as retention does.
+func (l *Log) Discard(name string, before provider.Offset) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.stream(name)
+	n := max(0, min(int(before-s.oldest), len(s.entries)))
+	s.entries = slices.Delete(s.entries, 0, n)
+	s.oldest += provider.Offset(n)
+}
+
 // Provider gives the log as daemons see it.
 func (l *Log) Provider() provider.Log {
 	return provider.Log{Append: l.append, Read: l.read}
--- a/provider/log.go
+++ b/provider/log.go
@@ -4,7 +4,10 @@
 // exported here are filled by codecs.
 package provider
 
-import "context"
+import (
+	"context"
+	"strconv"
+)
 
 type (
 	// Offset is a place in a stream of the log; the first is 0.
@@ -49,3 +52,6 @@
 
 // StreamOf names the stream of one data centre's shards.
 func StreamOf(dataCentre string) string { return "dc/" + dataCentre }
+
+// String gives the offset in decimals.
+func (o Offset) String() string { return strconv.FormatInt(int64(o), 10) }
