--- a/claimer/ledger_test.go
+++ b/claimer/ledger_test.go
@@ -56,6 +56,17 @@
 	}
 }
 
+// TestSkip: a record that can't be decoded is passed over and the next one counts.
+func TestSkip(t *testing.T) {
+	l := NewLedger()
+	must.True(t, l.Observe(0, claimOf("x", NoEpoch, 0)))
+	must.False(t, l.Observe(2, renewalOf(0, 1)))
+	l.Skip(2)
+	must.True(t, l.Observe(2, renewalOf(0, 1)))
+	l.Skip(1)
+	must.Eq(t, provider.Offset(3), l.Next())
+}
+
 // TestLedgerRestored: a ledger restored at any points, one for each shard, ends as
 // one that read all.
 func TestLedgerRestored(t *testing.T) {
