meter, daemon: a shard's meter gets every record of its hours

Cause: usage read before the shard's data centre was applied passed its meter by. The meter then asked for these hours again and again, and since their records were in the log already, none of its own ever counted. Ruled out: reading configuration first; it can come in several pages. Change: a new shard has the stream read again; the ledger tells of a record that it has whether it is the one that counts. Measured: go test ./meter -run ReadAgain; the daemon's part has no test of its own yet.

--- a/daemon/bill.go
+++ b/daemon/bill.go
@@ -35,11 +35,11 @@
 	if u == nil || c.ledger == nil {
 		return
 	}
-	counts, fault := c.ledger.Add(int64(o), u)
+	_, fault := c.ledger.Add(int64(o), u)
 	if fault != nil {
 		c.billFault(*fault)
 	}
-	if s, own := c.shards[u.GetShard()]; own && counts {
+	if s, own := c.shards[u.GetShard()]; own && c.ledger.Counts(int64(o), u) {
 		s.meter.Recorded(u)
 	}
 }
--- a/daemon/core.go
+++ b/daemon/core.go
@@ -206,6 +206,9 @@
 	}
 	s.setConfig(c.state)
 	c.shards[name] = s
+	// Its meter needs every record of its hours, also those read before it was
+	// known.
+	c.d.rewind(provider.StreamUsage)
 }
 
 func (c *core) intent(o provider.Offset, r *schema.Record) {
--- a/meter/ledger.go
+++ b/meter/ledger.go
@@ -104,6 +104,13 @@
 	return true, nil
 }
 
+// Counts tells whether the record at an offset is the one that counts for its
+// shard and hour, also where it was added before and the stream is read again.
+func (l *Ledger) Counts(offset int64, u *schema.Usage) bool {
+	m, there := l.shards[u.GetShard()][hourOf(clock.Millis(u.GetHourMillis()))]
+	return there && m.offset == offset
+}
+
 func (l *Ledger) mark(shard string, h clock.Millis, m mark) {
 	if l.shards[shard] == nil {
 		l.shards[shard] = map[clock.Millis]mark{}
--- a/meter/ledger_test.go
+++ b/meter/ledger_test.go
@@ -63,6 +63,22 @@
 	}
 }
 
+// TestLedgerReadAgain: a stream that is read again counts nothing twice, and
+// says of each record what it said before.
+func TestLedgerReadAgain(t *testing.T) {
+	l := NewLedger(time.UTC)
+	records := []*schema.Usage{usageOf(shard, epoch, 3), usageOf(shard, epoch, 4), usageOf(shard, epoch+clock.Hour, 5)}
+	for range 2 {
+		var counts []bool
+		for n, u := range records {
+			l.Add(int64(n), u)
+			counts = append(counts, l.Counts(int64(n), u))
+		}
+		must.Eq(t, []bool{true, false, true}, counts)
+		must.Eq(t, 8, totalOf(l))
+	}
+}
+
 func totalOf(l *Ledger) int64 {
 	total := int64(0)
 	for _, d := range l.Days(0, clock.Never) {
