--- a/replicator/fleet_test.go
+++ b/replicator/fleet_test.go
@@ -46,6 +46,7 @@
 		name        string
 		dataCentre  string
 		incarnation int
+		identity    string
 		rate        int64
 		offset      clock.Millis
 		dead        bool
@@ -87,6 +88,7 @@
 // boot makes a member a new process that knows nothing.
 func (f *fleet) boot(m *member) {
 	m.incarnation++
+	m.identity = fmt.Sprintf("%s#%d", m.name, m.incarnation)
 	m.rate = 990 + f.rng.Int64N(21)
 	m.offset = clock.Millis(f.rng.Int64N(int64(clock.Day)))
 	m.dead = false
@@ -103,7 +105,7 @@
 	m.Replicator = r
 }
 
-func (m *member) process() string { return fmt.Sprintf("%s#%d", m.name, m.incarnation) }
+func (m *member) process() string { return m.identity }
 
 func (f *fleet) local(m *member) clock.Millis {
 	return m.offset + f.now.Now()*clock.Millis(m.rate)/1000
@@ -164,7 +166,9 @@
 	for _, do := range inbox {
 		do()
 	}
-	m.SetPeers(f.peers(m))
+	if f.local(m) >= m.exchangedAt+exchangeEvery {
+		m.SetPeers(f.peers(m))
+	}
 	if f.tamper != nil {
 		f.tamper(m)
 	}
