forecaster: sums of past costs in one order

Cause: a sum over a map could move the end of a band by one cent between runs. Change: the costs are sorted before they are added.

--- a/forecaster/interval.go
+++ b/forecaster/interval.go
@@ -5,6 +5,7 @@
 	"math"
 	"slices"
 
+	"gonum.org/v1/gonum/floats"
 	"gonum.org/v1/gonum/stat"
 
 	"galenawharf.example/galenawharf/clock"
@@ -173,16 +174,18 @@
 // unknown gives the cost of work that was not expected at all, as a share of
 // what was.
 func (l lookBack) unknown() float64 {
-	sum := 0.0
+	if l.expected[group{}] == 0 {
+		return 0
+	}
+	var costs []float64
 	for g, actual := range l.actual {
 		if g.by == pricer.ByWork && l.expected[g] == 0 {
-			sum += actual
+			costs = append(costs, actual)
 		}
 	}
-	if l.expected[group{}] == 0 {
-		return 0
-	}
-	return sum / l.expected[group{}]
+	// Sums of floating point numbers depend on their order.
+	slices.Sort(costs)
+	return floats.Sum(costs) / l.expected[group{}]
 }
 
 // off gives an error as a share of what was expected, at most all of it.
