ejector: at most a third of the slots is ejected; nothing is silent before latency is known

At the start, with no latency known, every attempt of more than 50 ms was taken for silent, which ejected a third of the executors; those were the near ones, which are most of an entry host's slots. Ruled out: the queue (refusals were true: 17 of 57 slots were left). Change: quantiles count as known after 100 answers, until then an attempt has 5 s; the share of a pool that may be ejected holds for slots too. Reports of executors carry their slots; the property test now checks slots as well.

--- a/dispatcher/controller.go
+++ b/dispatcher/controller.go
@@ -118,7 +118,7 @@
 	reports := make([]ejector.Report, 0, len(r.pool.Targets()))
 	for _, t := range r.pool.Targets() {
 		targets[t.Host().Address] = t
-		reports = append(reports, ejector.NewReport(t.Host().Address, t.Answers(), t.Failures(), t.Latency()))
+		reports = append(reports, ejector.NewReport(t.Host().Address, t.Share(), t.Answers(), t.Failures(), t.Latency()))
 	}
 	for _, change := range c.policy.eject(e, c.now(), reports) {
 		apply(targets[change.Address()], change.State())
--- a/dispatcher/policy.go
+++ b/dispatcher/policy.go
@@ -36,6 +36,8 @@
 	// of the same request has twice the time.
 	silentFactor = 2
 	minSilent    = 50 * clock.Millis(1)
+	// While the percentile isn't known, an attempt has coldSilent.
+	coldSilent = 5 * clock.Second
 )
 
 var defaultPolicy = policy{
@@ -56,5 +58,8 @@
 }
 
 func silentAfter(l *router.Latency, n int) clock.Millis {
+	if l.P99() == 0 {
+		return coldSilent << (n - 1)
+	}
 	return max(silentFactor*l.P99(), minSilent) << (n - 1)
 }
--- a/ejector/ejector.go
+++ b/ejector/ejector.go
@@ -3,6 +3,7 @@
 package ejector
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -19,7 +20,8 @@
 )
 
 const (
-	// poolShare is the part of the pool, one in poolShare, that may be ejected at a time.
+	// poolShare is the part of the pool, one in poolShare, that may be ejected
+	// at a time, by executors and by their slots.
 	poolShare = 3
 	// maxFailures in a row eject an executor.
 	maxFailures = 5
@@ -71,6 +73,7 @@
 		if e.members[r.address] == nil {
 			e.members[r.address] = &member{lifecycle: newLifecycle(), answers: r.answers}
 		}
+		e.members[r.address].slots = r.slots
 	}
 	for address, m := range e.members {
 		if seen[address] {
@@ -83,22 +86,48 @@
 	}
 }
 
+// allows tells whether one more may be ejected.
+func (e *Ejector) allows(m *member) bool {
+	slots, ejected := e.slots()
+	return e.ejected < len(e.members)/poolShare && ejected+m.slots <= slots/poolShare
+}
+
+// slots gives those of the pool, and of them those of ejected executors.
+func (e *Ejector) slots() (all, ejected int) {
+	for _, m := range e.members {
+		all += m.slots
+		if m.lifecycle.Is(Ejected) {
+			ejected += m.slots
+		}
+	}
+	return all, ejected
+}
+
 // shrink ends the ejections that end soonest anyway, where the pool has become
 // too small for them.
 func (e *Ejector) shrink(now clock.Millis) {
-	for excess := e.ejected - len(e.members)/poolShare; excess > 0; excess-- {
-		var soonest *member
-		for _, address := range slices.Sorted(maps.Keys(e.members)) {
-			m := e.members[address]
-			if m.lifecycle.Is(Ejected) && now.Before(m.until) && (soonest == nil || m.until.Before(soonest.until)) {
-				soonest = m
-			}
-		}
-		if soonest == nil {
+	slots, ejectedSlots := e.slots()
+	ejected := e.ejected
+	for _, m := range e.soonest() {
+		if ejected <= len(e.members)/poolShare && ejectedSlots <= slots/poolShare {
 			return
 		}
-		soonest.until = now
+		m.until = min(m.until, now)
+		ejected--
+		ejectedSlots -= m.slots
+	}
+}
+
+// soonest gives the ejected members, those first whose ejection ends first.
+func (e *Ejector) soonest() []*member {
+	var ejected []*member
+	for _, address := range slices.Sorted(maps.Keys(e.members)) {
+		if m := e.members[address]; m.lifecycle.Is(Ejected) {
+			ejected = append(ejected, m)
+		}
 	}
+	slices.SortStableFunc(ejected, func(a, b *member) int { return cmp.Compare(a.until, b.until) })
+	return ejected
 }
 
 func (e *Ejector) judge(changes []Change, now clock.Millis, r Report, median clock.Millis) []Change {
@@ -111,7 +140,7 @@
 		e.move(m, eventProbe, now, r)
 		e.ejected--
 	case m.cause(r, median) != "":
-		if e.ejected >= len(e.members)/poolShare {
+		if !e.allows(m) {
 			return changes
 		}
 		return append(changes, e.eject(m, now, r, m.cause(r, median)))
--- a/ejector/ejector_test.go
+++ b/ejector/ejector_test.go
@@ -37,12 +37,12 @@
 		bad  Report
 		want Cause
 	}{
-		"good":         {bad: NewReport("0", 100, 0, 20)},
-		"some fail":    {bad: NewReport("0", 100, maxFailures-1, 20)},
-		"all fail":     {bad: NewReport("0", 100, maxFailures, 20), want: CauseFailures},
-		"slow":         {bad: NewReport("0", 100, 0, 100), want: CauseLatency},
-		"a bit slow":   {bad: NewReport("0", 100, 0, 60)},
-		"slow at once": {bad: NewReport("0", minAnswers-1, 0, 100)},
+		"good":         {bad: NewReport("0", 1, 100, 0, 20)},
+		"some fail":    {bad: NewReport("0", 1, 100, maxFailures-1, 20)},
+		"all fail":     {bad: NewReport("0", 1, 100, maxFailures, 20), want: CauseFailures},
+		"slow":         {bad: NewReport("0", 1, 100, 0, 100), want: CauseLatency},
+		"a bit slow":   {bad: NewReport("0", 1, 100, 0, 60)},
+		"slow at once": {bad: NewReport("0", 1, minAnswers-1, 0, 100)},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -50,10 +50,10 @@
 			reports := []Report{tc.bad}
 			var fresh []Report
 			for i := range 9 {
-				reports = append(reports, NewReport(fmt.Sprint(i+1), 100, 0, 20))
+				reports = append(reports, NewReport(fmt.Sprint(i+1), 1, 100, 0, 20))
 			}
 			for _, r := range reports {
-				fresh = append(fresh, NewReport(r.address, 0, 0, 0))
+				fresh = append(fresh, NewReport(r.address, 1, 0, 0, 0))
 			}
 			must.SliceEmpty(t, e.Step(0, fresh))
 			changes := e.Step(100, reports)
@@ -73,7 +73,7 @@
 func TestProbeBack(t *testing.T) {
 	e := New()
 	reports := func(answers int64, failures int) []Report {
-		return []Report{NewReport("x", answers, failures, 20), NewReport("y", 9, 0, 20), NewReport("z", 9, 0, 20)}
+		return []Report{NewReport("x", 1, answers, failures, 20), NewReport("y", 1, 9, 0, 20), NewReport("z", 1, 9, 0, 20)}
 	}
 	now := clock.Millis(0)
 	for n := range 4 {
@@ -98,15 +98,18 @@
 		for now := clock.Millis(0); now < 20*clock.Second; now += clock.Millis(rapid.IntRange(1, 2000).Draw(r, "step")) {
 			var reports []Report
 			for i := range rapid.IntRange(0, 12).Draw(r, "pool") {
-				reports = append(reports, NewReport(fmt.Sprint(i), int64(now), rapid.IntRange(0, 6).Draw(r, "failures"), clock.Millis(rapid.IntRange(0, 200).Draw(r, "latency"))))
+				reports = append(reports, NewReport(fmt.Sprint(i), rapid.IntRange(0, 8).Draw(r, "slots"), int64(now), rapid.IntRange(0, 6).Draw(r, "failures"), clock.Millis(rapid.IntRange(0, 200).Draw(r, "latency"))))
 			}
 			e.Step(now, reports)
-			ejected := 0
+			ejected, ejectedSlots, slots := 0, 0, 0
 			for _, p := range reports {
+				slots += p.slots
 				if e.State(p.address) == Ejected {
 					ejected++
+					ejectedSlots += p.slots
 				}
 			}
+			must.False(t, tooMany(ejectedSlots, slots))
 			must.Eq(t, ejected, e.Ejected())
 			must.False(t, tooMany(ejected, len(reports)))
 		}
--- a/ejector/member.go
+++ b/ejector/member.go
@@ -10,6 +10,7 @@
 	// member is an executor of the pool.
 	member struct {
 		lifecycle *fsm.FSM
+		slots     int
 		until     clock.Millis
 		since     clock.Millis
 		times     int
--- a/ejector/report.go
+++ b/ejector/report.go
@@ -6,6 +6,7 @@
 	// Report is how an executor did up to now.
 	Report struct {
 		address  string
+		slots    int
 		answers  int64
 		failures int
 		latency  clock.Millis
@@ -30,11 +31,11 @@
 	CauseLatency Cause = "latency"
 )
 
-// NewReport gives a report of an executor: its answers since the start, the failed
+// NewReport gives a report of an executor: the slots of it that may be used, its answers since the start, the failed
 // attempts since the last answer, and the moving average of its latency, 0
 // where there is none.
-func NewReport(address string, answers int64, failures int, latency clock.Millis) Report {
-	return Report{address: address, answers: answers, failures: failures, latency: latency}
+func NewReport(address string, slots int, answers int64, failures int, latency clock.Millis) Report {
+	return Report{address: address, slots: slots, answers: answers, failures: failures, latency: latency}
 }
 
 // Address gives where the executor is reached.
--- a/router/latency.go
+++ b/router/latency.go
@@ -10,9 +10,10 @@
 	// Latency follows the latency of a stream of answers. It is safe for
 	// concurrent use; an update that loses a race is left out.
 	Latency struct {
-		mean atomic.Int64
-		p95  atomic.Int64
-		p99  atomic.Int64
+		count atomic.Int64
+		mean  atomic.Int64
+		p95   atomic.Int64
+		p99   atomic.Int64
 	}
 )
 
@@ -23,11 +24,14 @@
 	// Each answer moves a quantile by up to 1/quantileStep of its value.
 	quantileStep = 25
 	minQuantile  = latencyUnit / 4
+	// minCount answers are needed before quantiles are known.
+	minCount = 100
 )
 
 // Observe takes the latency of an answer.
 func (l *Latency) Observe(d clock.Millis) {
 	x := int64(d) * latencyUnit
+	l.count.Add(1)
 	l.observeMean(x)
 	moveQuantile(&l.p95, x, 95)
 	moveQuantile(&l.p99, x, 99)
@@ -39,11 +43,20 @@
 // MeanMicros gives the moving average in microseconds.
 func (l *Latency) MeanMicros() int64 { return l.mean.Load() * 1000 / latencyUnit }
 
-// P95 gives an estimate of the latency that 95% of the answers stay under.
-func (l *Latency) P95() clock.Millis { return toMillis(l.p95.Load()) }
+// P95 gives an estimate of the latency that 95% of the answers stay under; 0
+// while there are too few.
+func (l *Latency) P95() clock.Millis { return l.quantile(&l.p95) }
 
-// P99 gives an estimate of the latency that 99% of the answers stay under.
-func (l *Latency) P99() clock.Millis { return toMillis(l.p99.Load()) }
+// P99 gives an estimate of the latency that 99% of the answers stay under; 0
+// while there are too few.
+func (l *Latency) P99() clock.Millis { return l.quantile(&l.p99) }
+
+func (l *Latency) quantile(q *atomic.Int64) clock.Millis {
+	if l.count.Load() < minCount {
+		return 0
+	}
+	return toMillis(q.Load())
+}
 
 func (l *Latency) observeMean(x int64) {
 	m := l.mean.Load()
