--- a/daemon/shard.go
+++ b/daemon/shard.go
@@ -48,7 +48,7 @@
 	return &shard{
 		name:     name,
 		placer:   p,
-		meter:    meter.New(name),
+		meter:    meter.New(name, meter.WithGrace(d.settings.Timing.BillGrace)),
 		capacity: map[string]sizer.Size{},
 		versions: map[string]int64{},
 		epoch:    claimer.NoEpoch,
--- a/dispatcher/controller.go
+++ b/dispatcher/controller.go
@@ -29,7 +29,7 @@
 )
 
 const (
-	controlEvery = 100 * time.Millisecond
+	controlEvery = 250 * time.Millisecond
 	// An executor without answers for driftAfter is taken to be as fast as its
 	// peers, little by little.
 	driftAfter = clock.Second
@@ -118,7 +118,7 @@
 	reports := make([]ejector.Report, 0, len(r.pool.Targets()))
 	for _, t := range r.pool.Targets() {
 		targets[t.Host().Address] = t
-		reports = append(reports, ejector.NewReport(t.Host().Address, t.Answers(), t.Failures(), t.Latency()))
+		reports = append(reports, ejector.NewReport(t.Host().Address, t.Share(), t.Answers(), t.Failures(), t.Latency()))
 	}
 	for _, change := range c.policy.eject(e, c.now(), reports) {
 		apply(targets[change.Address()], change.State())
