--- a/daemon/core.go
+++ b/daemon/core.go
@@ -248,7 +248,7 @@
 	c.shards[name] = s
 	// Its meter needs every record of its hours, also those read before it was
 	// known.
-	c.d.rewind(provider.StreamUsage)
+	c.readAgain(provider.StreamUsage, c.snapshots.oldest[provider.StreamUsage])
 }
 
 func (c *core) intent(o provider.Offset, r *schema.Record) {
@@ -361,14 +361,28 @@
 // authority gives what the daemon may do in a shard. Until every stream was
 // read to its end, it may do nothing.
 func (c *core) authority(shard string, now clock.Millis) keeper.Authority {
-	a, held := c.claimer.Authority(shard, now)
-	if !held || c.missing() != "" {
+	if c.missing() != "" {
 		return keeper.NoAuthority()
 	}
+	a, held := c.claimer.Authority(shard, now)
+	if !held {
+		return c.lapsed(shard)
+	}
 	starts := c.replicator.StartAllowed(now) && !c.state.DataCentreDrained(c.d.settings.DataCentre)
 	return keeper.NewAuthority(a.Epoch(), a.Until(), starts).ClearAt(a.ClearAt())
 }
 
+// lapsed gives what the daemon may do in a shard for which it has no authority
+// now. While the log has no other holder, what it knows of the shard's workers
+// is kept.
+func (c *core) lapsed(shard string) keeper.Authority {
+	l := c.claimer.Ledger()
+	if epoch := l.Epoch(shard); l.Holder(shard) == c.claimer.Identity() && epoch != claimer.NoEpoch && epoch == c.shards[shard].epoch {
+		return keeper.NewAuthority(epoch, 0, false)
+	}
+	return keeper.NoAuthority()
+}
+
 // missing gives a stream that was not read to its end yet, or "".
 func (c *core) missing() string {
 	if !c.replicator.Ready() {
--- a/daemon/members.go
+++ b/daemon/members.go
@@ -14,7 +14,7 @@
 func (c *core) stepMembers(now clock.Millis) {
 	before := c.gatherer.Snapshot()
 	for _, e := range c.gatherer.Step(now) {
-		c.noteMember(e)
+		c.noteMember(now, e)
 	}
 	c.tellPeers(now)
 	if c.gatherer.Snapshot() != before {
@@ -23,7 +23,10 @@
 	}
 }
 
-func (c *core) noteMember(e gatherer.Event) {
+func (c *core) noteMember(now clock.Millis, e gatherer.Event) {
+	if e.Host().Role == provider.RoleWorker {
+		c.noteWorker(now, e)
+	}
 	if e.Host().Role != provider.RoleEntry {
 		return
 	}
@@ -36,6 +39,17 @@
 	}
 }
 
+// noteWorker has the placer drop what it knows of a worker that is gone.
+func (c *core) noteWorker(now clock.Millis, e gatherer.Event) {
+	switch e.Change() {
+	case gatherer.ChangeDied, gatherer.ChangeGone, gatherer.ChangeRestarted:
+		for _, s := range c.shards {
+			s.placer.Lost(now, e.Host().Name)
+		}
+	case gatherer.ChangeAlive, gatherer.ChangeSuspected, gatherer.ChangeLeaving, gatherer.ChangeReturned:
+	}
+}
+
 // heardWorker notes that a worker answered.
 func (c *core) heardWorker(name string) {
 	if m, known := c.gatherer.Snapshot().Member(name); known {
@@ -83,7 +97,7 @@
 	snapshot := c.gatherer.Snapshot()
 	for _, m := range snapshot.Members(provider.RoleExecutor) {
 		h := m.Host()
-		h.Leaving = m.Leaving()
+		h.Leaving = m.Leaving() || c.state.DataCentreDrained(h.DataCentre) || c.state.HostDrained(h.Name)
 		executors = append(executors, h)
 	}
 	for _, m := range snapshot.Daemons() {
--- a/daemon/shard.go
+++ b/daemon/shard.go
@@ -1,14 +1,18 @@
 package daemon
 
 import (
+	"slices"
+
 	"galenawharf.example/galenawharf/claimer"
 	"galenawharf.example/galenawharf/clock"
 	"galenawharf.example/galenawharf/coder"
 	"galenawharf.example/galenawharf/declarer"
 	"galenawharf.example/galenawharf/keeper"
+	"galenawharf.example/galenawharf/logger"
 	"galenawharf.example/galenawharf/meter"
 	"galenawharf.example/galenawharf/placer"
 	"galenawharf.example/galenawharf/provider"
+	"galenawharf.example/galenawharf/quarantiner"
 	"galenawharf.example/galenawharf/schema"
 	"galenawharf.example/galenawharf/sizer"
 )
@@ -30,6 +34,10 @@
 		relieveAt clock.Millis
 		// billAt is when the next usage record may be written.
 		billAt clock.Millis
+		// parked and quarantined are what was noted in the log lines.
+		parked      []string
+		quarantined map[string]bool
+		emit        func(logger.Event, ...logger.Field)
 	}
 )
 
@@ -119,13 +127,35 @@
 	if s.epoch != claimer.NoEpoch && now >= s.relieveAt {
 		s.relieveAt = now.Add(relieveInterval)
 		s.relieve(now)
-		for _, job := range s.placer.AllParked() {
-			s.keeper.Park(job)
-		}
+		s.park()
+		s.noteQuarantine()
 	}
 	return actions
 }
 
+// park has the tasks of jobs that can't run wait until the job is changed.
+func (s *shard) park() {
+	all := s.placer.AllParked()
+	for _, job := range all {
+		s.keeper.Park(job)
+		if !slices.Contains(s.parked, job) {
+			p, _ := s.placer.Parked(job)
+			s.emit(logger.JobParked, logger.String("job", job), logger.String("code", p.Code().String()), logger.String("reason", p.Reason()))
+		}
+	}
+	s.parked = all
+}
+
+func (s *shard) noteQuarantine() {
+	for name := range s.capacity {
+		now := s.placer.WorkerState(name) == quarantiner.Quarantined
+		if now && !s.quarantined[name] {
+			s.emit(logger.WorkQuarantined, logger.String("worker", name))
+		}
+		s.quarantined[name] = now
+	}
+}
+
 // relieve throttles and evicts batch tasks that disturb services.
 func (s *shard) relieve(now clock.Millis) {
 	for _, a := range s.placer.Control(now, s.keeper.Workers()) {
--- a/daemon/snapshots.go
+++ b/daemon/snapshots.go
@@ -128,6 +128,11 @@
 	if err := c.restore(stream, snapshot); err != nil {
 		c.d.logger.Emit(logger.RecordCorrupt, logger.String("stream", stream), logger.Err(err))
 	}
+	if stream == provider.StreamUsage {
+		// Meters need the hours that the ledger has counted already.
+		c.readAgain(stream, oldest)
+		return
+	}
 	c.readAgain(stream, snapshot.Base())
 }
 
