--- a/daemon/shard.go
+++ b/daemon/shard.go
@@ -60,7 +60,11 @@
 		capacity: map[string]sizer.Size{},
 		versions: map[string]int64{},
 		epoch:    claimer.NoEpoch,
-		keeper:   keeper.New(name, d.settings.DataCentre, d.settings.Name, r, keeper.WithPlacer(p.Place)),
+		emit:     d.logger.Emit,
+
+		quarantined: map[string]bool{},
+
+		keeper: keeper.New(name, d.settings.DataCentre, d.settings.Name, r, keeper.WithPlacer(p.Place)),
 	}, nil
 }
 
