--- a/cmd/galenawharf/main.go
+++ b/cmd/galenawharf/main.go
@@ -46,7 +46,7 @@
 	for _, c := range commands {
 		p.AttachSubcommand(c.sub, 1)
 	}
-	if code, done := parse(p, args); done {
+	if code, done := parse(p, args, s.err); done {
 		return code
 	}
 	for _, c := range commands {
@@ -67,19 +67,20 @@
 
 // parse reads the command line. The parser ends by a panic with its exit code,
 // after it has written why.
-func parse(p *flaggy.Parser, args []string) (code int, done bool) {
+func parse(p *flaggy.Parser, args []string, w io.Writer) (code int, done bool) {
 	defer func() {
 		r := recover()
 		if r == nil {
 			return
 		}
-		code, done = exitUsage, true
-		if text := fmt.Sprint(r); strings.HasSuffix(text, "code: 0") {
-			code = exitOK
+		if strings.HasSuffix(fmt.Sprint(r), "code: 0") {
+			code, done = exitOK, true
+			return
 		}
+		code, done = finish(coder.New(coder.Usage, "the command line can't be read"), w), true
 	}()
 	if err := p.ParseArgs(args); err != nil {
-		return exitUsage, true
+		return finish(coder.New(coder.Usage, "%v", err), w), true
 	}
 	return exitOK, false
 }
--- a/cmd/galenawharf/output.go
+++ b/cmd/galenawharf/output.go
@@ -25,6 +25,8 @@
 const (
 	formTable = "table"
 	formJSON  = "json"
+	formCSV   = "csv"
+	formHTML  = "html"
 )
 
 func (o *output) flags(c *command) {
@@ -45,7 +47,11 @@
 	case formTable:
 		return table(w, head, rows)
 	}
-	return coder.At(coder.Usage, "--output", "%q is neither %s nor %s", o.form, formTable, formJSON)
+	return wrongForm(o.form)
+}
+
+func wrongForm(form string) error {
+	return coder.At(coder.Usage, "--output", "%q is no form that this command writes", form)
 }
 
 func table(w io.Writer, head row, rows []row) error {
--- a/cmd/galenawharf/remote.go
+++ b/cmd/galenawharf/remote.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"strings"
 	"time"
 
 	"connectrpc.com/connect"
@@ -69,7 +70,7 @@
 	}
 	var e *connect.Error
 	if errors.As(err, &e) {
-		return coder.New(code, "%s", e.Message())
+		return coder.New(code, "%s", strings.TrimPrefix(e.Message(), code.String()+": "))
 	}
 	return coder.New(code, "%v", err)
 }
--- a/daemon/backend.go
+++ b/daemon/backend.go
@@ -56,6 +56,9 @@
 }
 
 func (d *Daemon) audit(_ context.Context, r *schema.AuditRequest) (*schema.AuditResponse, error) {
+	if e := d.unable(); e != nil {
+		return nil, e
+	}
 	limit := int(r.GetLimit())
 	if limit == 0 {
 		limit = defaultAudit
--- a/daemon/bill.go
+++ b/daemon/bill.go
@@ -54,6 +54,9 @@
 
 // books gives a copy of the ledger and the declarations of one moment.
 func (d *Daemon) books(ctx context.Context) (*meter.Ledger, *declarer.State, error) {
+	if e := d.unable(); e != nil {
+		return nil, nil, e
+	}
 	type copied struct {
 		ledger *schema.LedgerState
 		zone   *time.Location
--- a/daemon/changes.go
+++ b/daemon/changes.go
@@ -113,6 +113,9 @@
 const peerWaits = 6
 
 func (d *Daemon) get(ctx context.Context, r *schema.GetRequest) (*schema.GetResponse, error) {
+	if e := d.unable(); e != nil {
+		return nil, e
+	}
 	states, err := within(ctx, d, func(c *core) map[string]string { return c.workStates() })
 	if err != nil {
 		return nil, err
--- a/demonstrator/demo.go
+++ b/demonstrator/demo.go
@@ -14,6 +14,7 @@
 	"galenawharf.example/galenawharf/clock"
 	"galenawharf.example/galenawharf/coder"
 	"galenawharf.example/galenawharf/declarer"
+	"galenawharf.example/galenawharf/pricer"
 	"galenawharf.example/galenawharf/schema"
 	"galenawharf.example/galenawharf/sizer"
 )
@@ -139,6 +140,10 @@
 }
 
 func (d *demo) apply(ctx context.Context) error {
+	ready := func() bool { return d.deployment.Ready(0) && d.deployment.Ready(1) && d.deployment.Ready(2) }
+	if err := until(ctx, ready); err != nil {
+		return errors.Wrap(err, "demo.apply")
+	}
 	change := declarer.ChangeOf("demo", declarer.Plan(nil, d.items, false))
 	r, err := d.deployment.Operators(0).Apply(ctx, connect.NewRequest(&schema.ApplyRequest{Operator: "demo", Items: change.GetItems()}))
 	if err != nil {
@@ -258,7 +263,7 @@
 	f := r.Msg
 	d.say("forecast of %s in %s, from two months of history made for this demo:", f.GetMonth(), f.GetCurrency())
 	for _, l := range append(f.GetLines(), &schema.ForecastLine{Name: "all", P10Minor: f.GetP10Minor(), P50Minor: f.GetP50Minor(), P90Minor: f.GetP90Minor()}) {
-		d.say("  %-22s %12s  (%s to %s)", l.GetName(), Money(l.GetP50Minor()), Money(l.GetP10Minor()), Money(l.GetP90Minor()))
+		d.say("  %-22s %12s  (%s to %s)", l.GetName(), pricer.Grouped(l.GetP50Minor(), f.GetCurrency()), pricer.Grouped(l.GetP10Minor(), f.GetCurrency()), pricer.Grouped(l.GetP90Minor(), f.GetCurrency()))
 	}
 	for _, l := range f.GetLeftOut() {
 		d.say("  left out: %s", l)
@@ -272,9 +277,9 @@
 		return err
 	}
 	e := r.Msg
-	d.say("why %s is not as last month, %s to %s %s:", e.GetMonth(), Money(e.GetFromMinor()), Money(e.GetToMinor()), e.GetCurrency())
+	d.say("why %s is not as last month, %s to %s %s:", e.GetMonth(), pricer.Grouped(e.GetFromMinor(), e.GetCurrency()), pricer.Grouped(e.GetToMinor(), e.GetCurrency()), e.GetCurrency())
 	for _, c := range e.GetCauses() {
-		d.say("  %-10s %-30s %12s", c.GetKind(), c.GetName(), Money(c.GetAmountMinor()))
+		d.say("  %-10s %-30s %12s", c.GetKind(), c.GetName(), pricer.Signed(c.GetAmountMinor(), e.GetCurrency()))
 	}
 	return nil
 }
@@ -291,16 +296,6 @@
 	return nil
 }
 
-// Money shows an amount in the smallest unit as one of the unit of a hundred.
-func Money(minor int64) string {
-	sign := ""
-	if minor < 0 {
-		sign = "-"
-		minor = -minor
-	}
-	return fmt.Sprintf("%s%d.%02d", sign, minor/100, minor%100)
-}
-
 func until(ctx context.Context, done func() bool) error {
 	t := time.NewTicker(demoPoll.Duration())
 	defer t.Stop()
--- a/demonstrator/deployment.go
+++ b/demonstrator/deployment.go
@@ -243,6 +243,16 @@
 // StatusAddress gives where health checks reach the daemon of a number.
 func (d *Deployment) StatusAddress(n int) string { return d.daemons[n].StatusAddress() }
 
+// Ready tells whether the daemon of a number says that it is.
+func (d *Deployment) Ready(n int) bool {
+	resp, err := d.client.Get("http://" + d.StatusAddress(n) + "/ready")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
 // Running gives the number of tasks that run in a data centre.
 func (d *Deployment) Running(dataCentre string) int {
 	n := 0
--- a/demonstrator/endtoend_test.go
+++ b/demonstrator/endtoend_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"io"
-	"net/http"
 	"os"
 	"slices"
 	"strings"
@@ -68,20 +67,10 @@
 			r, err := s.Operators(n).Get(s.ctx, connect.NewRequest(&schema.GetRequest{}))
 			return err == nil && len(r.Msg.GetItems()) == len(items)
 		})
-		s.eventually(func() bool { return s.ready(n) })
+		s.eventually(func() bool { return s.Ready(n) })
 	}
 }
 
-// ready asks a daemon's ready check.
-func (s *scene) ready(n int) bool {
-	resp, err := http.Get("http://" + s.StatusAddress(n) + "/ready")
-	if err != nil {
-		return false
-	}
-	must.NoError(s.t, resp.Body.Close())
-	return resp.StatusCode == http.StatusOK
-}
-
 func (s *scene) eventually(done func() bool) {
 	s.t.Helper()
 	must.NoError(s.t, until(s.ctx, done))
--- a/demonstrator/retention_test.go
+++ b/demonstrator/retention_test.go
@@ -29,7 +29,7 @@
 		must.NoError(t, s.StartDaemon(n))
 	}
 	for n := range s.settings {
-		s.eventually(func() bool { return s.ready(n) })
+		s.eventually(func() bool { return s.Ready(n) })
 	}
 	s.submit(1, "invoice-1", "billing", "invoice")
 	must.Eq(t, int32(coder.OK), s.await(1, "invoice-1").GetResultCode())
