daemon: less work at rest

Change: peers are told once a heartbeat, heartbeats come each second, usage is polled with the hosts, a step comes every 200 ms and a poll every 500 ms.

--- a/configurer/defaults.go
+++ b/configurer/defaults.go
@@ -21,10 +21,10 @@
 	defaultRetention = 7 * clock.Day
 
 	defaultTiming = Timing{
-		Tick:         100,
-		LogPoll:      250,
+		Tick:         200,
+		LogPoll:      500,
 		HostPoll:     2 * clock.Second,
-		Heartbeat:    500,
+		Heartbeat:    clock.Second,
 		Claim:        6 * clock.Second,
 		PlatformCall: 3 * clock.Second,
 		PeerCall:     clock.Second,
--- a/daemon/core.go
+++ b/daemon/core.go
@@ -44,6 +44,7 @@
 		held          []string
 		faults        []meter.Fault
 		calledUntil   clock.Millis
+		toldPeersAt   clock.Millis
 		// listed tells whether the platform's list of hosts was ever read.
 		listed bool
 	}
--- a/daemon/loops.go
+++ b/daemon/loops.go
@@ -66,7 +66,7 @@
 		} else {
 			d.metrics.Add(measurer.LogErrors, 1)
 		}
-		if (err != nil || next >= p.Next) && !d.sleep(d.settings.Timing.LogPoll) {
+		if (err != nil || next >= p.Next) && !d.sleep(d.pollOf(stream)) {
 			return
 		}
 		if d.ctx.Err() != nil {
@@ -75,6 +75,15 @@
 	}
 }
 
+// pollOf gives how often the end of a stream is looked for. Usage comes by the
+// hour, and nobody waits for it.
+func (d *Daemon) pollOf(stream string) clock.Millis {
+	if stream == provider.StreamUsage {
+		return max(d.settings.Timing.HostPoll, d.settings.Timing.LogPoll)
+	}
+	return d.settings.Timing.LogPoll
+}
+
 // rewind has a stream read again from an offset.
 func (d *Daemon) rewind(stream string, to provider.Offset) { d.rewound.Store(stream, to) }
 
--- a/daemon/members.go
+++ b/daemon/members.go
@@ -16,7 +16,10 @@
 	for _, e := range c.gatherer.Step(now) {
 		c.noteMember(now, e)
 	}
-	c.tellPeers(now)
+	if now >= c.toldPeersAt.Add(c.d.settings.Timing.Heartbeat) {
+		c.toldPeersAt = now
+		c.tellPeers(now)
+	}
 	if c.gatherer.Snapshot() != before {
 		c.setShards()
 		c.setView()
--- a/daemon/status.go
+++ b/daemon/status.go
@@ -43,11 +43,12 @@
 
 	// PeerStatus is a peer as the daemon sees it.
 	PeerStatus struct {
-		Name       string       `json:"name"`
-		DataCentre string       `json:"data-centre"`
-		Live       bool         `json:"live"`
-		Silent     clock.Millis `json:"silent-for"`
-		Config     int64        `json:"config-next-offset"`
+		Name       string `json:"name"`
+		DataCentre string `json:"data-centre"`
+		Live       bool   `json:"live"`
+		// Silent is for how long it was not heard, empty where it never was.
+		Silent string `json:"silent-for"`
+		Config int64  `json:"config-next-offset"`
 	}
 )
 
@@ -61,12 +62,20 @@
 	for _, p := range d.peers {
 		s.Peers = append(s.Peers, PeerStatus{
 			Name: p.settings.Name, DataCentre: p.settings.DataCentre, Live: d.live(p),
-			Silent: d.now().Sub(clock.Millis(p.heard.Load())), Config: p.last.Load().GetView().GetNextOffset(),
+			Silent: d.silence(p), Config: p.last.Load().GetView().GetNextOffset(),
 		})
 	}
 	return s
 }
 
+func (d *Daemon) silence(p *peer) string {
+	heard := clock.Millis(p.heard.Load())
+	if heard == 0 {
+		return ""
+	}
+	return d.now().Sub(heard).Duration().String()
+}
+
 func (c *core) status() Status {
 	s := Status{
 		Daemon: c.d.settings.Name, DataCentre: c.d.settings.DataCentre, Incarnation: c.d.incarnation,
