--- a/demonstrator/endtoend_test.go
+++ b/demonstrator/endtoend_test.go
@@ -95,8 +95,7 @@
 	return a
 }
 
-// starts gives how often the runs of a task began, and the most of them that a
-// worker started beside each other is one by the checks of the workers.
+// starts gives how often runs of a task began.
 func (s *scene) starts(task string) int {
 	n := 0
 	for _, w := range s.Workers() {
@@ -280,3 +279,21 @@
 	s.eventually(func() bool { return s.Running("point-fortin") > 0 })
 	s.neverOvercommitted()
 }
+
+// TestCalendarRunsOnce: when the hour of a job's calendar comes, in the
+// operator's time zone, its run is submitted under its key and starts once.
+func TestCalendarRunsOnce(t *testing.T) {
+	steady := clock.NewSteady()
+	hour := clock.FromTime(time.Date(2027, 1, 1, 0, 0, 0, 0, time.UTC))
+	offset := hour - steady() - 5*clock.Second
+	s := stage(t, "sorica", "scheduling", func(sh *Shape) {
+		sh.Clock = func() clock.Millis { return steady() + offset }
+	})
+	const key = "monthly-invoice@2027-01-01t01"
+	s.eventually(func() bool { return s.starts(key) > 0 })
+	a := s.await(0, "monthly-invoice@2026-12-01t01")
+	must.Eq(t, int32(coder.NotFound), a.GetResultCode())
+	s.submit(1, "roster-1", "rosters", "roster")
+	must.Eq(t, int32(coder.OK), s.await(1, "roster-1").GetResultCode())
+	must.Eq(t, 1, s.starts(key))
+}
