daemon: shutdown ends the request path, and callers that wait are told at once

Cause: read-through: nobody closed the dispatcher; a caller that waited for work held the shutdown back by up to its wait; the limit of checks in flight had no effect. Change: checks get nine tenths of the time to end and then an answer of what is known; who waits is told pending when the daemon leaves; the limit is kept.

--- a/daemon/backend.go
+++ b/daemon/backend.go
@@ -20,7 +20,7 @@
 	return server.Backend{
 		Check:    d.check,
 		Submit:   d.submit,
-		Await:    d.await,
+		Await:    d.awaited,
 		Apply:    d.apply,
 		Get:      d.get,
 		Cancel:   d.cancel,
@@ -40,12 +40,21 @@
 	}
 	d.begin()
 	defer d.end()
+	if d.inFlight.Load() > int64(d.settings.Limits.Checks) {
+		return refusal(r.GetRequestId(), coder.New(coder.Overloaded, "too many requests are in flight here"), clock.Second)
+	}
 	began := d.now()
 	a := d.dispatcher.Check(ctx, r)
 	d.metrics.Record(measurer.CheckTime, d.now().Sub(began).Duration())
 	return a
 }
 
+func (d *Daemon) awaited(ctx context.Context, r *schema.AwaitRequest) *schema.Answer {
+	d.begin()
+	defer d.end()
+	return d.await(ctx, r)
+}
+
 func (d *Daemon) begin() { d.metrics.Set(measurer.InFlight, float64(d.inFlight.Add(1))) }
 
 func (d *Daemon) end() { d.metrics.Set(measurer.InFlight, float64(d.inFlight.Add(-1))) }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -211,6 +211,7 @@
 	d.leaving.Store(true)
 	d.logger.Emit(logger.Leaving)
 	limit := d.now().Add(d.settings.Timing.Shutdown)
+	d.loops.Go(d.endChecks)
 	err := d.server.Shutdown(d.settings.Timing.Shutdown)
 	if err != nil {
 		d.logger.Emit(logger.StopOverdue, logger.Err(err))
@@ -221,6 +222,25 @@
 	return err
 }
 
+// endChecks waits for the checks in flight. Those that take too long are
+// answered with what is known while their callers can still be reached.
+func (d *Daemon) endChecks() {
+	limit := d.settings.Timing.Shutdown * 9 / 10
+	ctx, cancel := context.WithTimeout(context.Background(), limit.Duration())
+	defer cancel()
+	if err := d.dispatcher.Close(ctx); err != nil {
+		d.logger.Emit(logger.StopOverdue, logger.Err(err))
+	}
+}
+
+// closeDispatcher ends the request path. What the server has not waited for is
+// cut off.
+func (d *Daemon) closeDispatcher() {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = d.dispatcher.Close(ctx)
+}
+
 // Kill ends the daemon at once, as the loss of its host would.
 func (d *Daemon) Kill() {
 	d.server.Close()
@@ -228,6 +248,7 @@
 }
 
 func (d *Daemon) halt() {
+	d.closeDispatcher()
 	d.stop()
 	d.messenger.Close()
 	for _, p := range d.peers {
--- a/daemon/requests.go
+++ b/daemon/requests.go
@@ -120,7 +120,7 @@
 			continue
 		}
 		a := d.look(ctx, r.GetKey(), at.home, w)
-		if left := end.Sub(d.now()); a != nil || left <= 0 || !d.pause(ctx, min(left, remotePoll), w) {
+		if left := end.Sub(d.now()); a != nil || left <= 0 || d.leaving.Load() || !d.pause(ctx, min(left, remotePoll), w) {
 			return finalOrPending(r.GetKey(), a)
 		}
 	}
--- a/demonstrator/endtoend_test.go
+++ b/demonstrator/endtoend_test.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"io"
+	"net/http"
 	"os"
 	"slices"
 	"strings"
@@ -15,6 +17,7 @@
 
 	"galenawharf.example/galenawharf/clock"
 	"galenawharf.example/galenawharf/coder"
+	"galenawharf.example/galenawharf/daemon"
 	"galenawharf.example/galenawharf/declarer"
 	"galenawharf.example/galenawharf/imitator"
 	"galenawharf.example/galenawharf/schema"
@@ -95,6 +98,16 @@
 	return a
 }
 
+// inFlight gives the requests in flight by a daemon's status page.
+func (s *scene) inFlight(n int) int64 {
+	resp, err := http.Get("http://" + s.StatusAddress(n) + "/status")
+	must.NoError(s.t, err)
+	var status daemon.Status
+	must.NoError(s.t, json.NewDecoder(resp.Body).Decode(&status))
+	must.NoError(s.t, resp.Body.Close())
+	return status.InFlight
+}
+
 // starts gives how often runs of a task began.
 func (s *scene) starts(task string) int {
 	n := 0
@@ -262,6 +275,29 @@
 	must.Eq(t, int32(coder.OK), s.await(1, "review-1").GetResultCode())
 }
 
+// TestShutdownMidWait: a caller that waits for work is told at once that it is
+// pending when the daemon is told to stop, and has its answer from another.
+func TestShutdownMidWait(t *testing.T) {
+	s := stage(t, "sorica", "scheduling", nil)
+	s.submit(0, "invoice-1", "billing", "invoice")
+	answers := make(chan *schema.Answer, 1)
+	go func() {
+		r, err := s.Callers(0).Await(s.ctx, connect.NewRequest(&schema.AwaitRequest{Key: "invoice-1", WaitMillis: 30_000}))
+		if err != nil {
+			answers <- nil
+			return
+		}
+		answers <- r.Msg
+	}()
+	s.eventually(func() bool { return s.inFlight(0) > 0 })
+	must.NoError(t, s.Daemon(0).Shutdown())
+	s.Forget(0)
+	a := <-answers
+	must.NotNil(t, a)
+	must.Eq(t, int32(coder.OK), s.await(1, "invoice-1").GetResultCode())
+	must.Eq(t, 1, s.starts("invoice-1"))
+}
+
 // TestDataCentreTakenOut: nothing starts in a data centre that is out, and its
 // standing work runs elsewhere.
 func TestDataCentreTakenOut(t *testing.T) {
