daemon: a submission runs every task of its job

Cause: read-through: a job of several tasks that a caller submitted ran as one. Change: one append has an intent for each task; awaiting and cancelling take the key of the submission for all of them. Figures: TestJobOfSeveralTasks, red before (one start of three), green with -race.

--- a/daemon/changes.go
+++ b/daemon/changes.go
@@ -4,8 +4,7 @@
 	"context"
 	"encoding/json"
 
-	"google.golang.org/protobuf/proto"
-
+	"galenawharf.example/galenawharf/claimer"
 	"galenawharf.example/galenawharf/coder"
 	"galenawharf.example/galenawharf/declarer"
 	"galenawharf.example/galenawharf/provider"
@@ -48,7 +47,7 @@
 		return confirmation{}, err
 	}
 	records := []*schema.Record{r}
-	return d.putRecord(ctx, provider.StreamConfig, r, func(err error) {
+	return d.putRecords(ctx, provider.StreamConfig, records, func(err error) {
 		d.post(func(c *core) { c.replicator.Appended(records, err) })
 	})
 }
@@ -74,27 +73,32 @@
 	}
 }
 
-// put gives a record its id, appends it and waits until it was read back.
-func (d *Daemon) put(ctx context.Context, stream string, r *schema.Record) (confirmation, error) {
-	r.Id = d.id()
-	r.AtMillis = int64(d.now())
-	r.Daemon = d.settings.Name
-	return d.putRecord(ctx, stream, r, func(error) {})
+// put gives records their ids, appends them in one go and waits until the last
+// was read back.
+func (d *Daemon) put(ctx context.Context, stream string, records ...*schema.Record) (confirmation, error) {
+	for _, r := range records {
+		r.Id = d.id()
+		r.AtMillis = int64(d.now())
+		r.Daemon = d.settings.Name
+	}
+	return d.putRecords(ctx, stream, records, func(error) {})
 }
 
-// putRecord appends a record and waits until it was read back. An error of code
-// LogDown means that nothing was added; NotAccepted, that it may have been.
-func (d *Daemon) putRecord(ctx context.Context, stream string, r *schema.Record, appended func(error)) (confirmation, error) {
-	data, err := proto.Marshal(r)
+// putRecords appends records and waits until the last was read back. An error
+// of code LogDown means that nothing was added; NotAccepted, that it may have
+// been.
+func (d *Daemon) putRecords(ctx context.Context, stream string, records []*schema.Record, appended func(error)) (confirmation, error) {
+	data, err := claimer.Encode(records)
 	if err != nil {
 		return confirmation{}, coder.New(coder.Internal, "Daemon.put: %v", err)
 	}
+	r := records[len(records)-1]
 	back := make(chan confirmation, 1)
 	if !d.post(func(c *core) { c.confirmations[r.GetId()] = func(v confirmation) { back <- v } }) {
 		return confirmation{}, coder.New(coder.ShuttingDown, "the daemon has stopped")
 	}
 	defer d.post(func(c *core) { delete(c.confirmations, r.GetId()) })
-	_, err = d.append(ctx, stream, [][]byte{data})
+	_, err = d.append(ctx, stream, data)
 	appended(err)
 	if err != nil && nothingAdded(err) {
 		return confirmation{}, coder.New(coder.LogDown, "Daemon.put: nothing was added to the log: %v", err)
--- a/daemon/requests.go
+++ b/daemon/requests.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"time"
@@ -28,6 +29,9 @@
 const (
 	// remotePoll is how often work at home in another data centre is asked for.
 	remotePoll = 500 * clock.Millis(1)
+
+	// several is any number of tasks for which each has a key of its own.
+	several = 2
 )
 
 // submit puts work into the log under its key, and waits for its end as long
@@ -42,12 +46,12 @@
 	if e != nil {
 		return refusal(r.GetKey(), e, 0)
 	}
-	home, err := within(ctx, d, func(c *core) string { return c.home(r.GetKey()) })
+	keys, err := within(ctx, d, func(c *core) []string { return c.keysOf(r.GetKey()) })
 	if err != nil {
 		return refusal(r.GetKey(), coder.New(coder.NotRun, "%v", err), d.settings.Timing.Heartbeat)
 	}
-	if home == "" {
-		if a := d.putIntent(ctx, r, job); a != nil {
+	if len(keys) == 0 {
+		if a := d.putIntents(ctx, r, job); a != nil {
 			return a
 		}
 	}
@@ -69,17 +73,24 @@
 	return job, nil
 }
 
-// putIntent gives an answer where the work could not be handed in.
-func (d *Daemon) putIntent(ctx context.Context, r *schema.SubmitRequest, job declarer.BatchJob) *schema.Answer {
-	home := keeper.HomeOf(d.state.Load(), r.GetKey())
-	if home == "" {
-		return refusal(r.GetKey(), coder.New(coder.NotRun, "every data centre is taken out"), clock.Minute)
-	}
-	i := intentOf(job, r.GetKey(), home, r.GetPayload())
-	if r.GetTimeoutMillis() > 0 {
-		i.DeadlineMillis = int64(d.now()) + r.GetTimeoutMillis()
+// putIntents puts the tasks of a submission into the log in one append, and
+// gives an answer where they could not be handed in.
+func (d *Daemon) putIntents(ctx context.Context, r *schema.SubmitRequest, job declarer.BatchJob) *schema.Answer {
+	records := make([]*schema.Record, 0, job.Tasks)
+	for n := range job.Tasks {
+		key := TaskKey(r.GetKey(), n, job.Tasks)
+		home := keeper.HomeOf(d.state.Load(), key)
+		if home == "" {
+			return refusal(r.GetKey(), coder.New(coder.NotRun, "every data centre is taken out"), clock.Minute)
+		}
+		i := intentOf(job, key, home, r.GetPayload())
+		i.TaskIndex = int32(n)
+		if r.GetTimeoutMillis() > 0 {
+			i.DeadlineMillis = int64(d.now()) + r.GetTimeoutMillis()
+		}
+		records = append(records, &schema.Record{Body: &schema.Record_Intent{Intent: i}})
 	}
-	_, err := d.put(ctx, provider.StreamIntents, &schema.Record{Body: &schema.Record_Intent{Intent: i}})
+	_, err := d.put(ctx, provider.StreamIntents, records...)
 	switch coder.Of(err) {
 	case coder.OK:
 		return nil
@@ -89,6 +100,19 @@
 	return refusal(r.GetKey(), coder.New(coder.Unknown, "%v: await the key", err), d.settings.Timing.PlatformCall)
 }
 
+// keysOf gives the keys of the tasks that were submitted under a key: the key
+// itself, or one for each task of a job of several; none where it isn't known.
+func (c *core) keysOf(key string) []string {
+	if c.home(key) != "" {
+		return []string{key}
+	}
+	var keys []string
+	for n := 0; c.home(TaskKey(key, n, several)) != ""; n++ {
+		keys = append(keys, TaskKey(key, n, several))
+	}
+	return keys
+}
+
 // home gives the shard that a key is at home in, "" where it isn't known.
 func (c *core) home(key string) string {
 	home, _ := c.register.Home(key)
@@ -103,9 +127,48 @@
 	if d.inFlight.Load() > int64(d.settings.Limits.Waiters) {
 		return refusal(r.GetKey(), coder.New(coder.Overloaded, "too many callers wait here"), clock.Second)
 	}
-	wait := min(clock.Millis(r.GetWaitMillis()), d.settings.Timing.Wait)
+	end := d.now().Add(min(clock.Millis(r.GetWaitMillis()), d.settings.Timing.Wait))
+	if keys := d.keysOf(ctx, r.GetKey()); len(keys) > 1 {
+		return d.awaitAll(ctx, r.GetKey(), keys, end)
+	}
+	a := d.awaitOne(ctx, r, end)
+	if a.GetResultCode() != int32(coder.NotFound) {
+		return a
+	}
+	// The submissions were read further meanwhile.
+	if keys := d.keysOf(ctx, r.GetKey()); len(keys) > 1 {
+		return d.awaitAll(ctx, r.GetKey(), keys, end)
+	}
+	return a
+}
+
+func (d *Daemon) keysOf(ctx context.Context, key string) []string {
+	keys, err := within(ctx, d, func(c *core) []string { return c.keysOf(key) })
+	if err != nil {
+		return nil
+	}
+	return keys
+}
+
+// awaitAll waits for the end of every task of a submission. The answer is that
+// of the first task that has not ended well, or all of their answers, one a line.
+func (d *Daemon) awaitAll(ctx context.Context, key string, keys []string, end clock.Millis) *schema.Answer {
+	var payloads [][]byte
+	for n, k := range keys {
+		a := d.awaitOne(ctx, &schema.AwaitRequest{Key: k}, end)
+		if a.GetResultCode() != int32(coder.OK) {
+			a.RequestId = key
+			a.State = fmt.Sprintf("%s: task %d of %d, those before it ended well", a.GetState(), n+1, len(keys))
+			return a
+		}
+		payloads = append(payloads, a.GetPayload())
+	}
+	return answer(key, int32(coder.OK), bytes.Join(payloads, []byte("\n")), "ended")
+}
+
+// awaitOne waits for the end of one task until a time.
+func (d *Daemon) awaitOne(ctx context.Context, r *schema.AwaitRequest, end clock.Millis) *schema.Answer {
 	asked := d.now()
-	end := asked.Add(wait)
 	w := make(chan keeper.Outcome, 1)
 	defer d.post(func(c *core) { c.forget(r.GetKey(), w) })
 	for {
@@ -213,15 +276,22 @@
 
 // cancel asks for the end of submitted work.
 func (d *Daemon) cancel(ctx context.Context, r *schema.CancelRequest) (*schema.CancelResponse, error) {
-	home, err := within(ctx, d, func(c *core) string { return c.home(r.GetKey()) })
+	if e := d.unable(); e != nil {
+		return nil, e
+	}
+	keys, err := within(ctx, d, func(c *core) []string { return c.keysOf(r.GetKey()) })
 	if err != nil {
 		return nil, err
 	}
-	if home == "" {
+	if len(keys) == 0 {
 		return nil, coder.New(coder.NotFound, "no work was submitted under %q", r.GetKey())
 	}
-	c := &schema.CancelIntent{Key: r.GetKey(), Operator: r.GetOperator()}
-	if _, err := d.put(ctx, provider.StreamIntents, &schema.Record{Body: &schema.Record_Cancel{Cancel: c}}); err != nil {
+	records := make([]*schema.Record, 0, len(keys))
+	for _, k := range keys {
+		c := &schema.CancelIntent{Key: k, Operator: r.GetOperator()}
+		records = append(records, &schema.Record{Body: &schema.Record_Cancel{Cancel: c}})
+	}
+	if _, err := d.put(ctx, provider.StreamIntents, records...); err != nil {
 		return nil, err
 	}
 	return &schema.CancelResponse{}, nil
--- a/demonstrator/endtoend_test.go
+++ b/demonstrator/endtoend_test.go
@@ -333,3 +333,28 @@
 	must.Eq(t, int32(coder.OK), s.await(1, "roster-1").GetResultCode())
 	must.Eq(t, 1, s.starts(key))
 }
+
+// TestJobOfSeveralTasks: one submission runs every task of its job once, and
+// its answer has all of theirs.
+func TestJobOfSeveralTasks(t *testing.T) {
+	s := stage(t, "sorica", "scheduling", nil)
+	size := `{"processors":1,"memory":"1GiB"}`
+	document := `{"name":"labels","team":"billing","tasks":3,"size":` + size + `,"run-time":"1s","idempotent":true}`
+	item, faults := declarer.ParseItem(declarer.KindBatchJob, "labels", []byte(document), "labels")
+	must.NoError(t, faults.Err())
+	s.eventually(func() bool {
+		change := declarer.ChangeOf("ana", declarer.Plan(nil, []declarer.Item{item}, false))
+		r, err := s.Operators(1).Apply(s.ctx, connect.NewRequest(&schema.ApplyRequest{Operator: "ana", Items: change.GetItems()}))
+		return err == nil && r.Msg.GetResultCode() == 0
+	})
+	s.submit(1, "labels-1", "billing", "labels")
+	s.submit(1, "labels-1", "billing", "labels")
+	a := s.await(2, "labels-1")
+	must.Eq(t, int32(coder.OK), a.GetResultCode())
+	must.Eq(t, 3, strings.Count(string(a.GetPayload()), "done: labels-1"))
+	for _, task := range []string{"labels-1.0", "labels-1.1", "labels-1.2"} {
+		must.Eq(t, 1, s.starts(task))
+	}
+	_, err := s.Operators(1).Cancel(s.ctx, connect.NewRequest(&schema.CancelRequest{Operator: "ana", Key: "labels-1"}))
+	must.NoError(t, err)
+}
