--- /dev/null
+++ b/imitator/task.go
@@ -0,0 +1,70 @@
+package imitator
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"galenawharf.example/galenawharf/clock"
+	"galenawharf.example/galenawharf/provider"
+	"galenawharf.example/galenawharf/sizer"
+)
+
+type (
+	// task is a run of a task on a worker.
+	task struct {
+		order      provider.StartOrder
+		size       sizer.Size
+		phase      provider.TaskPhase
+		started    clock.Millis
+		sampled    clock.Millis
+		resumed    clock.Millis
+		endsAt     clock.Millis
+		endedAt    clock.Millis
+		leaseUntil clock.Millis
+		checkpoint string
+		behaviour  Behaviour
+		permille   int
+	}
+)
+
+func (t *task) outcome() provider.TaskPhase {
+	if t.behaviour.Fails {
+		return provider.PhaseFailed
+	}
+	return provider.PhaseSucceeded
+}
+
+func (t *task) report(i provider.Incarnation, now clock.Millis) provider.TaskReport {
+	r := provider.TaskReport{
+		Shard:       t.order.Fence.Shard,
+		Incarnation: i,
+		Size:        t.order.Size,
+		Phase:       t.phase,
+		LeaseUntil:  int64(t.leaseUntil),
+		Checkpoint:  t.checkpoint,
+		RanFor:      int64(now - t.started),
+	}
+	if t.phase != provider.PhaseRunning {
+		r.RanFor = int64(t.endedAt - t.started)
+	}
+	if t.phase == provider.PhaseSucceeded || t.phase == provider.PhaseFailed {
+		r.Answer = t.behaviour.Answer
+	}
+	return r
+}
+
+func (t *task) checkpointAt(now clock.Millis) {
+	if t.phase == provider.PhaseRunning {
+		t.checkpoint = fmt.Sprintf("ran-%d", t.resumed+now-t.started)
+	}
+}
+
+// progressOf gives how far a checkpoint had come.
+func progressOf(checkpoint string) clock.Millis {
+	n, err := strconv.ParseInt(strings.TrimPrefix(checkpoint, "ran-"), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return clock.Millis(n)
+}
--- a/imitator/worker.go
+++ b/imitator/worker.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"slices"
 	"strconv"
 	"strings"
@@ -55,21 +54,6 @@
 		Delay clock.Millis `json:"delay"`
 	}
 
-	task struct {
-		order      provider.StartOrder
-		size       sizer.Size
-		phase      provider.TaskPhase
-		started    clock.Millis
-		sampled    clock.Millis
-		resumed    clock.Millis
-		endsAt     clock.Millis
-		endedAt    clock.Millis
-		leaseUntil clock.Millis
-		checkpoint string
-		behaviour  Behaviour
-		permille   int
-	}
-
 	sample struct {
 		shard string
 		seen  clock.Millis
@@ -264,13 +248,6 @@
 	}
 }
 
-func (t *task) outcome() provider.TaskPhase {
-	if t.behaviour.Fails {
-		return provider.PhaseFailed
-	}
-	return provider.PhaseSucceeded
-}
-
 func (w *Worker) end(t *task, at clock.Millis, p provider.TaskPhase) {
 	t.phase = p
 	t.endedAt = at
@@ -449,37 +426,3 @@
 	}
 	return r, nil
 }
-
-func (t *task) report(i provider.Incarnation, now clock.Millis) provider.TaskReport {
-	r := provider.TaskReport{
-		Shard:       t.order.Fence.Shard,
-		Incarnation: i,
-		Size:        t.order.Size,
-		Phase:       t.phase,
-		LeaseUntil:  int64(t.leaseUntil),
-		Checkpoint:  t.checkpoint,
-		RanFor:      int64(now - t.started),
-	}
-	if t.phase != provider.PhaseRunning {
-		r.RanFor = int64(t.endedAt - t.started)
-	}
-	if t.phase == provider.PhaseSucceeded || t.phase == provider.PhaseFailed {
-		r.Answer = t.behaviour.Answer
-	}
-	return r
-}
-
-func (t *task) checkpointAt(now clock.Millis) {
-	if t.phase == provider.PhaseRunning {
-		t.checkpoint = fmt.Sprintf("ran-%d", t.resumed+now-t.started)
-	}
-}
-
-// progressOf gives how far a checkpoint had come.
-func progressOf(checkpoint string) clock.Millis {
-	n, err := strconv.ParseInt(strings.TrimPrefix(checkpoint, "ran-"), 10, 64)
-	if err != nil {
-		return 0
-	}
-	return clock.Millis(n)
-}
