--- a/coder/codes.go
+++ b/coder/codes.go
@@ -62,8 +62,6 @@
 	DeadlineTooShort Code = 3004
 	// ShuttingDown is a request refused, not run, by a daemon that leaves.
 	ShuttingDown Code = 3005
-	// QuotaExceeded is work over its team's quota.
-	QuotaExceeded Code = 3006
 	// KeyTaken is a key that another request holds.
 	KeyTaken Code = 3007
 	// Incomplete is an answer whose length or digest is wrong.
@@ -86,8 +84,6 @@
 	LogDown Code = 4001
 	// LogHole is a log whose records were discarded before they were read.
 	LogHole Code = 4002
-	// NoAuthority is an action without a valid claim.
-	NoAuthority Code = 4003
 	// NotReady is a daemon that doesn't serve yet.
 	NotReady Code = 4004
 	// CorruptRecord is a record in the log that can't be decoded.
--- a/coder/list.go
+++ b/coder/list.go
@@ -5,8 +5,8 @@
 		OK, Internal, Usage, Unreachable,
 		Malformed, UnknownField, Missing, OutOfRange, Duplicate, UnknownName, BadFormat, TooLarge, NeverFits, BadPrice,
 		StaleVersion, NotFound, NotAccepted, InUse,
-		NotRun, Unknown, Overloaded, DeadlineTooShort, ShuttingDown, QuotaExceeded, KeyTaken, Incomplete, Cancelled, Parked, Pending, NoBackend, Failed,
-		LogDown, LogHole, NoAuthority, NotReady, CorruptRecord, Fenced, LeaseLapsed, RateLimited,
+		NotRun, Unknown, Overloaded, DeadlineTooShort, ShuttingDown, KeyTaken, Incomplete, Cancelled, Parked, Pending, NoBackend, Failed,
+		LogDown, LogHole, NotReady, CorruptRecord, Fenced, LeaseLapsed, RateLimited,
 		UsageDiffers, UsageMissing, ClockStep, OutOfOrder, PriceMissing, OverBudget, HistoryShort, UsageTooOld,
 	}
 )
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -47,6 +47,7 @@
 		state       atomic.Pointer[declarer.State]
 		leaving     atomic.Bool
 		ready       atomic.Bool
+		hostsDown   atomic.Bool
 		inFlight    atomic.Int64
 		sequence    atomic.Int64
 		// rewound has the offsets from which streams are to be read again.
@@ -141,7 +142,7 @@
 		Status:     d.settings.Listen.Status,
 		MaxBody:    int(d.settings.Limits.Body),
 		MaxPayload: int(d.settings.Limits.Payload),
-		Result:     d.metrics.Result,
+		Result:     d.noteResult,
 		Panicked:   func(what any) { d.logger.Emit(logger.Panicked, logger.Text("what", what)) },
 		Health: server.Health{
 			Ready:     d.readyReason,
@@ -290,5 +291,14 @@
 	return nil
 }
 
+// noteResult counts the end of a request, and notes one that was not answered
+// as it asked.
+func (d *Daemon) noteResult(c coder.Code) {
+	d.metrics.Result(c)
+	if c != coder.OK {
+		d.logger.Emit(logger.RequestFailed, logger.String("code", c.String()))
+	}
+}
+
 // NoteSecondSignal notes that the daemon was told again to stop.
 func (d *Daemon) NoteSecondSignal() { d.logger.Emit(logger.StopRepeated) }
--- a/daemon/loops.go
+++ b/daemon/loops.go
@@ -99,12 +99,22 @@
 	return context.WithTimeout(d.ctx, d.settings.Timing.PlatformCall.Duration())
 }
 
+func (d *Daemon) noteHosts(err error) {
+	if err != nil {
+		d.logger.Emit(logger.HostsDown, logger.Err(err))
+		return
+	}
+	d.logger.Emit(logger.HostsUp)
+}
+
 func (d *Daemon) readHosts() {
 	ctx, cancel := d.platformContext()
 	defer cancel()
 	hosts, err := d.platform.Hosts.List(ctx)
+	if down := err != nil; d.hostsDown.Swap(down) != down {
+		d.noteHosts(err)
+	}
 	if err != nil {
-		d.logger.Emit(logger.HostsDown, logger.Err(err))
 		return
 	}
 	d.post(func(c *core) {
--- a/daemon/shard.go
+++ b/daemon/shard.go
@@ -14,6 +14,7 @@
 	"galenawharf.example/galenawharf/provider"
 	"galenawharf.example/galenawharf/quarantiner"
 	"galenawharf.example/galenawharf/schema"
+	"galenawharf.example/galenawharf/sharer"
 	"galenawharf.example/galenawharf/sizer"
 )
 
@@ -73,19 +74,14 @@
 func (s *shard) setConfig(state *declarer.State) {
 	s.keeper.SetConfig(state)
 	s.unpark(state)
-	shares := int64(0)
-	for _, dc := range state.DataCentres() {
-		if !state.DataCentreDrained(dc.Name) {
-			shares += int64(dc.Shards)
-		}
-	}
+	own, weights := s.place(state)
 	for _, t := range s.teams {
 		s.placer.ClearQuota(t)
 	}
 	s.teams = s.teams[:0]
 	for _, t := range state.Teams() {
 		s.teams = append(s.teams, t.Name)
-		s.placer.SetQuota(t.Name, shareOf(t.Quota.Size(), max(shares, 1)))
+		s.placer.SetQuota(t.Name, sharer.Portions(t.Quota.Size(), weights)[own])
 	}
 }
 
@@ -100,10 +96,25 @@
 	}
 }
 
-// shareOf divides a quota, rounded up.
-func shareOf(q sizer.Size, n int64) sizer.Size {
-	up := func(v int64) int64 { return (v + n - 1) / n }
-	return sizer.New(up(q.Millicores()), up(q.MemoryBytes()), up(q.Accelerators()))
+// place gives the shard's number among those of the data centres that are not
+// taken out, and their weights, which are alike. A shard that is taken out
+// itself has the first part, for what still runs.
+func (s *shard) place(state *declarer.State) (own int, weights []int64) {
+	for _, dc := range state.DataCentres() {
+		if state.DataCentreDrained(dc.Name) {
+			continue
+		}
+		for n := range dc.Shards {
+			if claimer.ShardName(dc.Name, n) == s.name {
+				own = len(weights)
+			}
+			weights = append(weights, 1)
+		}
+	}
+	if len(weights) == 0 {
+		return 0, []int64{1}
+	}
+	return own, weights
 }
 
 func (s *shard) setWorkers(hosts []provider.Host) {
--- a/daemon/step.go
+++ b/daemon/step.go
@@ -153,7 +153,11 @@
 	}
 	for _, s := range c.held {
 		if !slices.Contains(held, s) {
-			c.d.logger.Emit(logger.ShardLost, logger.String("shard", s))
+			e := logger.ShardLost
+			if c.d.leaving.Load() {
+				e = logger.ShardReleased
+			}
+			c.d.logger.Emit(e, logger.String("shard", s))
 		}
 	}
 	c.held = held
--- a/logger/events.go
+++ b/logger/events.go
@@ -6,7 +6,6 @@
 var (
 	Started      = Event{1001, log.InfoLevel, "daemon started"}
 	Ready        = Event{1002, log.InfoLevel, "daemon is ready"}
-	NotReady     = Event{1003, log.WarnLevel, "daemon is not ready"}
 	Leaving      = Event{1004, log.InfoLevel, "daemon is leaving"}
 	Stopped      = Event{1005, log.InfoLevel, "daemon stopped"}
 	StopOverdue  = Event{1006, log.ErrorLevel, "daemon stops before all requests have ended"}
