--- /dev/null
+++ b/conductor/desk.go
@@ -0,0 +1,88 @@
+package conductor
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+
+	"galenawharf.example/galenawharf/clock"
+	"galenawharf.example/galenawharf/scheduler"
+)
+
+const (
+	// storeAway is how long appends may have failed before new work is refused at
+	// once: the answer of a store that is as slow as the sheets of trouble say.
+	storeAway = 500 * clock.Millis(1)
+)
+
+var (
+	// ErrStoreAway: the store does not answer, so nothing can be accepted. The
+	// request has not run and will not.
+	ErrStoreAway = errors.New("the store does not answer")
+)
+
+// Submit accepts a job and returns when it is stored. The error is ErrStoreAway if
+// it surely never runs, that of scheduler.Submit for a faulty job, or ErrOver or the
+// context's if its fate is open.
+func (c *Conductor) Submit(ctx context.Context, s scheduler.Spec) error {
+	return c.await(ctx, func(stored func()) error {
+		if away := c.writer.FailingSince(); away != 0 && c.now()-away > storeAway && !c.sched.Knows(s.ID) {
+			return ErrStoreAway
+		}
+		return c.sched.Submit(s, stored)
+	})
+}
+
+// Cancel ends a job and returns when that is stored. The error is
+// scheduler.ErrUnknown, or as with Submit.
+func (c *Conductor) Cancel(ctx context.Context, id string) error {
+	return c.await(ctx, func(stored func()) error { return c.sched.Cancel(id, stored) })
+}
+
+func (c *Conductor) await(ctx context.Context, f func(stored func()) error) error {
+	done := make(chan error, 1)
+	if !c.do(func() {
+		if err := f(func() { done <- nil }); err != nil {
+			done <- err
+		}
+	}) {
+		return ErrOver
+	}
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "conductor.Conductor")
+	case <-c.ctx.Done():
+		select {
+		case err := <-done:
+			return err
+		default:
+			return ErrOver
+		}
+	}
+}
+
+// Phase returns the phase of a job. The error is scheduler.ErrUnknown or ErrOver.
+func (c *Conductor) Phase(id, queue string) (scheduler.Phase, error) {
+	var p scheduler.Phase
+	var err error
+	if !c.ask(func() { p, err = c.sched.Phase(id, queue) }) {
+		return "", ErrOver
+	}
+	return p, err
+}
+
+// Pending returns how many jobs of a queue have not begun. The error is ErrOver.
+func (c *Conductor) Pending(queue string) (int, error) {
+	var n int
+	if !c.ask(func() { n = c.sched.Pending(queue) }) {
+		return 0, ErrOver
+	}
+	return n, nil
+}
+
+// SetEvacuated replaces the set of data centres where nothing may start.
+func (c *Conductor) SetEvacuated(dataCentres []string) {
+	c.do(func() { c.sched.SetEvacuated(dataCentres) })
+}
--- /dev/null
+++ b/conductor/epoch.go
@@ -0,0 +1,14 @@
+package conductor
+
+import "strconv"
+
+func epochText(e int64) string { return strconv.FormatInt(e, 10) }
+
+// parseEpoch returns 0 for a missing or unreadable epoch, which is lower than any.
+func parseEpoch(b []byte) int64 {
+	e, err := strconv.ParseInt(string(b), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return e
+}
--- /dev/null
+++ b/conductor/session.go
@@ -0,0 +1,180 @@
+package conductor
+
+import (
+	"context"
+
+	"galenawharf.example/galenawharf/clock"
+	"galenawharf.example/galenawharf/recorder"
+	"galenawharf.example/galenawharf/scheduler"
+)
+
+type (
+	// session is the contact with one life of a worker.
+	session struct {
+		worker string
+		born   int64
+		// slots bounds the orders on their way.
+		slots chan struct{}
+		// wake ends a wait for ends to be stored.
+		wake chan struct{}
+		// looking is whether a goroutine asks the worker.
+		looking bool
+	}
+)
+
+const (
+	// ordersAtOnce bounds the orders on their way to one worker, and with it the
+	// connections: one for each and one for the look.
+	ordersAtOnce = 2
+	// lookWait is how long a worker holds a look until a run ends. The lease is
+	// extended with each look.
+	lookWait = 1000 * clock.Millis(1)
+	// gaugeWait is that for workers whose serving tasks are watched.
+	gaugeWait = 500 * clock.Millis(1)
+	// lookMargin is allowed for an answer beyond the wait.
+	lookMargin = 800 * clock.Millis(1)
+	// lookPause is the time before a worker that did not answer is asked again.
+	lookPause = 250 * clock.Millis(1)
+	// storeWait is how long a session waits for ends to be stored before it extends
+	// the lease without acknowledging them.
+	storeWait = 800 * clock.Millis(1)
+)
+
+func (c *Conductor) session(worker string, born int64) *session {
+	k := sessionKey(worker, born)
+	s := c.sessions[k]
+	if s == nil {
+		s = &session{worker: worker, born: born, slots: make(chan struct{}, ordersAtOnce), wake: make(chan struct{}, 1)}
+		c.sessions[k] = s
+	}
+	return s
+}
+
+func (s *session) acquire(ctx context.Context) bool {
+	select {
+	case s.slots <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (s *session) release() { <-s.slots }
+
+// wake lets the session of a worker go on after its ends were stored.
+func (c *Conductor) wake(worker string) {
+	c.sched.SessionOf(worker, func(q scheduler.Session) {
+		if s := c.sessions[sessionKey(worker, q.Born)]; s != nil {
+			select {
+			case s.wake <- struct{}{}:
+			default:
+			}
+		}
+	})
+}
+
+// manageSessions starts to look at workers that have become busy.
+func (c *Conductor) manageSessions() {
+	live := map[string]bool{}
+	c.sched.Sessions(func(q scheduler.Session) {
+		k := sessionKey(q.Worker, q.Born)
+		live[k] = true
+		if !q.Busy || q.Address == "" {
+			return
+		}
+		s := c.session(q.Worker, q.Born)
+		if s.looking {
+			return
+		}
+		s.looking = true
+		c.group.Add(1)
+		go func() {
+			defer c.group.Done()
+			c.look(s)
+		}()
+	})
+	for k, s := range c.sessions {
+		if !live[k] && !s.looking {
+			delete(c.sessions, k)
+		}
+	}
+}
+
+// look asks a worker again and again while it is busy.
+func (c *Conductor) look(s *session) {
+	for {
+		q, busy, blocked := c.question(s)
+		switch {
+		case !busy:
+			return
+		case blocked:
+			s.await(c.ctx)
+			if q, busy, blocked = c.question(s); !busy {
+				return
+			}
+			if blocked {
+				q.Wait = 0
+			}
+		}
+		if !c.lookOnce(s, q) {
+			recorder.Sleep(c.ctx, lookPause)
+		} else if blocked {
+			recorder.Sleep(c.ctx, storeWait)
+		}
+	}
+}
+
+// await waits until the ends of the worker are stored, within bounds.
+func (s *session) await(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, storeWait.Duration())
+	defer cancel()
+	select {
+	case <-s.wake:
+	case <-ctx.Done():
+	}
+}
+
+// question returns what to ask next, whether the session goes on, and whether ends
+// await storing.
+func (c *Conductor) question(s *session) (q Question, busy, blocked bool) {
+	ok := c.ask(func() {
+		n, known := c.sched.Session(s.worker, s.born)
+		if !known || !n.Busy {
+			s.looking = false
+			return
+		}
+		busy, blocked = true, n.Blocked
+		q = Question{Worker: s.worker, Address: n.Address, Born: s.born, Acked: n.Acked, Wait: lookWait}
+		switch {
+		case n.Idle:
+			q.Wait = 0
+		case n.Gauged:
+			q.Wait = gaugeWait
+		}
+		q.Deadline, _ = c.deadline(s.worker)
+	})
+	return q, busy && ok, blocked
+}
+
+// lookOnce asks the worker and reports whether it answered.
+func (c *Conductor) lookOnce(s *session, q Question) bool {
+	sent := c.now()
+	ctx, cancel := context.WithTimeout(c.ctx, (q.Wait + lookMargin).Duration())
+	r, out := c.fleet.Look(ctx, q, c.epoch)
+	cancel()
+	r.Worker, r.Sent = q.Worker, sent
+	c.ask(func() {
+		switch out {
+		case scheduler.Done:
+			c.sched.Told(q.Worker, q.Born, q.Acked)
+			c.sched.Report(r)
+		case scheduler.Fenced:
+			c.cancel()
+		case scheduler.OtherLife:
+			c.sched.Replaced(q.Worker, q.Born, r.Born)
+		default:
+			c.sched.Unanswered(q.Worker, q.Born)
+		}
+	})
+	return out == scheduler.Done
+}
--- /dev/null
+++ b/forwarder/forwarder.go
@@ -0,0 +1,164 @@
+package forwarder
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+
+	"github.com/pkg/errors"
+
+	"galenawharf.example/galenawharf/clock"
+	"galenawharf.example/galenawharf/conductor"
+	"galenawharf.example/galenawharf/elector"
+	"galenawharf.example/galenawharf/scheduler"
+)
+
+type (
+	// Forwarder answers requests by the leader, here or on another host.
+	Forwarder struct {
+		elector func() *elector.Elector
+		local   atomic.Pointer[conductor.Conductor]
+		client  *http.Client
+	}
+)
+
+const (
+	path = "/requests"
+	// maxRequest bounds the body from a peer: a caller's largest body with the
+	// names of our own format.
+	maxRequest = 4 << 20
+	// hops bounds how often a request is sent on to a newer leader.
+	hops = 2
+)
+
+// New returns a forwarder that asks the elector who leads.
+func New(e func() *elector.Elector, c *http.Client) *Forwarder {
+	return &Forwarder{elector: e, client: c}
+}
+
+// SetLocal names the conductor of this daemon while it leads, nil otherwise.
+func (f *Forwarder) SetLocal(c *conductor.Conductor) { f.local.Store(c) }
+
+// Leading returns the conductor of this daemon, nil while it does not lead.
+func (f *Forwarder) Leading() *conductor.Conductor { return f.local.Load() }
+
+// Serve answers a request of a caller.
+func (f *Forwarder) Serve(ctx context.Context, q Request) Reply {
+	for range hops {
+		if c := f.local.Load(); c != nil {
+			return lead(ctx, c, q)
+		}
+		address, here := f.elector().Leader()
+		if address == "" || here {
+			return refusal("no leader is known")
+		}
+		r := f.forward(ctx, address, q)
+		if r.Outcome != NotLeading {
+			return r
+		}
+		before := f.elector().Newest().Epoch
+		if r.Leader != nil {
+			f.elector().Hint(*r.Leader)
+		}
+		if f.elector().Newest().Epoch == before {
+			break
+		}
+	}
+	return refusal("the daemon taken for the leader does not lead")
+}
+
+func refusal(why string) Reply { return Reply{Outcome: Refused, RetryAfter: RetrySoon, Error: why} }
+
+func unclear(err error) Reply { return Reply{Outcome: Unclear, Error: err.Error()} }
+
+// lead answers a request by the conductor of this daemon.
+func lead(ctx context.Context, c *conductor.Conductor, q Request) Reply {
+	var err error
+	r := Reply{Outcome: OK}
+	switch q.Verb {
+	case Submit:
+		err = c.Submit(ctx, q.Spec)
+	case Cancel:
+		err = c.Cancel(ctx, q.Spec.ID)
+	case Phase:
+		r.Phase, err = c.Phase(q.Spec.ID, q.Spec.Queue.Name)
+	case Pending:
+		r.Pending, err = c.Pending(q.Spec.Queue.Name)
+	default:
+		return Reply{Outcome: Invalid, Error: "unknown verb " + string(q.Verb)}
+	}
+	switch {
+	case err == nil:
+		return r
+	case errors.Is(err, scheduler.ErrUnknown):
+		return Reply{Outcome: Unknown}
+	case errors.Is(err, conductor.ErrStoreAway):
+		return refusal(err.Error())
+	case errors.Is(err, conductor.ErrOver) && q.Verb != Submit:
+		return refusal(err.Error())
+	case errors.Is(err, conductor.ErrOver), ctx.Err() != nil:
+		return unclear(err)
+	default:
+		return Reply{Outcome: Invalid, Error: err.Error()}
+	}
+}
+
+// forward sends a request to the leader.
+func (f *Forwarder) forward(ctx context.Context, address string, q Request) Reply {
+	b, err := json.Marshal(q)
+	if err != nil {
+		return Reply{Outcome: Invalid, Error: err.Error()}
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(b))
+	if err != nil {
+		return Reply{Outcome: Invalid, Error: err.Error()}
+	}
+	r.GetBody = nil
+	resp, err := f.client.Do(r)
+	if err != nil {
+		var op *net.OpError
+		if errors.As(err, &op) && op.Op == "dial" || q.Verb != Submit {
+			return refusal("the leader does not answer: " + err.Error())
+		}
+		return unclear(err)
+	}
+	defer resp.Body.Close()
+	var a Reply
+	if err := json.NewDecoder(resp.Body).Decode(&a); err != nil || resp.StatusCode != http.StatusOK {
+		return Reply{Outcome: Unclear, Error: "the leader answered " + resp.Status}
+	}
+	a.RetryAfter = clock.Millis(a.RetryMS)
+	return a
+}
+
+// ServeHTTP answers a peer.
+func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != path || r.Method != http.MethodPost {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	var q Request
+	if err := json.NewDecoder(io.LimitReader(r.Body, maxRequest)).Decode(&q); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	var a Reply
+	if c := f.local.Load(); c != nil {
+		a = lead(r.Context(), c, q)
+	} else {
+		n := f.elector().Newest()
+		a = Reply{Outcome: NotLeading, Leader: &n}
+	}
+	a.RetryMS = int64(a.RetryAfter)
+	b, err := json.Marshal(a)
+	if err != nil {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	// A peer that has left can't be told anything.
+	_, _ = w.Write(b)
+}
--- a/logger/events.go
+++ b/logger/events.go
@@ -46,3 +46,32 @@
 	RequestFailed = Event{5001, log.DebugLevel, "request ended without an answer of its own"}
 	Panicked      = Event{5002, log.ErrorLevel, "a call panicked and was answered as internal"}
 )
+
+// Scheduling on the platform.
+var (
+	LeaderElected = Event{6001, log.InfoLevel, "this daemon leads"}
+	LeaderDeposed = Event{6002, log.WarnLevel, "this daemon leads no more"}
+	LeaderChanged = Event{6003, log.InfoLevel, "another daemon leads"}
+	ConfigInForce = Event{6004, log.InfoLevel, "configuration is in force"}
+	Evacuated     = Event{6005, log.InfoLevel, "evacuated data centres changed"}
+	JobAccepted   = Event{6010, log.InfoLevel, "job accepted"}
+	JobRefused    = Event{6011, log.WarnLevel, "request refused"}
+	JobUnclear    = Event{6012, log.WarnLevel, "request ended without a known outcome"}
+	JobEnded      = Event{6013, log.InfoLevel, "job ended"}
+	RunPlaced     = Event{6020, log.InfoLevel, "run placed"}
+	RunFailed     = Event{6021, log.InfoLevel, "run failed"}
+	RunMissing    = Event{6022, log.WarnLevel, "run is not on its worker"}
+	OrderUnclear  = Event{6023, log.WarnLevel, "order was not answered"}
+	OrderRefused  = Event{6024, log.InfoLevel, "worker refused an order"}
+	RunStalled    = Event{6025, log.WarnLevel, "run makes no progress"}
+	WorkerSilent  = Event{6030, log.WarnLevel, "worker does not answer"}
+	WorkerBack    = Event{6031, log.InfoLevel, "worker answers again"}
+	WorkerLost    = Event{6032, log.WarnLevel, "lease of a silent worker is over"}
+	WorkerReborn  = Event{6033, log.InfoLevel, "worker was restarted"}
+	StoreLost     = Event{6040, log.WarnLevel, "store does not answer"}
+	StoreBack     = Event{6041, log.InfoLevel, "store answers again"}
+	RecordInvalid = Event{6042, log.ErrorLevel, "stored record can't be used"}
+	EntryInvalid  = Event{6043, log.DebugLevel, "entry of the registry or the operator can't be used"}
+	Reloaded      = Event{6049, log.InfoLevel, "settings may have changed"}
+	LinesLeftOut  = Event{6050, log.WarnLevel, "log lines were left out"}
+)
--- /dev/null
+++ b/recorder/loader.go
@@ -0,0 +1,67 @@
+package recorder
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+
+	"galenawharf.example/galenawharf/clock"
+)
+
+const (
+	// pageLimit bounds one page of a listing: the store's longest slowness on the
+	// sheets of trouble, with the transfer of a full page beside it.
+	pageLimit = 2 * clock.Second
+)
+
+// Load returns the newest item of every key of a topic and the offset up to which
+// they are complete. Items that others add meanwhile are taken in.
+func Load(ctx context.Context, s Store, topic string) (map[string][]byte, int64, error) {
+	items := map[string][]byte{}
+	first := int64(-1)
+	for after, more := "", true; more; {
+		p, err := page(ctx, s, topic, after)
+		if err != nil {
+			return nil, 0, errors.Wrap(err, "recorder.Load")
+		}
+		if first < 0 {
+			first = p.End
+		}
+		for _, i := range p.Items {
+			items[i.Key] = i.Value
+			after = i.Key
+		}
+		more = p.More && len(p.Items) > 0
+	}
+	end, err := CatchUp(ctx, s, topic, first, items)
+	return items, end, err
+}
+
+// CatchUp applies what was added since an offset and returns the new end.
+func CatchUp(ctx context.Context, s Store, topic string, from int64, items map[string][]byte) (int64, error) {
+	for {
+		c, cancel := context.WithTimeout(ctx, pageLimit.Duration())
+		found, end, err := s.Read(c, topic, from, 0)
+		cancel()
+		if err != nil {
+			return 0, errors.Wrap(err, "recorder.CatchUp")
+		}
+		for _, i := range found {
+			if len(i.Value) == 0 {
+				delete(items, i.Key)
+				continue
+			}
+			items[i.Key] = i.Value
+		}
+		if len(found) == 0 {
+			return max(end, from), nil
+		}
+		from = end
+	}
+}
+
+func page(ctx context.Context, s Store, topic, after string) (Page, error) {
+	c, cancel := context.WithTimeout(ctx, pageLimit.Duration())
+	defer cancel()
+	return s.Newest(c, topic, after)
+}
--- /dev/null
+++ b/recorder/sleep.go
@@ -0,0 +1,20 @@
+package recorder
+
+import (
+	"context"
+	"time"
+
+	"galenawharf.example/galenawharf/clock"
+)
+
+// Sleep waits for d and reports whether it did before the context ended.
+func Sleep(ctx context.Context, d clock.Millis) bool {
+	t := time.NewTimer(d.Duration())
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/runner/runner.go
@@ -0,0 +1,224 @@
+// Package runner puts together the daemon of one host on the platform: the servers
+// of callers, peers and the balancer, the watch on the operator, the election, and
+// the conductor while this host leads.
+package runner
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+
+	"github.com/looplab/fsm"
+	"github.com/pkg/errors"
+
+	"galenawharf.example/galenawharf/clock"
+	"galenawharf.example/galenawharf/conductor"
+	"galenawharf.example/galenawharf/elector"
+	"galenawharf.example/galenawharf/forwarder"
+	"galenawharf.example/galenawharf/logger"
+	"galenawharf.example/galenawharf/platform"
+	"galenawharf.example/galenawharf/recorder"
+	"galenawharf.example/galenawharf/scheduler"
+)
+
+type (
+	// Runner is the daemon of one host.
+	Runner struct {
+		settings *platform.Settings
+		log      *logger.Logger
+		now      func() clock.Millis
+		store    recorder.Store
+		workers  *platform.Workers
+
+		life    *fsm.FSM
+		ingress *platform.Ingress
+		forward *forwarder.Forwarder
+		elector *elector.Elector
+		follow  *recorder.Follower
+		// operator has the newest records of the operator; used by the follower only.
+		operator  map[string][]byte
+		evacuated atomic.Pointer[[]string]
+		leaving   atomic.Bool
+		servers   []*http.Server
+	}
+)
+
+const (
+	stateStarting = "starting"
+	stateServing  = "serving"
+	stateLeaving  = "leaving"
+	stateStopped  = "stopped"
+
+	// storeConnections bounds those to the store: the reads that wait for the
+	// operator and for the leader's claim, the registry, the jobs and the claim.
+	storeConnections = 6
+	// workerConnections bounds those to one worker: a look and two orders.
+	workerConnections = 3
+	// peerConnections bounds those to the leader.
+	peerConnections = 16
+	// operatorWait is how long the store holds a read of the operator's records.
+	operatorWait = 10 * clock.Second
+	// headerLimit bounds the reading of a request's header, as the platform does.
+	headerLimit = 3 * clock.Second
+	// rotationDelay is how long new callers still come after this host reports that
+	// it is leaving: two questions of the balancer, one a second, and their answers.
+	rotationDelay = 2200 * clock.Millis(1)
+	// stopReserve is left of the grace period for the end of the process.
+	stopReserve = 800 * clock.Millis(1)
+	readyPath   = "/galenawharf/readyz"
+)
+
+// New starts the daemon.
+func New(s *platform.Settings, l *logger.Logger) (*Runner, error) {
+	r := &Runner{
+		settings: s, log: l, now: clock.NewSteady(), operator: map[string][]byte{},
+		store:   platform.NewStore(s.Store(), platform.NewClient(storeConnections)).Seam(),
+		workers: platform.NewWorkers(platform.NewClient(workerConnections)),
+	}
+	r.life = fsm.NewFSM(stateStarting, fsm.Events{
+		{Name: stateServing, Src: []string{stateStarting}, Dst: stateServing},
+		{Name: stateLeaving, Src: []string{stateStarting, stateServing}, Dst: stateLeaving},
+		{Name: stateStopped, Src: []string{stateLeaving}, Dst: stateStopped},
+	}, fsm.Callbacks{
+		"enter_" + stateServing: func(context.Context, *fsm.Event) { l.Emit(logger.Ready) },
+		"enter_" + stateLeaving: func(context.Context, *fsm.Event) { l.Emit(logger.Leaving) },
+		"enter_" + stateStopped: func(context.Context, *fsm.Event) { l.Emit(logger.Stopped) },
+	})
+	r.evacuated.Store(&[]string{})
+	r.forward = forwarder.New(func() *elector.Elector { return r.elector }, platform.NewClient(peerConnections))
+	r.ingress = platform.NewIngress(r.forward.Serve, l.Emit)
+	life := strconv.FormatInt(int64(clock.System()), 36) + "-" + s.Peers()
+	r.elector = elector.New(r.store, s.Host(), s.Peers(), life, r.lead, elector.WithClock(r.now), elector.WithEvents(l.Emit))
+	r.follow = recorder.Follow(r.store, platform.OperatorTopic, recorder.Pace{Wait: operatorWait}, recorder.Watch{
+		Reset: func(m map[string][]byte) { r.operator = m; r.operate() },
+		Change: func(items []recorder.Item) {
+			for _, i := range items {
+				if len(i.Value) == 0 {
+					delete(r.operator, i.Key)
+					continue
+				}
+				r.operator[i.Key] = i.Value
+			}
+			r.operate()
+		},
+		Read:   func() {},
+		Failed: func(err error) { l.Emit(logger.StoreLost, logger.Err(err)) },
+	})
+	if err := r.serve(); err != nil {
+		r.Close()
+		return nil, errors.Wrap(err, "runner.New")
+	}
+	return r, nil
+}
+
+// serve opens the servers.
+func (r *Runner) serve() error {
+	for address, h := range map[string]http.Handler{
+		r.settings.Callers(): r.ingress,
+		r.settings.Peers():   r.forward,
+		r.settings.Ready():   http.HandlerFunc(r.ready),
+	} {
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			return errors.Wrap(err, "runner.Runner.serve")
+		}
+		s := &http.Server{Handler: h, ReadHeaderTimeout: headerLimit.Duration()}
+		r.servers = append(r.servers, s)
+		go func() {
+			if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+				r.log.Emit(logger.RequestFailed, logger.Err(err))
+			}
+		}()
+	}
+	return nil
+}
+
+// ready answers the balancer: this host takes callers while it knows the
+// configuration and a leader.
+func (r *Runner) ready(w http.ResponseWriter, q *http.Request) {
+	leader, _ := r.elector.Leader()
+	switch {
+	case q.URL.Path != readyPath:
+		w.WriteHeader(http.StatusNotFound)
+	case r.leaving.Load() || r.ingress.Config() == nil || leader == "":
+		w.WriteHeader(http.StatusServiceUnavailable)
+	default:
+		if r.life.Can(stateServing) {
+			// Two questions at once may both find it possible; the second is a no-op.
+			_ = r.life.Event(q.Context(), stateServing)
+		}
+		w.WriteHeader(http.StatusOK)
+	}
+}
+
+// operate puts in force what the operator has written.
+func (r *Runner) operate() {
+	if b := platform.ConfigOf(r.operator); len(b) > 0 {
+		c, err := platform.DecodeConfig(b)
+		if err != nil {
+			r.log.Emit(logger.EntryInvalid, logger.String("key", "config"), logger.Err(err))
+		} else if r.ingress.SetConfig(c) {
+			r.log.Emit(logger.ConfigInForce, logger.Int("version", c.Version()))
+		}
+	}
+	e := platform.EvacuatedOf(r.operator)
+	r.evacuated.Store(&e)
+	if c := r.forward.Leading(); c != nil {
+		c.SetEvacuated(e)
+	}
+}
+
+// lead conducts for one term.
+func (r *Runner) lead(ctx context.Context, t elector.Term) {
+	s := scheduler.New(
+		scheduler.WithClocks(r.now, clock.System), scheduler.WithEvents(r.log.Emit),
+		scheduler.WithLease(r.settings.Lease()), scheduler.WithRetention(r.settings.Retention()),
+		scheduler.WithHarmLimit(r.settings.HarmLimit()), scheduler.WithRemoteFactor(r.settings.RemoteFactor()),
+	)
+	s.SetEvacuated(*r.evacuated.Load())
+	c, err := conductor.New(ctx, conductor.Term{Epoch: t.Epoch, FormerIsOver: t.FormerIsOver, Confirmed: t.Confirmed},
+		r.store, r.workers.Fleet(), s, r.settings.Lease(), platform.DecodeWorker,
+		conductor.WithClock(r.now), conductor.WithEvents(r.log.Emit))
+	if err != nil {
+		r.log.Emit(logger.StoreLost, logger.Err(err))
+		return
+	}
+	c.SetEvacuated(*r.evacuated.Load())
+	r.forward.SetLocal(c)
+	c.Wait()
+	r.forward.SetLocal(nil)
+}
+
+// Leave ends the daemon without breaking off a request: callers are sent elsewhere,
+// another daemon leads, and requests on their way are answered.
+func (r *Runner) Leave(ctx context.Context) {
+	if err := r.life.Event(ctx, stateLeaving); err != nil {
+		return
+	}
+	r.leaving.Store(true)
+	r.elector.Close()
+	recorder.Sleep(ctx, rotationDelay)
+	c, cancel := context.WithTimeout(ctx, (r.settings.Grace() - rotationDelay - stopReserve).Duration())
+	defer cancel()
+	for _, s := range r.servers {
+		if err := s.Shutdown(c); err != nil {
+			r.log.Emit(logger.StopOverdue, logger.Err(err))
+		}
+	}
+	r.Close()
+	if err := r.life.Event(ctx, stateStopped); err != nil {
+		r.log.Emit(logger.StopOverdue, logger.Err(err))
+	}
+}
+
+// Close ends the daemon at once.
+func (r *Runner) Close() {
+	r.elector.Close()
+	r.follow.Close()
+	for _, s := range r.servers {
+		// The process ends; a connection that can't be closed ends with it.
+		_ = s.Close()
+	}
+}
--- /dev/null
+++ b/scheduler/placing.go
@@ -0,0 +1,211 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+
+	"galenawharf.example/galenawharf/clock"
+	"galenawharf.example/galenawharf/logger"
+)
+
+type (
+	// demand is a step of an occurrence with tasks that wait for a worker.
+	demand struct {
+		occurrence *occurrence
+		step       int
+		tasks      []*task
+		key        clock.Millis
+	}
+)
+
+const (
+	// failureQuarantine is the failure score from which a worker gets nothing new;
+	// two failed runs in a row without a done one.
+	failureQuarantine = 1.9
+	// failureForget is the time in which a quarantined worker gets another chance.
+	failureForget = 5 * clock.Second
+)
+
+// Place gives waiting tasks their workers. The runs start when the next batch is
+// stored.
+func (s *Scheduler) Place() {
+	now := s.now()
+	var ds []demand
+	for j := range s.active {
+		for _, o := range j.occurrences {
+			for i := range o.steps {
+				if d, ok := s.demandOf(o, i, now); ok {
+					ds = append(ds, d)
+				}
+			}
+		}
+	}
+	if len(ds) == 0 {
+		return
+	}
+	slices.SortFunc(ds, func(a, b demand) int {
+		return cmp.Or(cmp.Compare(a.queue().Priority, b.queue().Priority), cmp.Compare(a.key, b.key),
+			cmp.Compare(a.occurrence.job.spec.ID, b.occurrence.job.spec.ID), cmp.Compare(a.step, b.step))
+	})
+	workers := s.usable(now)
+	for _, d := range ds {
+		s.placeDemand(d, workers, now)
+	}
+}
+
+func (d demand) queue() *Queue { return &d.occurrence.job.spec.Queue }
+
+func (s *Scheduler) demandOf(o *occurrence, i int, now clock.Millis) (demand, bool) {
+	if o.done[i] == o.job.spec.Steps[i].Count || !o.ready(i) {
+		return demand{}, false
+	}
+	d := demand{occurrence: o, step: i, key: o.job.due(o.number)}
+	for _, t := range o.steps[i] {
+		if t.state == pending && t.retryAt <= now {
+			d.tasks = append(d.tasks, t)
+		}
+	}
+	return d, len(d.tasks) > 0
+}
+
+// usable returns the workers that may get a new run.
+func (s *Scheduler) usable(now clock.Millis) []*worker {
+	var ws []*worker
+	for _, w := range s.workers {
+		if !w.listed || w.info.Draining || w.lost || w.silent != 0 || w.inherits ||
+			now < w.blockedUntil || s.evacuated[w.info.DataCentre] {
+			continue
+		}
+		if w.failures >= failureQuarantine {
+			if now-w.failedAt < failureForget || len(w.tasks) > 0 {
+				continue
+			}
+		}
+		ws = append(ws, w)
+	}
+	slices.SortFunc(ws, func(a, b *worker) int { return compareStrings(a.info.ID, b.info.ID) })
+	return ws
+}
+
+func (s *Scheduler) placeDemand(d demand, ws []*worker, now clock.Millis) {
+	step := &d.occurrence.job.spec.Steps[d.step]
+	if step.Gang {
+		s.placeGang(d, ws, now)
+		return
+	}
+	for _, t := range d.tasks {
+		w := s.choose(t, ws)
+		if w == nil {
+			return
+		}
+		s.assign(t, w, now)
+	}
+}
+
+// placeGang places all tasks of a gang or none.
+func (s *Scheduler) placeGang(d demand, ws []*worker, now clock.Millis) {
+	if len(d.tasks) != d.occurrence.job.spec.Steps[d.step].Count {
+		// Members of the former run are still held.
+		for _, t := range d.occurrence.steps[d.step] {
+			if t.held() && !t.stopping {
+				s.stop(t)
+			}
+		}
+		return
+	}
+	attempt, checkpoint := 0, ""
+	for _, t := range d.tasks {
+		attempt = max(attempt, t.attempt)
+		if t.checkpoint > checkpoint {
+			checkpoint = t.checkpoint
+		}
+	}
+	var chosen []*task
+	for _, t := range d.tasks {
+		w := s.choose(t, ws)
+		if w == nil {
+			for _, c := range chosen {
+				s.release(c)
+			}
+			return
+		}
+		t.worker = w
+		w.add(t)
+		chosen = append(chosen, t)
+	}
+	for _, t := range chosen {
+		w := t.worker
+		t.attempt, t.checkpoint = attempt, checkpoint
+		s.assign(t, w, now)
+	}
+}
+
+// assign gives a task to a worker.
+func (s *Scheduler) assign(t *task, w *worker, now clock.Millis) {
+	t.attempt++
+	t.state, t.worker, t.placed, t.pace = placed, w, now, 100
+	t.percent, t.progressed, t.confirmed, t.stopping, t.settling = 0, now, 0, false, 0
+	w.add(t)
+	w.leaseEnd = max(w.leaseEnd, leaseBound(now, s.leaseLength))
+	s.touch(t.job())
+	s.orders = append(s.orders, s.order(Start, t))
+	s.emit(logger.RunPlaced, logger.String("task", t.name().String()), logger.Int("attempt", int64(t.attempt)), logger.String("worker", w.info.ID))
+}
+
+// choose returns the best worker for a task, or nil if it has to wait.
+func (s *Scheduler) choose(t *task, ws []*worker) *worker {
+	var best *worker
+	var bestScore float64
+	step := t.spec()
+	for _, w := range ws {
+		if w.info.Service != t.job().spec.Queue.Service || !w.hasLabel(step.Label) || !w.fits(step) {
+			continue
+		}
+		if step.PerWorker > 0 && w.countOf(t) >= step.PerWorker {
+			continue
+		}
+		if w.failures >= failureQuarantine && len(w.tasks) > 0 {
+			continue
+		}
+		if score := s.score(t, step, w); best == nil || score > bestScore {
+			best, bestScore = w, score
+		}
+	}
+	return best
+}
+
+func (w *worker) countOf(t *task) int {
+	n := 0
+	for o := range w.tasks {
+		if o.occurrence == t.occurrence && o.step == t.step {
+			n++
+		}
+	}
+	return n
+}
+
+const (
+	// awayPenalty, failurePenalty and avoidPenalty are shares of a whole worker.
+	awayPenalty    = 1.0
+	failurePenalty = 0.5
+	avoidPenalty   = 1.0
+	// servingPenalty keeps fillers from workers whose serving tasks they disturb.
+	servingPenalty = 0.1
+)
+
+// score rates a worker by the share of its processors that stays free.
+func (s *Scheduler) score(t *task, step *Step, w *worker) float64 {
+	total := float64(max(w.info.CPU, 1))
+	free := float64(w.info.CPU-w.cpu-w.fillerCPU) / total
+	if step.Filler {
+		free -= servingPenalty * float64(w.serving)
+	}
+	if step.Rack != "" && !w.hasLabel(step.Rack) {
+		free -= awayPenalty
+	}
+	free -= failurePenalty * w.failures
+	if t.avoid == w.info.ID {
+		free -= avoidPenalty
+	}
+	return free
+}
--- /dev/null
+++ b/scheduler/record.go
@@ -0,0 +1,218 @@
+package scheduler
+
+import (
+	"encoding/json"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"galenawharf.example/galenawharf/clock"
+	"galenawharf.example/galenawharf/logger"
+)
+
+type (
+	// jobRecord is a job as it is stored.
+	jobRecord struct {
+		Spec  Spec  `json:"spec"`
+		Phase Phase `json:"phase"`
+		// AcceptedAt and EndedAt are in Unix milliseconds.
+		AcceptedAt int64 `json:"accepted-at"`
+		EndedAt    int64 `json:"ended-at,omitempty"`
+		// Done lists the occurrences that are over.
+		Done  []int        `json:"done,omitempty"`
+		Tasks []taskRecord `json:"tasks,omitempty"`
+	}
+
+	// taskRecord is a task that has had a run.
+	taskRecord struct {
+		Occurrence int    `json:"o,omitempty"`
+		Step       int    `json:"s,omitempty"`
+		Index      int    `json:"i,omitempty"`
+		Done       bool   `json:"d,omitempty"`
+		Attempt    int    `json:"a,omitempty"`
+		Failures   int    `json:"f,omitempty"`
+		Worker     string `json:"w,omitempty"`
+		Born       int64  `json:"b,omitempty"`
+		Checkpoint string `json:"c,omitempty"`
+	}
+)
+
+const (
+	jobPrefix = "job/"
+)
+
+func jobKey(id string) string { return jobPrefix + id }
+
+// isDone reports whether occurrence k is over.
+func (j *job) isDone(k int) bool { return j.doneSet[k] }
+
+func (j *job) markDone(k int) {
+	if j.doneSet == nil {
+		j.doneSet = map[int]bool{}
+	}
+	j.doneSet[k] = true
+}
+
+// encode returns the stored form of a job. That of an ended job keeps only what
+// callers may still ask.
+func encode(j *job) []byte {
+	r := jobRecord{Spec: j.spec, Phase: j.phase, AcceptedAt: int64(j.accepted), EndedAt: int64(j.ended)}
+	for k := range j.occurrenceCount() {
+		if j.doneSet[k] {
+			r.Done = append(r.Done, k)
+		}
+	}
+	if j.phase.final() {
+		r.Spec.Text, r.Spec.Steps, r.Done = "", nil, nil
+		return marshal(r)
+	}
+	j.eachTask(func(t *task) {
+		if t.attempt == 0 {
+			return
+		}
+		tr := taskRecord{Occurrence: t.occurrence.number, Step: t.step, Index: t.index, Done: t.state == done, Attempt: t.attempt, Failures: t.failures}
+		if t.held() {
+			tr.Worker, tr.Born = t.worker.info.ID, t.worker.info.Born
+		}
+		if t.state != done {
+			tr.Checkpoint = t.checkpoint
+		}
+		r.Tasks = append(r.Tasks, tr)
+	})
+	return marshal(r)
+}
+
+func marshal(r jobRecord) []byte {
+	b, err := json.Marshal(r)
+	if err != nil {
+		// All fields are plain values, so this is a fault of the program.
+		panic(errors.Wrap(err, "scheduler.encode"))
+	}
+	return b
+}
+
+// Load takes in a stored record of a former leader. Call it for every record before
+// the first report. inherited is when every run that the former leader started is
+// surely over unless this leader extends its lease.
+func (s *Scheduler) Load(key string, value []byte, inherited clock.Millis) error {
+	if !strings.HasPrefix(key, jobPrefix) || len(value) == 0 {
+		return nil
+	}
+	var r jobRecord
+	if err := json.Unmarshal(value, &r); err != nil {
+		return errors.Wrapf(err, "scheduler.Load: record %q", key)
+	}
+	j := &job{spec: r.Spec, phase: r.Phase, stored: r.Phase, accepted: clock.Millis(r.AcceptedAt), ended: clock.Millis(r.EndedAt), occurrences: map[int]*occurrence{}}
+	s.jobs[r.Spec.ID] = j
+	for _, k := range r.Done {
+		j.markDone(k)
+		j.finished++
+	}
+	if j.phase.final() {
+		return nil
+	}
+	s.active[j] = struct{}{}
+	s.openDue(j)
+	for _, tr := range r.Tasks {
+		s.loadTask(j, tr, inherited)
+	}
+	return nil
+}
+
+func (s *Scheduler) loadTask(j *job, r taskRecord, inherited clock.Millis) {
+	o := j.open(r.Occurrence)
+	if r.Step >= len(o.steps) || r.Index >= len(o.steps[r.Step]) {
+		s.emit(logger.RecordInvalid, logger.String("id", j.spec.ID))
+		return
+	}
+	t := o.steps[r.Step][r.Index]
+	t.attempt, t.failures, t.checkpoint = r.Attempt, r.Failures, r.Checkpoint
+	if r.Done {
+		t.state = done
+		o.done[r.Step]++
+		if o.done[r.Step] == t.spec().Count {
+			o.remaining--
+		}
+		return
+	}
+	if r.Worker == "" {
+		return
+	}
+	w := s.workers[r.Worker]
+	if w == nil {
+		w = &worker{info: WorkerInfo{ID: r.Worker, Born: r.Born}, tasks: map[*task]struct{}{}}
+		s.workers[r.Worker] = w
+	}
+	if w.info.Born != r.Born {
+		return
+	}
+	t.state, t.worker, t.pace = placed, w, 100
+	w.leaseEnd, w.inherits = inherited, true
+	w.add(t)
+}
+
+// Inherit marks every worker as one that may hold runs of a former leader until it
+// reports.
+func (s *Scheduler) Inherit(until clock.Millis) {
+	for _, w := range s.workers {
+		w.leaseEnd, w.inherits = max(w.leaseEnd, until), true
+	}
+}
+
+// Session is what a worker needs from the leader.
+type Session struct {
+	Worker  string
+	Address string
+	Born    int64
+	// Acked is the highest stored end.
+	Acked int64
+	// Idle is whether the worker has no runs.
+	Idle bool
+	// Busy is whether the worker has runs or ends to hear of.
+	Busy bool
+	// Gauged is whether serving tasks share the worker with fillers.
+	Gauged bool
+	// Blocked is whether ends await storing, so that asking again would only
+	// return them once more.
+	Blocked bool
+}
+
+// Sessions calls f for every worker that is listed or may hold runs.
+func (s *Scheduler) Sessions(f func(Session)) {
+	for id, w := range s.workers {
+		f(w.session(id))
+	}
+}
+
+// SessionOf calls f with the session of the newest life of a worker, if there is one.
+func (s *Scheduler) SessionOf(id string, f func(Session)) {
+	if w := s.workers[id]; w != nil {
+		f(w.session(id))
+	}
+}
+
+// Session returns the session of one worker.
+func (s *Scheduler) Session(id string, born int64) (Session, bool) {
+	w := s.workers[id]
+	if w == nil || w.info.Born != born {
+		return Session{}, false
+	}
+	return w.session(id), true
+}
+
+func (w *worker) session(id string) Session {
+	return Session{
+		Worker: id, Address: w.info.Address, Born: w.info.Born, Acked: w.acked,
+		Busy:    len(w.tasks) > 0 || w.seen > w.acked || w.inherits || w.silent != 0 && w.listed || w.acked > w.told,
+		Gauged:  w.serving > 0 && w.fillerCPU > 0,
+		Blocked: w.seen > w.acked,
+		Idle:    len(w.tasks) == 0,
+	}
+}
+
+// Told takes note that the worker has heard which ends are stored.
+func (s *Scheduler) Told(id string, born, acked int64) {
+	if w := s.workers[id]; w != nil && w.info.Born == born {
+		w.told = max(w.told, acked)
+	}
+}
--- /dev/null
+++ b/scheduler/scheduler.go
@@ -0,0 +1,300 @@
+package scheduler
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/pkg/errors"
+
+	"galenawharf.example/galenawharf/clock"
+	"galenawharf.example/galenawharf/logger"
+)
+
+type (
+	// Scheduler holds all jobs and workers of a deployment. It is not safe for
+	// concurrent use.
+	Scheduler struct {
+		// now is the steady clock of the host; wall is the time of day.
+		now  func() clock.Millis
+		wall func() clock.Millis
+		emit func(logger.Event, ...logger.Field)
+
+		// leaseLength is how long a worker works on without hearing.
+		leaseLength clock.Millis
+		// retention is how long the state of an ended job is kept.
+		retention clock.Millis
+		// harmLimit is how long a serving task may be over its objective.
+		harmLimit clock.Millis
+		// remoteFactor is how much longer a task takes away from its data.
+		remoteFactor float64
+
+		jobs      map[string]*job
+		active    map[*job]struct{}
+		workers   map[string]*worker
+		evacuated map[string]bool
+		images    map[string]*image
+
+		dirty   map[*job]struct{}
+		removed []string
+		orders  []Order
+		// immediate orders need nothing stored before them.
+		immediate []Order
+		replies   []func()
+		acks      map[string]int64
+	}
+
+	// Option sets up a Scheduler.
+	Option func(*Scheduler)
+)
+
+var (
+	// ErrUnknown is the error for a job that does not exist.
+	ErrUnknown = errors.New("no such job")
+	// ErrConflict is the error for an id that belongs to a job of another queue.
+	ErrConflict = errors.New("the id belongs to a job of another queue")
+)
+
+// Defaults, all of which a deployment's settings replace.
+const (
+	defaultLease     = 6 * clock.Second
+	defaultRetention = 120 * clock.Second
+	defaultHarm      = 4 * clock.Second
+	defaultRemote    = 2.0
+)
+
+// WithClocks sets the steady clock and the time of day.
+func WithClocks(now, wall func() clock.Millis) Option {
+	return func(s *Scheduler) { s.now, s.wall = now, wall }
+}
+
+// WithLease sets how long a worker works on without hearing from the leader.
+func WithLease(d clock.Millis) Option { return func(s *Scheduler) { s.leaseLength = d } }
+
+// WithRetention sets how long the state of an ended job is kept.
+func WithRetention(d clock.Millis) Option { return func(s *Scheduler) { s.retention = d } }
+
+// WithHarmLimit sets how long fillers may hold a serving task over its objective.
+func WithHarmLimit(d clock.Millis) Option { return func(s *Scheduler) { s.harmLimit = d } }
+
+// WithRemoteFactor sets how much longer a task takes away from its data.
+func WithRemoteFactor(x float64) Option { return func(s *Scheduler) { s.remoteFactor = x } }
+
+// WithEvents sets where decisions are logged.
+func WithEvents(emit func(logger.Event, ...logger.Field)) Option {
+	return func(s *Scheduler) { s.emit = emit }
+}
+
+// New returns a scheduler without jobs and workers.
+func New(opts ...Option) *Scheduler {
+	system := clock.System
+	s := &Scheduler{
+		now: system, wall: system, emit: func(logger.Event, ...logger.Field) {},
+		leaseLength: defaultLease, retention: defaultRetention, harmLimit: defaultHarm, remoteFactor: defaultRemote,
+		jobs: map[string]*job{}, active: map[*job]struct{}{}, workers: map[string]*worker{},
+		evacuated: map[string]bool{}, images: map[string]*image{},
+		dirty: map[*job]struct{}{}, acks: map[string]int64{},
+	}
+	for _, o := range opts {
+		o(s)
+	}
+	return s
+}
+
+// Submit accepts a job. stored is called when the acceptance is stored, at once for
+// a job that was accepted before. The error is ErrConflict or that of Spec.Validate.
+func (s *Scheduler) Submit(spec Spec, stored func()) error {
+	if j := s.jobs[spec.ID]; j != nil {
+		if j.spec.Queue.Name != spec.Queue.Name {
+			return ErrConflict
+		}
+		if j.stored != "" {
+			stored()
+		} else {
+			s.replies = append(s.replies, stored)
+		}
+		return nil
+	}
+	if err := spec.Validate(); err != nil {
+		return err
+	}
+	j := &job{spec: spec, phase: Queued, accepted: s.wall(), occurrences: map[int]*occurrence{}}
+	s.jobs[spec.ID] = j
+	s.active[j] = struct{}{}
+	s.touch(j)
+	s.replies = append(s.replies, stored)
+	s.openDue(j)
+	return nil
+}
+
+// Cancel ends a job. stored is called when that is stored. The error is ErrUnknown.
+func (s *Scheduler) Cancel(id string, stored func()) error {
+	j := s.jobs[id]
+	if j == nil {
+		return ErrUnknown
+	}
+	if j.phase.final() {
+		if j.stored.final() {
+			stored()
+		} else {
+			s.replies = append(s.replies, stored)
+		}
+		return nil
+	}
+	s.finish(j, Cancelled)
+	s.replies = append(s.replies, stored)
+	return nil
+}
+
+// Knows reports whether a job of this id was submitted.
+func (s *Scheduler) Knows(id string) bool { return s.jobs[id] != nil }
+
+// Phase returns the stored phase of a job. The error is ErrUnknown.
+func (s *Scheduler) Phase(id, queue string) (Phase, error) {
+	j := s.jobs[id]
+	if j == nil || j.spec.Queue.Name != queue || j.stored == "" {
+		return "", ErrUnknown
+	}
+	return j.stored, nil
+}
+
+// Pending returns how many stored jobs of a queue have not begun.
+func (s *Scheduler) Pending(queue string) int {
+	n := 0
+	for j := range s.active {
+		if j.spec.Queue.Name == queue && j.phase == Queued {
+			n++
+		}
+	}
+	return n
+}
+
+// SetEvacuated replaces the set of data centres where nothing may start.
+func (s *Scheduler) SetEvacuated(dataCentres []string) {
+	e := make(map[string]bool, len(dataCentres))
+	for _, d := range dataCentres {
+		e[d] = true
+	}
+	if !maps.Equal(e, s.evacuated) {
+		s.emit(logger.Evacuated, logger.Text("data-centres", dataCentres))
+	}
+	s.evacuated = e
+}
+
+// Take returns the changes since the last call, or nil if there are none.
+func (s *Scheduler) Take() *Batch {
+	if len(s.dirty) == 0 && len(s.removed) == 0 && len(s.orders) == 0 && len(s.replies) == 0 && len(s.acks) == 0 {
+		return nil
+	}
+	b := &Batch{Orders: s.orders, Acks: s.acks, Replies: s.replies, phases: make(map[*job]Phase, len(s.dirty))}
+	for _, j := range slices.SortedFunc(maps.Keys(s.dirty), func(a, b *job) int { return compareStrings(a.spec.ID, b.spec.ID) }) {
+		b.Records = append(b.Records, Record{Key: jobKey(j.spec.ID), Value: encode(j)})
+		b.phases[j] = j.phase
+	}
+	for _, id := range s.removed {
+		b.Records = append(b.Records, Record{Key: jobKey(id)})
+	}
+	clear(s.dirty)
+	s.removed, s.orders, s.replies, s.acks = nil, nil, nil, map[string]int64{}
+	return b
+}
+
+// Immediate returns the orders since the last call that need nothing stored first.
+func (s *Scheduler) Immediate() []Order {
+	o := s.immediate
+	s.immediate = nil
+	return o
+}
+
+// Stored takes note that a batch is stored: its phases may be shown and its ends
+// acknowledged.
+func (s *Scheduler) Stored(b *Batch) {
+	for j, p := range b.phases {
+		j.stored = p
+	}
+	for id, n := range b.Acks {
+		if w := s.workers[id]; w != nil {
+			w.acked = max(w.acked, n)
+		}
+	}
+}
+
+// touch marks a job for the next batch.
+func (s *Scheduler) touch(j *job) { s.dirty[j] = struct{}{} }
+
+// finish gives a job its final phase and stops what runs.
+func (s *Scheduler) finish(j *job, p Phase) {
+	j.phase = p
+	j.ended = s.wall()
+	s.touch(j)
+	j.eachTask(func(t *task) {
+		if t.held() {
+			s.stop(t)
+		}
+	})
+	delete(s.active, j)
+	s.emit(logger.JobEnded, logger.String("id", j.spec.ID), logger.String("phase", string(p)),
+		logger.Int("since-accepted-ms", int64(j.ended-j.accepted)))
+}
+
+// stop orders the end of the newest run of a task. The run keeps its room until the
+// worker lists its end.
+func (s *Scheduler) stop(t *task) {
+	if t.worker == nil {
+		return
+	}
+	t.stopping = true
+	s.immediate = append(s.immediate, s.order(Stop, t))
+}
+
+func (s *Scheduler) order(k OrderKind, t *task) Order {
+	w := t.worker
+	return Order{
+		Kind: k, Worker: w.info.ID, Address: w.info.Address, Born: w.info.Born, Task: t.name(), Attempt: t.attempt,
+		Text: t.job().spec.Text, Checkpoint: t.checkpoint, Percent: t.pace,
+	}
+}
+
+// openDue creates the occurrences of a job whose time has come.
+func (s *Scheduler) openDue(j *job) {
+	for k := range j.occurrenceCount() {
+		if j.occurrences[k] == nil && j.due(k) <= s.wall() && !j.isDone(k) {
+			j.open(k)
+		}
+	}
+}
+
+// Sweep opens due occurrences and drops ended jobs after their retention. Call it
+// several times a second.
+func (s *Scheduler) Sweep() {
+	for j := range s.active {
+		if j.spec.Repeat > 0 {
+			s.openDue(j)
+		}
+	}
+	wall := s.wall()
+	for id, j := range s.jobs {
+		if j.phase.final() && j.stored.final() && wall-j.ended > s.retention && !j.holdsRuns() {
+			delete(s.jobs, id)
+			s.removed = append(s.removed, id)
+		}
+	}
+	s.expire()
+	s.protect()
+}
+
+func (j *job) holdsRuns() bool {
+	held := false
+	j.eachTask(func(t *task) { held = held || t.held() })
+	return held
+}
+
+func compareStrings(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	default:
+		return 0
+	}
+}
--- /dev/null
+++ b/scheduler/worker.go
@@ -0,0 +1,104 @@
+package scheduler
+
+import (
+	"slices"
+
+	"galenawharf.example/galenawharf/clock"
+)
+
+type (
+	// WorkerInfo is what a worker says of itself.
+	WorkerInfo struct {
+		ID         string
+		Address    string
+		Service    string
+		DataCentre string
+		Labels     []string
+		CPU        int64
+		Memory     int64
+		GPU        int64
+		Draining   bool
+		// Remaining is the least time that a draining worker stays.
+		Remaining clock.Millis
+		// Born is the Unix time of the worker's start and names its life.
+		Born int64
+		// Clock is the worker's own clock at Seen of ours.
+		Clock clock.Millis
+	}
+
+	// worker is one life of a worker, with the runs given to it.
+	worker struct {
+		info WorkerInfo
+		// listed is whether the registry has the worker.
+		listed bool
+		tasks  map[*task]struct{}
+		// cpu, memory and gpu are promised to runs; fillers count in fillerCPU only.
+		cpu, memory, gpu int64
+		fillerCPU        int64
+		// serving counts the tasks with a latency objective.
+		serving int
+		// inherits is set until a report, or the end of its lease, shows which runs of
+		// a former leader the worker has.
+		inherits bool
+		// lost is set when the lease surely ran out with no contact.
+		lost bool
+		// silent is since when calls have failed; 0 while they succeed.
+		silent clock.Millis
+		// leaseEnd is when every run is surely over unless the lease is extended.
+		leaseEnd clock.Millis
+		// seen is the highest end taken in; acked the highest one stored.
+		seen, acked int64
+		// failures grows with each failed run and shrinks with each done one.
+		failures float64
+		// failedAt is when the last run failed.
+		failedAt clock.Millis
+		// blockedUntil keeps new runs away after a refusal.
+		blockedUntil clock.Millis
+		// clockOffset is the worker's clock less ours.
+		clockOffset clock.Millis
+		clockKnown  bool
+		// calm is when the fillers of the worker were last paced.
+		calm clock.Millis
+		// told is the highest acknowledged end that the worker has heard of.
+		told int64
+	}
+)
+
+func (w *worker) hasLabel(l string) bool { return l == "" || slices.Contains(w.info.Labels, l) }
+
+func (w *worker) add(t *task) {
+	if _, ok := w.tasks[t]; ok {
+		return
+	}
+	w.tasks[t] = struct{}{}
+	w.charge(t.spec(), 1)
+}
+
+func (w *worker) remove(t *task) {
+	if _, ok := w.tasks[t]; !ok {
+		return
+	}
+	delete(w.tasks, t)
+	w.charge(t.spec(), -1)
+}
+
+func (w *worker) charge(s *Step, sign int64) {
+	w.memory += sign * s.Memory
+	w.gpu += sign * s.GPU
+	if s.Filler {
+		w.fillerCPU += sign * s.CPU
+	} else {
+		w.cpu += sign * s.CPU
+	}
+	if s.Objective > 0 {
+		w.serving += int(sign)
+	}
+}
+
+// fits reports whether a task of step s has room.
+func (w *worker) fits(s *Step) bool {
+	if w.memory+s.Memory > w.info.Memory || w.gpu+s.GPU > w.info.GPU {
+		return false
+	}
+	return s.Filler || w.cpu+s.CPU <= w.info.CPU
+}
