--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -189,16 +189,23 @@
 	awayPenalty    = 1.0
 	failurePenalty = 0.5
 	avoidPenalty   = 1.0
-	// servingPenalty keeps fillers from workers whose serving tasks they disturb.
-	servingPenalty = 0.1
+	// disturbancePenalty weighs a serving task pushed over its objective by its whole
+	// length against free processors.
+	disturbancePenalty = 4.0
+	// imageBonus gathers the serving tasks of one image on few workers, so that
+	// fillers which disturb that image find room on others.
+	imageBonus = 1.0
 )
 
 // score rates a worker by the share of its processors that stays free.
 func (s *Scheduler) score(t *task, step *Step, w *worker) float64 {
 	total := float64(max(w.info.CPU, 1))
 	free := float64(w.info.CPU-w.cpu-w.fillerCPU) / total
-	if step.Filler {
-		free -= servingPenalty * float64(w.serving)
+	switch {
+	case step.Filler:
+		free -= disturbancePenalty * s.disturbance(step, w)
+	case step.Objective > 0:
+		free += imageBonus * w.imageShare(step.Image)
 	}
 	if step.Rack != "" && !w.hasLabel(step.Rack) {
 		free -= awayPenalty
@@ -209,3 +216,17 @@
 	}
 	return free
 }
+
+// imageShare returns the share of the worker's serving tasks that are of an image.
+func (w *worker) imageShare(image string) float64 {
+	if w.serving == 0 {
+		return 0
+	}
+	n := 0
+	for t := range w.tasks {
+		if t.spec().Objective > 0 && t.spec().Image == image {
+			n++
+		}
+	}
+	return float64(n) / float64(w.serving)
+}
--- a/scheduler/protecting.go
+++ b/scheduler/protecting.go
@@ -4,36 +4,31 @@
 	"galenawharf.example/galenawharf/clock"
 )
 
-type (
-	// image is what has been learnt of the tasks of one image.
-	image struct {
-		// harmful grows each time a filler of the image was beside a serving task
-		// over its objective, and shrinks when it was beside one under it.
-		harmful float64
-	}
-)
-
 const (
-	// paceLow is the share of its speed a filler keeps beside a serving task over
-	// its objective; it must not disturb, so it stands still.
-	paceLow = 0
-	// paceRise is added each calmBefore while the serving tasks are well.
-	paceRise = 50
-	// calmBefore is how long a worker's serving tasks have to be under their
-	// objective before its fillers go faster; the gauge covers half a second.
-	calmBefore = 1500 * clock.Millis(1)
-	// nearObjective is the share of the objective from which fillers are slowed.
-	nearObjective = 0.9
+	// paceCut is the share of their speed that fillers keep each time a serving task
+	// beside them is over its objective, down to paceFloor.
+	paceCut   = 0.5
+	paceFloor = 25
+	// paceRise is added each paceEvery while the serving tasks are well.
+	paceRise = 25
+	// paceEvery is the time between changes; the gauge covers half a second.
+	paceEvery = 500 * clock.Millis(1)
+	// standstill is the share of the limit on harm after which fillers stand still.
+	standstill = 0.4
+	// nearObjective is the share of the objective from which a tail counts as over,
+	// and wellBelow that under which it no longer does; the gauge is rough.
+	nearObjective = 0.95
+	wellBelow     = 0.8
 )
 
 // gauge takes in the reported tail latency of a serving task.
 func (s *Scheduler) gauge(t *task, tail clock.Millis) {
 	t.tail = tail
-	if float64(tail) <= nearObjective*float64(t.spec().Objective) {
+	o := float64(t.spec().Objective)
+	switch {
+	case float64(tail) < wellBelow*o:
 		t.over = 0
-		return
-	}
-	if t.over == 0 {
+	case float64(tail) > nearObjective*o && t.over == 0:
 		t.over = s.now()
 	}
 }
@@ -43,38 +38,64 @@
 func (s *Scheduler) protect() {
 	now := s.now()
 	for _, w := range s.workers {
-		if w.serving == 0 || w.fillerCPU == 0 && len(w.tasks) == w.serving {
+		if w.serving == 0 || len(w.tasks) == w.serving || now-w.pacedAt < paceEvery {
 			continue
 		}
-		over := false
-		for t := range w.tasks {
-			over = over || t.over != 0 && t.state == running
-		}
-		switch {
-		case over:
-			w.calm = now
-			s.paceFillers(w, paceLow)
-		case now-w.calm > calmBefore:
-			w.calm = now
-			s.paceFillers(w, paceRise)
-		}
+		w.pacedAt = now
+		s.protectOn(w, now)
 	}
 }
 
-// paceFillers stops the fillers of a worker for paceLow, else speeds them up by the
-// step given.
-func (s *Scheduler) paceFillers(w *worker, rise int) {
+// protectOn sets the pace of the fillers of one worker. Where some are known to harm
+// the tasks that are over, those are slowed and the others go on.
+func (s *Scheduler) protectOn(w *worker, now clock.Millis) {
+	over := clock.Millis(0)
+	var models []*sensitivity
+	for t := range w.tasks {
+		if t.over != 0 && t.state == running {
+			over = max(over, now-t.over+1)
+			models = append(models, s.sensitivityOf(t.spec().Image))
+		}
+	}
+	culprits := map[*task]bool{}
+	for t := range w.tasks {
+		for _, m := range models {
+			if t.spec().Filler && t.state == running && m.harmful(t.spec().Image) {
+				culprits[t] = true
+			}
+		}
+	}
+	urgent := float64(over) > standstill*float64(s.harmLimit)
 	for t := range w.tasks {
 		if !t.spec().Filler || t.state != running || t.stopping {
 			continue
 		}
-		p := paceLow
-		if rise > 0 {
-			p = min(t.pace+rise, 100)
-		}
-		if p != t.pace {
-			t.pace = p
-			s.immediate = append(s.immediate, s.order(Pace, t))
+		switch {
+		case culprits[t]:
+			s.pace(t, 0)
+		case urgent || len(culprits) == 0:
+			s.pace(t, nextPace(t.pace, over, s.harmLimit))
 		}
 	}
 }
+
+// nextPace returns the share of its speed that a filler gets, in percent, when a
+// serving task beside it has been over its objective for a time, or 0.
+func nextPace(p int, over, limit clock.Millis) int {
+	switch {
+	case over == 0:
+		return min(p+paceRise, 100)
+	case float64(over) > standstill*float64(limit):
+		return 0
+	default:
+		return max(int(paceCut*float64(p)), min(p, paceFloor))
+	}
+}
+
+func (s *Scheduler) pace(t *task, p int) {
+	if p == t.pace {
+		return
+	}
+	t.pace = p
+	s.immediate = append(s.immediate, s.order(Pace, t))
+}
--- a/scheduler/reporting.go
+++ b/scheduler/reporting.go
@@ -119,6 +119,7 @@
 			listed[t] = struct{}{}
 		}
 	}
+	s.learn(w)
 	for t := range w.tasks {
 		if _, ok := listed[t]; !ok {
 			s.reportMissing(t, r.Sent)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -32,7 +32,7 @@
 		active    map[*job]struct{}
 		workers   map[string]*worker
 		evacuated map[string]bool
-		images    map[string]*image
+		images    map[string]*sensitivity
 
 		dirty   map[*job]struct{}
 		removed []string
@@ -91,7 +91,7 @@
 		now: system, wall: system, emit: func(logger.Event, ...logger.Field) {},
 		leaseLength: defaultLease, retention: defaultRetention, harmLimit: defaultHarm, remoteFactor: defaultRemote,
 		jobs: map[string]*job{}, active: map[*job]struct{}{}, workers: map[string]*worker{},
-		evacuated: map[string]bool{}, images: map[string]*image{},
+		evacuated: map[string]bool{}, images: map[string]*sensitivity{},
 		dirty: map[*job]struct{}{}, acks: map[string]int64{},
 	}
 	for _, o := range opts {
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -35,8 +35,10 @@
 		// cpu, memory and gpu are promised to runs; fillers count in fillerCPU only.
 		cpu, memory, gpu int64
 		fillerCPU        int64
-		// serving counts the tasks with a latency objective.
-		serving int
+		// serving counts the tasks with a latency objective, servingCPU what they are
+		// promised.
+		serving    int
+		servingCPU int64
 		// inherits is set until a report, or the end of its lease, shows which runs of
 		// a former leader the worker has.
 		inherits bool
@@ -57,8 +59,8 @@
 		// clockOffset is the worker's clock less ours.
 		clockOffset clock.Millis
 		clockKnown  bool
-		// calm is when the fillers of the worker were last paced.
-		calm clock.Millis
+		// pacedAt is when the fillers of the worker were last paced.
+		pacedAt clock.Millis
 		// told is the highest acknowledged end that the worker has heard of.
 		told int64
 	}
@@ -92,6 +94,7 @@
 	}
 	if s.Objective > 0 {
 		w.serving += int(sign)
+		w.servingCPU += sign * s.CPU
 	}
 }
 
@@ -100,5 +103,22 @@
 	if w.memory+s.Memory > w.info.Memory || w.gpu+s.GPU > w.info.GPU {
 		return false
 	}
-	return s.Filler || w.cpu+s.CPU <= w.info.CPU
+	if s.Filler {
+		return w.fillerCPU == 0 || float64(w.expected()+s.CPU) <= fillShare*float64(w.info.CPU)
+	}
+	return w.cpu+s.CPU <= w.info.CPU
+}
+
+// expected returns the processor use to be expected of the worker's tasks.
+func (w *worker) expected() int64 {
+	return w.cpu - w.servingCPU + int64(servingUse*float64(w.servingCPU)) + w.fillerCPU
 }
+
+const (
+	// servingUse is the mean use of serving tasks as a share of what they are
+	// promised; their load on the users' sheets swings around 0.42.
+	servingUse = 0.45
+	// fillShare bounds the expected use of a worker with fillers. Above it the tail
+	// of the serving tasks rises steeply.
+	fillShare = 0.95
+)
