--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -145,6 +145,7 @@
 	t.attempt++
 	t.state, t.worker, t.placed, t.pace = placed, w, now, 100
 	t.percent, t.progressed, t.confirmed, t.stopping, t.settling = 0, now, 0, false, 0
+	t.recorded = false
 	w.add(t)
 	w.leaseEnd = max(w.leaseEnd, leaseBound(now, s.leaseLength))
 	s.touch(t.job())
--- a/scheduler/record.go
+++ b/scheduler/record.go
@@ -146,7 +146,7 @@
 	if w.info.Born != r.Born {
 		return
 	}
-	t.state, t.worker, t.pace = placed, w, 100
+	t.state, t.worker, t.pace, t.recorded = placed, w, 100, true
 	w.leaseEnd, w.inherits = inherited, true
 	w.add(t)
 }
--- a/scheduler/reporting.go
+++ b/scheduler/reporting.go
@@ -194,7 +194,7 @@
 		s.emit(logger.RunMissing, logger.String("task", t.name().String()), logger.Int("attempt", int64(t.attempt)))
 		s.touch(t.job())
 		s.release(t)
-	case t.state == placed && t.settling == 0 && s.now()-t.placed > resendAfter:
+	case t.state == placed && t.recorded && t.settling == 0 && s.now()-t.placed > resendAfter:
 		t.placed = s.now()
 		if t.job().phase.final() || t.stopping {
 			s.stop(t)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -211,6 +211,11 @@
 	for j, p := range b.phases {
 		j.stored = p
 	}
+	for _, o := range b.Orders {
+		if t := s.find(o.Task.String()); t != nil && t.attempt == o.Attempt && t.state == placed {
+			t.recorded, t.placed = true, s.now()
+		}
+	}
 	for id, n := range b.Acks {
 		if w := s.workers[id]; w != nil {
 			w.acked = max(w.acked, n)
--- /dev/null
+++ b/scheduler/scheduler_test.go
@@ -0,0 +1,121 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"galenawharf.example/galenawharf/clock"
+)
+
+// bench is a scheduler with a clock that stands still and workers that are told
+// what to answer.
+type bench struct {
+	*Scheduler
+	clock *clock.Manual
+}
+
+const benchService = "pool"
+
+func newBench(workers int) *bench {
+	c := clock.NewManual(1_000_000)
+	b := &bench{Scheduler: New(WithClocks(c.Now, c.Now)), clock: c}
+	for i := range workers {
+		b.UpdateWorker(benchWorker(i))
+	}
+	return b
+}
+
+func benchWorker(i int) WorkerInfo {
+	return WorkerInfo{
+		ID: fmt.Sprintf("w%d", i), Address: "127.0.0.1:1", Service: benchService, DataCentre: "a",
+		Labels: []string{"a", fmt.Sprintf("r%d", i/2)}, CPU: 8000, Memory: 16000, Born: 1,
+	}
+}
+
+// submit accepts a job and returns whether the acceptance was stored so far.
+func (b *bench) submit(t *testing.T, id string, steps ...Step) *bool {
+	t.Helper()
+	stored := new(bool)
+	must.NoError(t, b.Submit(Spec{ID: id, Queue: Queue{Name: "q", Service: benchService, MaxAttempts: 2, Slack: 2}, Steps: steps}, func() { *stored = true }))
+	return stored
+}
+
+// store places, stores the batch and returns its orders.
+func (b *bench) store() []Order {
+	b.Place()
+	return b.commit(b.Take())
+}
+
+func (b *bench) commit(t *Batch) []Order {
+	if t == nil {
+		return nil
+	}
+	b.Stored(t)
+	for _, r := range t.Replies {
+		r()
+	}
+	return t.Orders
+}
+
+// list reports the runs of a worker.
+func (b *bench) list(worker string, active []ActiveRun, ended ...EndedRun) {
+	b.Report(Report{Worker: worker, Born: 1, Clock: b.clock.Now(), Sent: b.clock.Now(), Active: active, Ended: ended})
+}
+
+func activeOf(orders ...Order) []ActiveRun {
+	var as []ActiveRun
+	for _, o := range orders {
+		as = append(as, ActiveRun{Task: o.Task.String(), Attempt: o.Attempt, Percent: 10})
+	}
+	return as
+}
+
+func endOf(number int64, o Order, how Ending) EndedRun {
+	return EndedRun{Number: number, Task: o.Task.String(), Attempt: o.Attempt, How: how}
+}
+
+func TestOrderWaitsForItsRecord(t *testing.T) {
+	b := newBench(1)
+	b.submit(t, "job", Step{Count: 1, CPU: 100})
+	b.Place()
+	batch := b.Take()
+	must.Len(t, 1, batch.Orders)
+	// The store takes long; meanwhile the worker reports that it has nothing.
+	b.clock.Advance(clock.Second)
+	b.list("w0", nil)
+	must.SliceEmpty(t, b.Immediate())
+	orders := b.commit(batch)
+	must.Len(t, 1, orders)
+	// Once stored, an order that the worker does not have is sent again.
+	b.clock.Advance(clock.Second)
+	b.list("w0", nil)
+	must.Len(t, 1, b.Immediate())
+}
+
+func TestJobRunsItsSteps(t *testing.T) {
+	b := newBench(2)
+	stored := b.submit(t, "job", Step{Count: 2, CPU: 100}, Step{Count: 1, CPU: 100, After: []int{0}})
+	must.False(t, *stored)
+	first := b.store()
+	must.True(t, *stored)
+	must.Len(t, 2, first)
+	b.Answered(first[0], Done)
+	b.Answered(first[1], Done)
+	b.list(first[0].Worker, nil, endOf(1, first[0], EndDone))
+	must.SliceEmpty(t, b.store())
+	must.NotEq(t, first[0].Worker, first[1].Worker)
+	b.list(first[1].Worker, nil, endOf(1, first[1], EndDone))
+	second := b.store()
+	must.Len(t, 1, second)
+	must.Eq(t, 1, second[0].Task.Step)
+	b.list(second[0].Worker, nil, endOf(2, second[0], EndDone))
+	p, err := b.Phase("job", "q")
+	must.NoError(t, err)
+	must.Eq(t, Running, p)
+	b.store()
+	p, err = b.Phase("job", "q")
+	must.NoError(t, err)
+	must.Eq(t, Completed, p)
+}
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -35,6 +35,8 @@
 		worker *worker
 		// confirmed is when the worker was first known to have the run.
 		confirmed clock.Millis
+		// recorded is whether the record with the newest run is stored.
+		recorded bool
 		// placed is when the run was given its worker.
 		placed clock.Millis
 		// percent and progressed are the last reported progress and when it rose.
