--- a/runner/runner.go
+++ b/runner/runner.go
@@ -58,8 +58,10 @@
 	workerConnections = 3
 	// peerConnections bounds those to the leader.
 	peerConnections = 16
-	// operatorWait is how long the store holds a read of the operator's records.
-	operatorWait = 10 * clock.Second
+	// operatorWait is how long the store holds a read of the operator's records. A
+	// connection that has gone silent shows after it, well within the bound for
+	// changes of the configuration.
+	operatorWait = clock.Second
 	// headerLimit bounds the reading of a request's header, as the platform does.
 	headerLimit = 3 * clock.Second
 	// rotationDelay is how long new callers still come after this host reports that
