scheduler: a worker that said it would leave and has left is given up at once

Ruled out: treating any refused connection as a dead worker, which may be cut off. Also: lease and authority bounds shorter, so that lost workers are given up sooner. Test: TestLostWorkers.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -71,7 +71,7 @@
 	registryPause = 500 * clock.Millis(1)
 	// authorityLimit is how long a leader that can't renew its claim goes on
 	// extending leases. Longer outages cost the tasks that run.
-	authorityLimit = 6 * clock.Second
+	authorityLimit = 4 * clock.Second
 	// orderLimit bounds a call to a worker: the answers of a worker take a few ms.
 	orderLimit = 800 * clock.Millis(1)
 	// eventBacklog is how many functions may wait for the owning goroutine.
--- a/conductor/session.go
+++ b/conductor/session.go
@@ -173,7 +173,7 @@
 		case scheduler.OtherLife:
 			c.sched.Replaced(q.Worker, q.Born, r.Born)
 		default:
-			c.sched.Unanswered(q.Worker, q.Born)
+			c.sched.Unanswered(q.Worker, q.Born, out == scheduler.Absent)
 		}
 	})
 	return out == scheduler.Done
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -70,6 +70,10 @@
 	// stopReserve is left of the grace period for the end of the process.
 	stopReserve = 800 * clock.Millis(1)
 	readyPath   = "/galenawharf/readyz"
+	// leaseLimit bounds the lease: long enough for a takeover (two seconds) and the
+	// first reports after it, short enough that the tasks of a lost worker soon start
+	// elsewhere.
+	leaseLimit = 6 * clock.Second
 )
 
 // New starts the daemon.
@@ -174,14 +178,15 @@
 
 // lead conducts for one term.
 func (r *Runner) lead(ctx context.Context, t elector.Term) {
+	lease := min(r.settings.Lease(), leaseLimit)
 	s := scheduler.New(
 		scheduler.WithClocks(r.now, clock.System), scheduler.WithEvents(r.log.Emit),
-		scheduler.WithLease(r.settings.Lease()), scheduler.WithRetention(r.settings.Retention()),
+		scheduler.WithLease(lease), scheduler.WithRetention(r.settings.Retention()),
 		scheduler.WithHarmLimit(r.settings.HarmLimit()), scheduler.WithRemoteFactor(r.settings.RemoteFactor()),
 	)
 	s.SetEvacuated(*r.evacuated.Load())
 	c, err := conductor.New(ctx, conductor.Term{Epoch: t.Epoch, FormerIsOver: t.FormerIsOver, Confirmed: t.Confirmed},
-		r.store, r.workers.Fleet(), s, r.settings.Lease(), platform.DecodeWorker,
+		r.store, r.workers.Fleet(), s, lease, platform.DecodeWorker,
 		conductor.WithClock(r.now), conductor.WithEvents(r.log.Emit))
 	if err != nil {
 		r.log.Emit(logger.StoreLost, logger.Err(err))
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -60,6 +60,8 @@
 	Unclear
 	// NotSent: the worker can't have received it.
 	NotSent
+	// Absent: nothing listens at the worker's address.
+	Absent
 	// NoRoom: the worker has no room.
 	NoRoom
 	// Obsolete: the worker has ended or stopped this run, or has a newer one.
--- a/scheduler/reporting.go
+++ b/scheduler/reporting.go
@@ -133,7 +133,7 @@
 	if w.lost || w.silent != 0 {
 		s.emit(logger.WorkerBack, logger.String("worker", w.info.ID))
 	}
-	w.lost, w.silent = false, 0
+	w.lost, w.absent, w.silent = false, false, 0
 	w.clockOffset, w.clockKnown = r.Clock-s.now(), true
 }
 
@@ -219,10 +219,10 @@
 		return
 	}
 	switch out {
-	case Unclear, NotSent:
-		s.unanswered(w)
+	case Unclear, NotSent, Absent:
+		s.unanswered(w, out == Absent)
 	default:
-		w.silent, w.lost = 0, false
+		w.silent, w.lost, w.absent = 0, false, false
 	}
 	t := s.find(o.Task.String())
 	if t == nil || t.worker != w || t.attempt != o.Attempt {
@@ -232,7 +232,7 @@
 	case Start:
 		s.startAnswered(w, t, out)
 	case Stop:
-		if out == Unclear || out == NotSent || out == Unwell {
+		if out == Unclear || out == NotSent || out == Absent || out == Unwell {
 			return
 		}
 		// The list of the worker shows the end; a run that never came is not listed.
@@ -255,7 +255,7 @@
 	case NoRoom, Unwell:
 		w.blockedUntil = now + refusalPause
 		s.withdraw(t)
-	case NotSent:
+	case NotSent, Absent:
 		w.blockedUntil = now + refusalPause
 		s.withdraw(t)
 	case Obsolete:
@@ -277,14 +277,16 @@
 	s.release(t)
 }
 
-// Unanswered takes note of a call to the worker that failed.
-func (s *Scheduler) Unanswered(id string, born int64) {
+// Unanswered takes note of a call to the worker that failed; absent is whether
+// nothing listened at its address.
+func (s *Scheduler) Unanswered(id string, born int64, absent bool) {
 	if w := s.workers[id]; w != nil && w.info.Born == born {
-		s.unanswered(w)
+		s.unanswered(w, absent)
 	}
 }
 
-func (s *Scheduler) unanswered(w *worker) {
+func (s *Scheduler) unanswered(w *worker, absent bool) {
+	w.absent = absent
 	if w.silent == 0 {
 		w.silent = s.now()
 		s.emit(logger.WorkerSilent, logger.String("worker", w.info.ID))
@@ -323,6 +325,11 @@
 func (s *Scheduler) expire() {
 	now := s.now()
 	for id, w := range s.workers {
+		if w.info.Draining && !w.listed && w.absent {
+			// It said that it would leave, and it has.
+			s.forget(w)
+			continue
+		}
 		if (w.silent == 0 && w.listed) || now < w.leaseEnd {
 			continue
 		}
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -119,3 +119,39 @@
 	must.NoError(t, err)
 	must.Eq(t, Completed, p)
 }
+
+func TestLostWorkers(t *testing.T) {
+	tests := map[string]struct {
+		draining, listed, absent bool
+		// after is when the task starts elsewhere.
+		restarts bool
+	}{
+		"left after draining":       {draining: true, absent: true, restarts: true},
+		"draining, entry not gone":  {draining: true, listed: true, absent: true},
+		"draining, but cut off":     {draining: true},
+		"crashed, may be cut off":   {absent: true},
+		"cut off, entry still held": {listed: true},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(1)
+			b.submit(t, "job", Step{Count: 1, CPU: 100})
+			o := b.store()[0]
+			b.Answered(o, Done)
+			w := benchWorker(0)
+			w.Draining = tc.draining
+			b.UpdateWorker(w)
+			b.UpdateWorker(benchWorker(1))
+			if !tc.listed {
+				b.RemoveWorker("w0")
+			}
+			b.Unanswered("w0", 1, tc.absent)
+			b.Sweep()
+			must.Eq(t, tc.restarts, len(b.store()) == 1)
+			// Whatever is the case, the lease is over at last.
+			b.clock.Advance(defaultLease + defaultLease/10)
+			b.Sweep()
+			must.Eq(t, !tc.restarts, len(b.store()) == 1)
+		})
+	}
+}
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -46,6 +46,8 @@
 		lost bool
 		// silent is since when calls have failed; 0 while they succeed.
 		silent clock.Millis
+		// absent is whether nothing listened at the worker's address at the last call.
+		absent bool
 		// leaseEnd is when every run is surely over unless the lease is extended.
 		leaseEnd clock.Millis
 		// seen is the highest end taken in; acked the highest one stored.
