scheduler: place fillers by what they would do to the tails beside them

Cause: fillers went to any worker and were slowed after the harm was done; slowed fillers held room, and a new leader had to learn all pairs again.

--- a/scheduler/ending.go
+++ b/scheduler/ending.go
@@ -42,6 +42,7 @@
 // release takes a task off its worker.
 func (s *Scheduler) release(t *task) {
 	if t.worker != nil {
+		t.mixed(s.now())
 		t.worker.remove(t)
 	}
 	t.worker, t.state, t.stopping, t.settling, t.confirmed, t.over = nil, pending, false, 0, 0, 0
--- a/scheduler/interference.go
+++ b/scheduler/interference.go
@@ -1,12 +1,19 @@
 package scheduler
 
-import "math"
+import (
+	"encoding/json"
+	"math"
+
+	"github.com/pkg/errors"
+
+	"galenawharf.example/galenawharf/clock"
+)
 
 type (
 	// sensitivity learns how much fillers disturb the serving tasks of one image. It
-	// is a linear model of the tail latency, in multiples of the objective, over the
-	// processor share that the fillers of each image use on the same worker, fitted
-	// by recursive least squares.
+	// is a linear model of the logarithm of the tail latency, in multiples of the
+	// objective, over the share of the worker's processors that the fillers of each
+	// image use, fitted by recursive least squares.
 	sensitivity struct {
 		// index of each filler image; 0 is the tail without fillers.
 		index map[string]int
@@ -16,39 +23,41 @@
 		// evidence is the sum of the shares seen of each filler image.
 		evidence []float64
 	}
-
-	// sample is one reading of a tail with the fillers beside it.
-	sample struct {
-		// tail is in multiples of the objective.
-		tail float64
-		// shares are those of the worker's processors by filler image.
-		shares map[string]float64
-	}
 )
 
 const (
 	// baseTail is the tail assumed of an image without readings: the users state
 	// objectives of 4.5 times the tail of an idle task, and load raises it.
 	baseTail = 0.45
-	// priorVariance lets ten readings outweigh the assumption of no harm.
-	priorVariance = 10.0
+	// baseVariance and priorVariance say how far the logarithm of the tail and the
+	// weights may be from what is assumed; disturbing pairs have weights of 4 to 10.
+	baseVariance  = 0.1
+	priorVariance = 20.0
+	// noise is the variance of a reading; the gauge is rough and load swings.
+	noise = 0.15
 	// forgetting is the weight of a reading after the next one; disturbance changes
 	// within seconds, at two readings a second from each of some dozen workers.
 	forgetting = 0.998
 	// maxVariance bounds the covariance of images that are seen no more.
 	maxVariance = 50.0
 	// tailCap bounds a reading, so that one stall does not outweigh all others.
-	tailCap = 3.0
-	// evidenceNeeded is the sum of shares before a weight counts: twenty readings
+	tailCap = 8.0
+	// evidenceNeeded is the sum of shares before a weight counts: ten readings
 	// beside a filler that uses a twentieth of its worker.
-	evidenceNeeded = 1.0
-	// harmfulWeight is the rise of the tail, for a filler that used a whole worker,
-	// from which a pair of images counts as harmful.
-	harmfulWeight = 0.8
+	evidenceNeeded = 0.5
+	// harmfulWeight is the weight from which a pair of images counts as harmful.
+	// Weights of other pairs were below 1.5 in all fits.
+	harmfulWeight = 2.0
+	// settleTime is how long the fillers of a worker must be unchanged before its
+	// gauges are learnt from: the half second that they cover.
+	settleTime = 500 * clock.Millis(1)
+	// comfortableTail is the share of the objective up to which fillers may raise a
+	// tail; the load of the serving tasks themselves swings by half.
+	comfortableTail = 0.6
 )
 
 func newSensitivity() *sensitivity {
-	return &sensitivity{index: map[string]int{}, weights: []float64{baseTail}, covariance: [][]float64{{1}}, evidence: []float64{0}}
+	return &sensitivity{index: map[string]int{}, weights: []float64{math.Log(baseTail)}, covariance: [][]float64{{baseVariance}}, evidence: []float64{0}}
 }
 
 // position returns the index of a filler image, which it adds if it is new.
@@ -69,30 +78,31 @@
 	return i
 }
 
-// learn takes in a reading.
-func (m *sensitivity) learn(s sample) {
-	for image := range s.shares {
+// learn takes in a tail, in multiples of the objective, read beside fillers that use
+// the given shares.
+func (m *sensitivity) learn(tail float64, shares map[string]float64) {
+	for image := range shares {
 		m.position(image)
 	}
 	n := len(m.weights)
 	x := make([]float64, n)
 	x[0] = 1
 	predicted := m.weights[0]
-	for image, share := range s.shares {
+	for image, share := range shares {
 		i := m.index[image]
 		x[i] = share
 		predicted += m.weights[i] * share
 		m.evidence[i] += share
 	}
 	px := make([]float64, n)
-	denominator := forgetting
+	denominator := forgetting * noise
 	for i := range n {
 		for j := range n {
 			px[i] += m.covariance[i][j] * x[j]
 		}
 		denominator += x[i] * px[i]
 	}
-	miss := math.Min(s.tail, tailCap) - predicted
+	miss := math.Log(math.Min(tail, tailCap)) - predicted
 	for i := range n {
 		m.weights[i] += px[i] / denominator * miss
 		for j := range n {
@@ -101,8 +111,8 @@
 	}
 }
 
-// weight returns the rise of the tail for a filler image that used a whole worker; 0
-// while too little was seen of it.
+// weight returns the rise of the logarithm of the tail for a filler image that used a
+// whole worker; 0 while too little was seen of it.
 func (m *sensitivity) weight(image string) float64 {
 	i, ok := m.index[image]
 	if !ok || m.evidence[i] < evidenceNeeded {
@@ -114,9 +124,9 @@
 // harmful reports whether fillers of an image raise the tail markedly.
 func (m *sensitivity) harmful(image string) bool { return m.weight(image) >= harmfulWeight }
 
-// predict returns the tail, in multiples of the objective, beside fillers.
+// predict returns the logarithm of the tail beside fillers.
 func (m *sensitivity) predict(shares map[string]float64) float64 {
-	tail := math.Max(m.weights[0], 0)
+	tail := m.weights[0]
 	for image, share := range shares {
 		tail += m.weight(image) * share
 	}
@@ -133,21 +143,34 @@
 	return m
 }
 
-// fillerShares returns the shares of a worker's processors that fillers use, by
-// image.
+// fillerShares returns the shares of a worker's processors that fillers are to use
+// at their pace, by image.
 func (w *worker) fillerShares() map[string]float64 {
 	shares := map[string]float64{}
 	total := float64(max(w.info.CPU, 1))
 	for t := range w.tasks {
-		if t.spec().Filler && t.state == running {
+		if t.spec().Filler && t.state != done {
 			shares[t.spec().Image] += float64(t.spec().CPU) / total * float64(t.pace) / 100
 		}
 	}
 	return shares
 }
 
-// disturbance returns how far a filler of a step would push the serving tasks of a
-// worker beyond the comfortable share of their objective, summed over those tasks.
+// measuredShares returns what the fillers were last seen to use.
+func (w *worker) measuredShares() map[string]float64 {
+	shares := map[string]float64{}
+	total := float64(max(w.info.CPU, 1))
+	for t := range w.tasks {
+		if t.spec().Filler && t.state == running {
+			shares[t.spec().Image] += float64(t.load) / total
+		}
+	}
+	return shares
+}
+
+// disturbance returns by how much a filler of a step would push the tails of the
+// serving tasks of a worker beyond the comfortable share of their objective, summed
+// over those tasks, as a logarithm.
 func (s *Scheduler) disturbance(step *Step, w *worker) float64 {
 	if w.serving == 0 {
 		return 0
@@ -167,24 +190,112 @@
 			shares = w.fillerShares()
 		}
 		rise := m.weight(step.Image) * share
-		sum += math.Min(rise, math.Max(0, m.predict(shares)+rise-comfortableTail))
+		sum += math.Min(rise, math.Max(0, m.predict(shares)+t.excess+rise-math.Log(comfortableTail)))
 	}
 	return sum
 }
 
-// comfortableTail is the share of the objective below which a tail may rise; the
-// load of the serving tasks themselves swings by half.
-const comfortableTail = 0.7
-
-// learn takes in the tails that a worker has just reported.
+// learn takes in the tails that a worker has just reported, unless its fillers have
+// changed within the time that the gauges cover.
 func (s *Scheduler) learn(w *worker) {
-	if w.serving == 0 {
+	if w.serving == 0 || s.now()-w.mixedAt < settleTime {
 		return
 	}
-	shares := w.fillerShares()
+	shares := w.measuredShares()
 	for t := range w.tasks {
 		if t.spec().Objective > 0 && t.state == running && t.percent == 100 && t.tail > 0 {
-			s.sensitivityOf(t.spec().Image).learn(sample{tail: float64(t.tail) / float64(t.spec().Objective), shares: shares})
+			m := s.sensitivityOf(t.spec().Image)
+			tail := float64(t.tail) / float64(t.spec().Objective)
+			miss := math.Log(math.Min(tail, tailCap)) - m.predict(shares)
+			t.follow(miss)
+			m.learn(tail, shares)
+		}
+	}
+}
+
+// slowdown returns the share of its speed that a filler may have, in percent, so that
+// the tails beside it stay comfortable: 100 unless it is known to do harm.
+func (s *Scheduler) slowdown(t *task, w *worker, shares map[string]float64) int {
+	allowed := 100
+	for o := range w.tasks {
+		if o.spec().Objective == 0 {
+			continue
+		}
+		m := s.sensitivityOf(o.spec().Image)
+		if !m.harmful(t.spec().Image) {
+			continue
+		}
+		own := shares[t.spec().Image]
+		rise := m.weight(t.spec().Image) * own
+		room := math.Log(comfortableTail) - (m.predict(shares) + o.excess - rise)
+		if rise > room {
+			allowed = min(allowed, max(0, int(float64(t.pace)*room/rise)))
+		}
+	}
+	return allowed
+}
+
+const (
+	// excessWeight is the weight of the newest reading in the excess of a task: its
+	// load swings in some ten seconds, and readings come twice a second.
+	excessWeight = 0.3
+	// excessLimit bounds the excess, so that a stall does not stop fillers for long.
+	excessLimit = 0.7
+)
+
+// follow takes in by how much the logarithm of the tail of a serving task was above
+// what its image and the fillers beside it explain: its own load.
+func (t *task) follow(miss float64) {
+	t.excess += excessWeight * (max(-excessLimit, min(miss, excessLimit)) - t.excess)
+}
+
+type (
+	// modelRecord is what is stored of a sensitivity.
+	modelRecord struct {
+		Base     float64            `json:"base"`
+		Weights  map[string]float64 `json:"weights"`
+		Evidence map[string]float64 `json:"evidence"`
+	}
+)
+
+const (
+	// modelKey is where the models are stored, for the next leader.
+	modelKey = "interference"
+	// modelEvery is how often they are: what a leader has learnt within it is lost
+	// with the leader.
+	modelEvery = 2 * clock.Second
+	// inheritedVariance lets a next leader correct what it has taken over.
+	inheritedVariance = 1.0
+)
+
+// encodeModels returns the stored form of all models.
+func (s *Scheduler) encodeModels() ([]byte, error) {
+	out := map[string]modelRecord{}
+	for image, m := range s.images {
+		r := modelRecord{Base: m.weights[0], Weights: map[string]float64{}, Evidence: map[string]float64{}}
+		for filler, i := range m.index {
+			r.Weights[filler], r.Evidence[filler] = m.weights[i], m.evidence[i]
+		}
+		out[image] = r
+	}
+	b, err := json.Marshal(out)
+	return b, errors.Wrap(err, "scheduler.encodeModels")
+}
+
+// loadModels takes over the models of a former leader.
+func (s *Scheduler) loadModels(b []byte) error {
+	var in map[string]modelRecord
+	if err := json.Unmarshal(b, &in); err != nil {
+		return errors.Wrap(err, "scheduler.loadModels")
+	}
+	for image, r := range in {
+		m := s.sensitivityOf(image)
+		m.weights[0] = r.Base
+		for filler, w := range r.Weights {
+			i := m.position(filler)
+			m.weights[i], m.evidence[i] = w, r.Evidence[filler]
+			m.covariance[i][i] = inheritedVariance
 		}
 	}
+	return nil
 }
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -62,6 +62,9 @@
 	d := demand{occurrence: o, step: i, key: o.job.due(o.number)}
 	for _, t := range o.steps[i] {
 		if t.state == pending && t.retryAt <= now {
+			if t.waiting == 0 {
+				t.waiting = now
+			}
 			d.tasks = append(d.tasks, t)
 		}
 	}
@@ -143,9 +146,10 @@
 // assign gives a task to a worker.
 func (s *Scheduler) assign(t *task, w *worker, now clock.Millis) {
 	t.attempt++
+	w.remove(t)
 	t.state, t.worker, t.placed, t.pace = placed, w, now, 100
 	t.percent, t.progressed, t.confirmed, t.stopping, t.settling = 0, now, 0, false, 0
-	t.recorded = false
+	t.recorded, t.waiting, t.slowSince = false, 0, 0
 	w.add(t)
 	w.leaseEnd = max(w.leaseEnd, leaseBound(now, s.leaseLength))
 	s.touch(t.job())
@@ -168,6 +172,9 @@
 		if w.failures >= failureQuarantine && len(w.tasks) > 0 {
 			continue
 		}
+		if step.Filler && (w.over() || s.disturbance(step, w) > s.tolerance(t)) {
+			continue
+		}
 		if score := s.score(t, step, w); best == nil || score > bestScore {
 			best, bestScore = w, score
 		}
@@ -175,6 +182,11 @@
 	return best
 }
 
+// tolerance returns how much a filler may disturb the tasks beside it.
+func (s *Scheduler) tolerance(t *task) float64 {
+	return disturbanceLimit * (1 + float64(s.now()-t.waiting)/float64(disturbancePatience))
+}
+
 func (w *worker) countOf(t *task) int {
 	n := 0
 	for o := range w.tasks {
@@ -193,6 +205,10 @@
 	// disturbancePenalty weighs a serving task pushed over its objective by its whole
 	// length against free processors.
 	disturbancePenalty = 4.0
+	// disturbanceLimit is the rise of the tails beside it, as a logarithm, that keeps
+	// a filler off a worker. Each disturbancePatience of waiting allows as much more.
+	disturbanceLimit    = 0.05
+	disturbancePatience = 2 * clock.Second
 	// imageBonus gathers the serving tasks of one image on few workers, so that
 	// fillers which disturb that image find room on others.
 	imageBonus = 1.0
--- a/scheduler/record.go
+++ b/scheduler/record.go
@@ -95,7 +95,12 @@
 // the first report. inherited is when every run that the former leader started is
 // surely over unless this leader extends its lease.
 func (s *Scheduler) Load(key string, value []byte, inherited clock.Millis) error {
-	if !strings.HasPrefix(key, jobPrefix) || len(value) == 0 {
+	switch {
+	case len(value) == 0:
+		return nil
+	case key == modelKey:
+		return s.loadModels(value)
+	case !strings.HasPrefix(key, jobPrefix):
 		return nil
 	}
 	var r jobRecord
--- a/scheduler/reporting.go
+++ b/scheduler/reporting.go
@@ -206,6 +206,10 @@
 
 func (s *Scheduler) confirm(t *task) {
 	t.state, t.confirmed, t.progressed, t.began = running, s.now(), s.now(), true
+	t.mixed(s.now())
+	if t.spec().Filler {
+		s.pace(t, s.slowdown(t, t.worker, t.worker.fillerShares()))
+	}
 	if j := t.job(); j.phase == Queued {
 		j.phase = Running
 		s.touch(j)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -33,6 +33,8 @@
 		workers   map[string]*worker
 		evacuated map[string]bool
 		images    map[string]*sensitivity
+		// modelled is when the models were last stored.
+		modelled clock.Millis
 
 		dirty   map[*job]struct{}
 		removed []string
@@ -193,6 +195,14 @@
 	for _, id := range s.removed {
 		b.Records = append(b.Records, Record{Key: jobKey(id)})
 	}
+	if len(b.Records) > 0 && len(s.images) > 0 && s.now()-s.modelled >= modelEvery {
+		s.modelled = s.now()
+		if m, err := s.encodeModels(); err != nil {
+			s.emit(logger.RecordInvalid, logger.String("key", modelKey), logger.Err(err))
+		} else {
+			b.Records = append(b.Records, Record{Key: modelKey, Value: m})
+		}
+	}
 	clear(s.dirty)
 	s.removed, s.orders, s.replies, s.acks = nil, nil, nil, map[string]int64{}
 	return b
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -53,12 +53,19 @@
 		pace int
 		// avoid is the worker of the last failed run.
 		avoid string
+		// waiting is since when the task could have started; 0 while it has a worker.
+		waiting clock.Millis
 		// retryAt delays the next placement.
 		retryAt clock.Millis
+		// slowSince is since when a filler has been slowed; 0 when it is not.
+		slowSince clock.Millis
 		// load is the reported processor use of a filler, in thousandths of a core.
 		load int64
 		// tail is the reported tail latency of a task that serves.
 		tail clock.Millis
+		// excess is how far the tail has lately been above what is explained by the
+		// image and the fillers beside it, as a logarithm.
+		excess float64
 		// over is since when the tail has been over the objective; 0 when it is not.
 		over clock.Millis
 	}
@@ -98,6 +105,16 @@
 	return TaskName{Job: t.occurrence.job.spec.ID, Occurrence: t.occurrence.number, Step: t.step, Index: t.index}
 }
 
+// mixed notes on the worker that a filler has come, gone, or changed its speed.
+func (t *task) mixed(now clock.Millis) {
+	if t.worker != nil && t.spec().Filler {
+		t.worker.mixedAt = now
+	}
+}
+
+// pacedCPU returns the processor use of a filler at its pace.
+func (t *task) pacedCPU() int64 { return t.spec().CPU * int64(t.pace) / 100 }
+
 func (t *task) spec() *Step { return &t.occurrence.job.spec.Steps[t.step] }
 
 func (t *task) job() *job { return t.occurrence.job }
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -32,7 +32,8 @@
 		// listed is whether the registry has the worker.
 		listed bool
 		tasks  map[*task]struct{}
-		// cpu, memory and gpu are promised to runs; fillers count in fillerCPU only.
+		// cpu, memory and gpu are promised to runs; fillers count in fillerCPU only, by
+		// their pace.
 		cpu, memory, gpu int64
 		fillerCPU        int64
 		// serving counts the tasks with a latency objective, servingCPU what they are
@@ -63,6 +64,8 @@
 		clockKnown  bool
 		// pacedAt is when the fillers of the worker were last paced.
 		pacedAt clock.Millis
+		// mixedAt is when the fillers at work, or their pace, last changed.
+		mixedAt clock.Millis
 		// told is the highest acknowledged end that the worker has heard of.
 		told int64
 	}
@@ -75,7 +78,7 @@
 		return
 	}
 	w.tasks[t] = struct{}{}
-	w.charge(t.spec(), 1)
+	w.charge(t, 1)
 }
 
 func (w *worker) remove(t *task) {
@@ -83,14 +86,15 @@
 		return
 	}
 	delete(w.tasks, t)
-	w.charge(t.spec(), -1)
+	w.charge(t, -1)
 }
 
-func (w *worker) charge(s *Step, sign int64) {
+func (w *worker) charge(t *task, sign int64) {
+	s := t.spec()
 	w.memory += sign * s.Memory
 	w.gpu += sign * s.GPU
 	if s.Filler {
-		w.fillerCPU += sign * s.CPU
+		w.fillerCPU += sign * t.pacedCPU()
 	} else {
 		w.cpu += sign * s.CPU
 	}
@@ -111,6 +115,19 @@
 	return w.cpu+s.CPU <= w.info.CPU
 }
 
+// over reports whether a serving task of the worker is over its objective.
+func (w *worker) over() bool {
+	if w.serving == 0 {
+		return false
+	}
+	for t := range w.tasks {
+		if t.over != 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // expected returns the processor use to be expected of the worker's tasks.
 func (w *worker) expected() int64 {
 	return w.cpu - w.servingCPU + int64(servingUse*float64(w.servingCPU)) + w.fillerCPU
