--- a/scheduler/interference.go
+++ b/scheduler/interference.go
@@ -53,7 +53,7 @@
 	settleTime = 500 * clock.Millis(1)
 	// comfortableTail is the share of the objective up to which fillers may raise a
 	// tail; the load of the serving tasks themselves swings by half.
-	comfortableTail = 0.6
+	comfortableTail = 0.5
 )
 
 func newSensitivity() *sensitivity {
