elector: the strongest host leads; recorder: short first attempts

Cause: a host with 0.11 of a core and 10 Mbit/s may lead a grown deployment; a renewal whose answer is lost took 1.2 s, longer than the others' patience.

--- a/elector/elector.go
+++ b/elector/elector.go
@@ -35,6 +35,8 @@
 		address string
 		life    string
 		lead    func(context.Context, Term)
+		// delay is how long this host waits before a claim that is due.
+		delay clock.Millis
 
 		cancel context.CancelFunc
 		group  sync.WaitGroup
@@ -47,6 +49,8 @@
 
 const (
 	topic = "leader"
+	// leastCores bounds the wait of the weakest hosts to 0.8 s.
+	leastCores = 0.05
 	// renewEvery is the time between renewals.
 	renewEvery = 500 * clock.Millis(1)
 	// patience is how long a claim may go without a renewal: three of them, one of
@@ -54,6 +58,11 @@
 	patience = 1500 * clock.Millis(1)
 	// contention spreads the claims of several daemons.
 	contention = 60
+	// wholeCore is how long a host with one core waits before it claims; one with
+	// less waits longer in proportion, so that the strongest host leads.
+	wholeCore = 40 * clock.Millis(1)
+	// firstWait is added while there is no claim at all: daemons start within 300 ms.
+	firstWait = 400 * clock.Millis(1)
 	// checkEvery is how often the watch is asked whether a claim is due.
 	checkEvery = 100 * clock.Millis(1)
 	// readWait is how long the store holds a read without news.
@@ -68,6 +77,12 @@
 // WithClock sets the steady clock, which goes on while the host is suspended.
 func WithClock(now func() clock.Millis) Option { return func(e *Elector) { e.now = now } }
 
+// WithCores sets the processor share of the host, in cores; stronger hosts claim
+// first.
+func WithCores(c float64) Option {
+	return func(e *Elector) { e.delay = clock.Millis(float64(wholeCore) / max(c, leastCores)) }
+}
+
 // New takes part in the election for a host. lead is called each time this daemon is
 // elected; its context ends when another daemon leads, and the term is over when it
 // returns. life tells this process from earlier ones of the host.
@@ -156,8 +171,12 @@
 func (e *Elector) check() {
 	e.mu.Lock()
 	due := e.watch.Due(e.now())
+	wait := e.delay + clock.Millis(rand.Int64N(contention))
+	if e.watch.First() {
+		wait += firstWait
+	}
 	e.mu.Unlock()
-	if !due || !recorder.Sleep(e.stop, clock.Millis(rand.Int64N(contention))) {
+	if !due || !recorder.Sleep(e.stop, wait) {
 		return
 	}
 	t, ok := e.claim()
--- a/elector/watch.go
+++ b/elector/watch.go
@@ -58,6 +58,9 @@
 	}
 }
 
+// First reports whether nobody has claimed yet.
+func (w *Watch) First() bool { return w.known && w.newest.Epoch == 0 }
+
 // FormerIsOver reports whether the process that made the newest claim is surely
 // over or has ended its work.
 func (w *Watch) FormerIsOver() bool {
--- a/recorder/writer.go
+++ b/recorder/writer.go
@@ -35,9 +35,11 @@
 var ErrDeposed = errors.New("another writer has taken over the topic")
 
 const (
-	// attemptLimit bounds one call: five times what the store takes when it is as
-	// slow as the sheets of trouble say (60 times 4 ms).
-	attemptLimit = 1200 * clock.Millis(1)
+	// firstLimit bounds the first call of an append: the store takes 4 ms, and 240 ms
+	// when it is as slow as the sheets of trouble say. Each further call may take
+	// twice as long, up to longestLimit.
+	firstLimit   = 400 * clock.Millis(1)
+	longestLimit = 1600 * clock.Millis(1)
 	// firstPause and longestPause bound the pauses between attempts, so that an
 	// outage costs at most ten calls a second.
 	firstPause   = 20 * clock.Millis(1)
@@ -76,12 +78,12 @@
 // the fate of the append is known: the error is ErrDeposed, or that of the context,
 // after which the items may be stored or not.
 func (w *Writer) Append(ctx context.Context, items []Item) error {
-	pause := firstPause
+	pause, limit := firstPause, firstLimit
 	for {
 		sent := w.now()
-		end, err := w.attempt(ctx, items)
+		end, err := w.attempt(ctx, limit, items)
 		if errors.Is(err, ErrMoved) {
-			end, err = w.settle(ctx, items, end)
+			end, err = w.settle(ctx, limit, items)
 		}
 		switch {
 		case err == nil:
@@ -96,20 +98,20 @@
 		if !w.sleep(ctx, pause) {
 			return errors.Wrap(ctx.Err(), "recorder.Writer.Append")
 		}
-		pause = min(2*pause, longestPause)
+		pause, limit = min(2*pause, longestPause), min(2*limit, longestLimit)
 	}
 }
 
-func (w *Writer) attempt(ctx context.Context, items []Item) (int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, attemptLimit.Duration())
+func (w *Writer) attempt(ctx context.Context, limit clock.Millis, items []Item) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, limit.Duration())
 	defer cancel()
 	return w.store.Append(ctx, w.topic, w.end, items)
 }
 
 // settle finds out who wrote at the offset of an append that did not meet its
 // condition: an earlier attempt of the same append, or another writer.
-func (w *Writer) settle(ctx context.Context, items []Item, _ int64) (int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, attemptLimit.Duration())
+func (w *Writer) settle(ctx context.Context, limit clock.Millis, items []Item) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, limit.Duration())
 	defer cancel()
 	found, _, err := w.store.Read(ctx, w.topic, w.end, 0)
 	switch {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -96,7 +96,7 @@
 	r.forward = forwarder.New(func() *elector.Elector { return r.elector }, platform.NewClient(peerConnections))
 	r.ingress = platform.NewIngress(r.forward.Serve, l.Emit)
 	life := strconv.FormatInt(int64(clock.System()), 36) + "-" + s.Peers()
-	r.elector = elector.New(r.store, s.Host(), s.Peers(), life, r.lead, elector.WithClock(r.now), elector.WithEvents(l.Emit))
+	r.elector = elector.New(r.store, s.Host(), s.Peers(), life, r.lead, elector.WithClock(r.now), elector.WithCores(s.Cores()), elector.WithEvents(l.Emit))
 	r.follow = recorder.Follow(r.store, platform.OperatorTopic, recorder.Pace{Wait: operatorWait}, recorder.Watch{
 		Reset: func(m map[string][]byte) { r.operator = m; r.operate() },
 		Change: func(items []recorder.Item) {
