--- a/conductor/desk.go
+++ b/conductor/desk.go
@@ -16,7 +16,7 @@
 )
 
 var (
-	// ErrStoreAway: the store does not answer, so nothing can be accepted. The
+	// ErrStoreAway says that the store does not answer, so nothing can be accepted. The
 	// request has not run and will not.
 	ErrStoreAway = errors.New("the store does not answer")
 )
--- a/conductor/session.go
+++ b/conductor/session.go
@@ -116,7 +116,7 @@
 				q.Wait = 0
 			}
 		}
-		if !c.lookOnce(s, q) {
+		if !c.lookOnce(q) {
 			recorder.Sleep(c.ctx, lookPause)
 		} else if blocked {
 			recorder.Sleep(c.ctx, storeWait)
@@ -157,7 +157,7 @@
 }
 
 // lookOnce asks the worker and reports whether it answered.
-func (c *Conductor) lookOnce(s *session, q Question) bool {
+func (c *Conductor) lookOnce(q Question) bool {
 	sent := c.now()
 	ctx, cancel := context.WithTimeout(c.ctx, (q.Wait + lookMargin).Duration())
 	r, out := c.fleet.Look(ctx, q, c.epoch)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -126,7 +126,8 @@
 		}
 		return unclear(err)
 	}
-	defer resp.Body.Close()
+	// The body was read; closing it can only fail for a connection that is gone.
+	defer func() { _ = resp.Body.Close() }()
 	var a Reply
 	if err := json.NewDecoder(resp.Body).Decode(&a); err != nil || resp.StatusCode != http.StatusOK {
 		return Reply{Outcome: Unclear, Error: "the leader answered " + resp.Status}
--- a/imitator/pool.go
+++ b/imitator/pool.go
@@ -35,9 +35,9 @@
 
 	poolWorker struct {
 		info    scheduler.WorkerInfo
-		booted  time.Time
+		booted  clock.Millis
 		fence   int64
-		lease   time.Time
+		lease   clock.Millis
 		runs    map[string]*poolRun
 		highest map[string]int
 		ends    []scheduler.EndedRun
@@ -82,7 +82,7 @@
 func (p *Pool) boot(id string, slots int, born int64) {
 	p.workers[id] = &poolWorker{
 		info:   scheduler.WorkerInfo{ID: id, Address: id, Service: "pool", DataCentre: "a", CPU: int64(slots) * 1000, Memory: int64(slots) * 1000, Born: born},
-		booted: time.Now(), runs: map[string]*poolRun{}, highest: map[string]int{}, ended: make(chan struct{}), slots: slots,
+		booted: clock.System(), runs: map[string]*poolRun{}, highest: map[string]int{}, ended: make(chan struct{}), slots: slots,
 	}
 }
 
@@ -145,7 +145,7 @@
 // Fleet returns the workers by their calls.
 func (p *Pool) Fleet() conductor.Fleet { return conductor.Fleet{Send: p.send, Look: p.look} }
 
-func (w *poolWorker) clock() clock.Millis { return clock.FromDuration(time.Since(w.booted)) }
+func (w *poolWorker) clock() clock.Millis { return clock.System() - w.booted }
 
 func (p *Pool) send(ctx context.Context, o scheduler.Order, epoch int64) scheduler.Outcome {
 	if !recorder.Sleep(ctx, 1) {
@@ -228,14 +228,12 @@
 }
 
 func (w *poolWorker) extend(deadline clock.Millis) {
-	if t := w.booted.Add(deadline.Duration()); t.After(w.lease) {
-		w.lease = t
-	}
+	w.lease = max(w.lease, w.booted+deadline)
 }
 
 // expire ends the runs of a worker whose lease is over.
 func (p *Pool) expire(w *poolWorker) {
-	if time.Now().Before(w.lease) {
+	if clock.System() < w.lease {
 		return
 	}
 	for name := range w.runs {
@@ -289,7 +287,7 @@
 	p.expire(w)
 	r := scheduler.Report{Born: w.info.Born, Clock: w.clock(), Ended: append([]scheduler.EndedRun(nil), w.ends...)}
 	for name, run := range w.runs {
-		r.Active = append(r.Active, scheduler.ActiveRun{Task: name, Attempt: run.order.Attempt, Percent: int(time.Now().UnixMilli() % 100)})
+		r.Active = append(r.Active, scheduler.ActiveRun{Task: name, Attempt: run.order.Attempt, Percent: int(clock.System() % 100)})
 	}
 	return r, scheduler.Done
 }
--- a/recorder/store.go
+++ b/recorder/store.go
@@ -42,12 +42,12 @@
 )
 
 var (
-	// ErrMoved: the topic does not end at the offset of a conditional append.
+	// ErrMoved says that the topic does not end at the offset of a conditional append.
 	ErrMoved = errors.New("the topic has a newer end")
-	// ErrTrimmed: the records asked for are gone.
+	// ErrTrimmed says that the records asked for are gone.
 	ErrTrimmed = errors.New("the records are no longer kept")
-	// ErrRefused: the store did nothing; asking again may help.
+	// ErrRefused says that the store did nothing; asking again may help.
 	ErrRefused = errors.New("the store refused the call")
-	// ErrUnclear: there was no answer; an append may be done, now or later.
+	// ErrUnclear says that there was no answer; an append may be done, now or later.
 	ErrUnclear = errors.New("the store did not answer")
 )
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -64,14 +64,6 @@
 	b.Report(Report{Worker: worker, Born: 1, Clock: b.clock.Now(), Sent: b.clock.Now(), Active: active, Ended: ended})
 }
 
-func activeOf(orders ...Order) []ActiveRun {
-	var as []ActiveRun
-	for _, o := range orders {
-		as = append(as, ActiveRun{Task: o.Task.String(), Attempt: o.Attempt, Percent: 10})
-	}
-	return as
-}
-
 func endOf(number int64, o Order, how Ending) EndedRun {
 	return EndedRun{Number: number, Task: o.Task.String(), Attempt: o.Attempt, How: how}
 }
