--- a/scheduler/interference.go
+++ b/scheduler/interference.go
@@ -22,6 +22,9 @@
 		covariance [][]float64
 		// evidence is the sum of the shares seen of each filler image.
 		evidence []float64
+		// tried is when a filler of each image was last placed although too little was
+		// known of it.
+		tried map[string]clock.Millis
 	}
 )
 
@@ -48,6 +51,10 @@
 	// harmfulWeight is the weight from which a pair of images counts as harmful.
 	// Weights of other pairs were below 1.5 in all fits.
 	harmfulWeight = 2.0
+	// unknownWeight is assumed of a pair of which too little is known while another
+	// filler tries it out, which takes exploreFor.
+	unknownWeight = 4.0
+	exploreFor    = 600 * clock.Millis(1)
 	// settleTime is how long the fillers of a worker must be unchanged before its
 	// gauges are learnt from: the half second that they cover.
 	settleTime = 500 * clock.Millis(1)
@@ -57,7 +64,7 @@
 )
 
 func newSensitivity() *sensitivity {
-	return &sensitivity{index: map[string]int{}, weights: []float64{math.Log(baseTail)}, covariance: [][]float64{{baseVariance}}, evidence: []float64{0}}
+	return &sensitivity{index: map[string]int{}, weights: []float64{math.Log(baseTail)}, covariance: [][]float64{{baseVariance}}, evidence: []float64{0}, tried: map[string]clock.Millis{}}
 }
 
 // position returns the index of a filler image, which it adds if it is new.
@@ -121,6 +128,20 @@
 	return math.Max(m.weights[i], 0)
 }
 
+// known reports whether enough was seen of a filler image.
+func (m *sensitivity) known(image string) bool {
+	i, ok := m.index[image]
+	return ok && m.evidence[i] >= evidenceNeeded
+}
+
+// expect returns the weight to reckon with before a filler is placed.
+func (m *sensitivity) expect(image string, now clock.Millis) float64 {
+	if t, ok := m.tried[image]; ok && now-t < exploreFor && !m.known(image) {
+		return unknownWeight
+	}
+	return m.weight(image)
+}
+
 // harmful reports whether fillers of an image raise the tail markedly.
 func (m *sensitivity) harmful(image string) bool { return m.weight(image) >= harmfulWeight }
 
@@ -183,13 +204,14 @@
 			continue
 		}
 		m := s.sensitivityOf(t.spec().Image)
-		if !m.harmful(step.Image) {
+		weight := m.expect(step.Image, s.now())
+		if weight < harmfulWeight {
 			continue
 		}
 		if shares == nil {
 			shares = w.fillerShares()
 		}
-		rise := m.weight(step.Image) * share
+		rise := weight * share
 		sum += math.Min(rise, math.Max(0, m.predict(shares)+t.excess+rise-math.Log(comfortableTail)))
 	}
 	return sum
@@ -299,3 +321,18 @@
 	}
 	return nil
 }
+
+// explore notes that a filler is about to show how it disturbs the tasks of a worker.
+func (s *Scheduler) explore(step *Step, w *worker) {
+	if !step.Filler || w.serving == 0 {
+		return
+	}
+	for t := range w.tasks {
+		if t.spec().Objective == 0 {
+			continue
+		}
+		if m := s.sensitivityOf(t.spec().Image); !m.known(step.Image) {
+			m.tried[step.Image] = s.now()
+		}
+	}
+}
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -151,6 +151,7 @@
 	t.percent, t.progressed, t.confirmed, t.stopping, t.settling = 0, now, 0, false, 0
 	t.recorded, t.waiting, t.slowSince = false, 0, 0
 	w.add(t)
+	s.explore(t.spec(), w)
 	w.leaseEnd = max(w.leaseEnd, leaseBound(now, s.leaseLength))
 	s.touch(t.job())
 	s.orders = append(s.orders, s.order(Start, t))
