--- a/scheduler/ending.go
+++ b/scheduler/ending.go
@@ -69,6 +69,20 @@
 	}
 }
 
+// copyDone takes the end of an earlier run of a speculative task for that of the task.
+func (s *Scheduler) copyDone(t *task) {
+	if t.job().phase.final() {
+		return
+	}
+	if t.held() {
+		o := s.order(Stop, t)
+		s.immediate = append(s.immediate, o)
+	}
+	s.release(t)
+	s.touch(t.job())
+	s.taskDone(t)
+}
+
 // gangDone ends a whole gang: the end of one member stands for all.
 func (s *Scheduler) gangDone(t *task) {
 	for _, m := range t.occurrence.steps[t.step] {
--- a/scheduler/reporting.go
+++ b/scheduler/reporting.go
@@ -103,7 +103,11 @@
 	s.heard(w, r)
 	listed := make(map[*task]struct{}, len(r.Active)+len(r.Ended))
 	for _, e := range r.Ended {
-		if t := s.find(e.Task); t != nil && t.worker == w && t.attempt == e.Attempt {
+		t := s.find(e.Task)
+		if t != nil && t.spec().Speculative && e.How == EndDone && t.state != done && e.Number > w.seen && t.attempt != e.Attempt {
+			s.copyDone(t)
+		}
+		if t != nil && t.worker == w && t.attempt == e.Attempt {
 			listed[t] = struct{}{}
 			if e.Number > w.seen {
 				s.end(t, e.How, e.Checkpoint)
@@ -169,9 +173,7 @@
 		s.confirm(t)
 	}
 	t.settling = 0
-	if a.Percent != t.percent {
-		t.percent, t.progressed = a.Percent, s.now()
-	}
+	t.progress(a.Percent, s.now())
 	if a.Checkpoint != "" {
 		t.checkpoint = a.Checkpoint
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -293,6 +293,7 @@
 			s.removed = append(s.removed, id)
 		}
 	}
+	s.checkProgress()
 	s.expire()
 	s.protect()
 }
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -147,3 +147,49 @@
 		})
 	}
 }
+
+func TestEndOfAnEarlierCopyCounts(t *testing.T) {
+	b := newBench(2)
+	b.submit(t, "job", Step{Count: 1, CPU: 100, Speculative: true})
+	first := b.store()[0]
+	b.Answered(first, Done)
+	b.Unanswered(first.Worker, 1, false)
+	b.clock.Advance(speculateAfter + 1)
+	b.Sweep()
+	second := b.store()
+	must.Len(t, 1, second)
+	must.NotEq(t, first.Worker, second[0].Worker)
+	b.Answered(second[0], Done)
+	// The first worker answers again; its run had ended.
+	b.list(first.Worker, nil, endOf(1, first, EndDone))
+	b.store()
+	p, err := b.Phase("job", "q")
+	must.NoError(t, err)
+	must.Eq(t, Completed, p)
+	stops := b.Immediate()
+	must.Len(t, 1, stops)
+	must.Eq(t, Stop, stops[0].Kind)
+}
+
+func TestStandstillMoves(t *testing.T) {
+	b := newBench(2)
+	b.submit(t, "job", Step{Count: 1, CPU: 100})
+	o := b.store()[0]
+	b.Answered(o, Done)
+	run := []ActiveRun{{Task: o.Task.String(), Attempt: 1, Percent: 30}}
+	b.list(o.Worker, run)
+	b.clock.Advance(stallAfter / 2)
+	b.list(o.Worker, run)
+	b.Sweep()
+	must.SliceEmpty(t, b.Immediate())
+	b.clock.Advance(stallAfter)
+	b.list(o.Worker, run)
+	b.Sweep()
+	stops := b.Immediate()
+	must.Len(t, 1, stops)
+	must.Eq(t, Stop, stops[0].Kind)
+	b.list(o.Worker, nil, endOf(1, o, EndStopped))
+	again := b.store()
+	must.Len(t, 1, again)
+	must.NotEq(t, o.Worker, again[0].Worker)
+}
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -42,6 +42,8 @@
 		// percent and progressed are the last reported progress and when it rose.
 		percent    int
 		progressed clock.Millis
+		// stalled is whether the last report showed no progress for too long.
+		stalled bool
 		// began is set once any run was confirmed.
 		began bool
 		// stopping is set once a stop was ordered for the newest run.
