What was never sent to a store that is away is refused at once

Ruled out: refusing what is on its way, whose fate is open; that ends after 1 s with 502. Test: TestRefuse.

--- a/conductor/desk.go
+++ b/conductor/desk.go
@@ -13,6 +13,9 @@
 	// storeAway is how long appends may have failed before new work is refused at
 	// once: the answer of a store that is as slow as the sheets of trouble say.
 	storeAway = 500 * clock.Millis(1)
+	// storeLimit is how long a caller waits for a change to be stored. After that the
+	// fate of the change is open, and the caller had better ask again.
+	storeLimit = clock.Second
 )
 
 var (
@@ -25,8 +28,8 @@
 // it surely never runs, that of scheduler.Submit for a faulty job, or ErrOver or the
 // context's if its fate is open.
 func (c *Conductor) Submit(ctx context.Context, s scheduler.Spec) error {
-	return c.await(ctx, func(stored func()) error {
-		if away := c.writer.FailingSince(); away != 0 && c.now()-away > storeAway && !c.sched.Knows(s.ID) {
+	return c.await(ctx, func(stored func(error)) error {
+		if c.storeAway() && !c.sched.Knows(s.ID) {
 			return ErrStoreAway
 		}
 		return c.sched.Submit(s, stored)
@@ -36,13 +39,21 @@
 // Cancel ends a job and returns when that is stored. The error is
 // scheduler.ErrUnknown, or as with Submit.
 func (c *Conductor) Cancel(ctx context.Context, id string) error {
-	return c.await(ctx, func(stored func()) error { return c.sched.Cancel(id, stored) })
+	return c.await(ctx, func(stored func(error)) error { return c.sched.Cancel(id, stored) })
 }
 
-func (c *Conductor) await(ctx context.Context, f func(stored func()) error) error {
+// storeAway reports whether appends have failed for a while.
+func (c *Conductor) storeAway() bool {
+	away := c.writer.FailingSince()
+	return away != 0 && c.now()-away > storeAway
+}
+
+func (c *Conductor) await(ctx context.Context, f func(stored func(error)) error) error {
+	ctx, cancel := context.WithTimeout(ctx, storeLimit.Duration())
+	defer cancel()
 	done := make(chan error, 1)
 	if !c.do(func() {
-		if err := f(func() { done <- nil }); err != nil {
+		if err := f(func(err error) { done <- err }); err != nil {
 			done <- err
 		}
 	}) {
--- a/conductor/loop.go
+++ b/conductor/loop.go
@@ -34,6 +34,9 @@
 			c.drain()
 		case <-sweep.C:
 			c.sched.Sweep()
+			if c.storeAway() {
+				c.sched.Refuse(ErrStoreAway)
+			}
 			c.manageSessions()
 		case <-c.ctx.Done():
 			return
@@ -149,9 +152,6 @@
 // stored carries out what waited for a batch.
 func (c *Conductor) stored(b *scheduler.Batch) {
 	c.sched.Stored(b)
-	for _, r := range b.Replies {
-		r()
-	}
 	for _, o := range b.Orders {
 		c.send(o)
 	}
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -31,6 +31,8 @@
 		accepted clock.Millis
 		// ended is when the phase became final, in Unix time.
 		ended clock.Millis
+		// sent is whether a record of the job was ever on its way to the store.
+		sent bool
 		// stored is the phase as the store has it; callers are shown no other.
 		stored Phase
 		// occurrences by number; a later one is absent until it is due.
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -38,9 +38,9 @@
 		Orders  []Order
 		// Acks has for each worker the highest end that the batch stores.
 		Acks map[string]int64
-		// Replies are called when the batch is stored.
-		Replies []func()
-		// Ended names the jobs whose phase the batch stores.
+		// replies are told when the batch is stored.
+		replies []reply
+		// phases are those that the batch stores.
 		phases map[*job]Phase
 	}
 )
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -41,10 +41,16 @@
 		orders  []Order
 		// immediate orders need nothing stored before them.
 		immediate []Order
-		replies   []func()
+		replies   []reply
 		acks      map[string]int64
 	}
 
+	// reply tells a caller when its change is stored, or why it never will be.
+	reply struct {
+		job  *job
+		tell func(error)
+	}
+
 	// Option sets up a Scheduler.
 	Option func(*Scheduler)
 )
@@ -102,17 +108,18 @@
 	return s
 }
 
-// Submit accepts a job. stored is called when the acceptance is stored, at once for
-// a job that was accepted before. The error is ErrConflict or that of Spec.Validate.
-func (s *Scheduler) Submit(spec Spec, stored func()) error {
+// Submit accepts a job. stored is called with nil when the acceptance is stored, at
+// once for a job that was accepted before, or with the error of Refuse. The error is
+// ErrConflict or that of Spec.Validate.
+func (s *Scheduler) Submit(spec Spec, stored func(error)) error {
 	if j := s.jobs[spec.ID]; j != nil {
 		if j.spec.Queue.Name != spec.Queue.Name {
 			return ErrConflict
 		}
 		if j.stored != "" {
-			stored()
+			stored(nil)
 		} else {
-			s.replies = append(s.replies, stored)
+			s.replies = append(s.replies, reply{j, stored})
 		}
 		return nil
 	}
@@ -123,27 +130,28 @@
 	s.jobs[spec.ID] = j
 	s.active[j] = struct{}{}
 	s.touch(j)
-	s.replies = append(s.replies, stored)
+	s.replies = append(s.replies, reply{j, stored})
 	s.openDue(j)
 	return nil
 }
 
-// Cancel ends a job. stored is called when that is stored. The error is ErrUnknown.
-func (s *Scheduler) Cancel(id string, stored func()) error {
+// Cancel ends a job. stored is called with nil when that is stored. The error is
+// ErrUnknown.
+func (s *Scheduler) Cancel(id string, stored func(error)) error {
 	j := s.jobs[id]
 	if j == nil {
 		return ErrUnknown
 	}
 	if j.phase.final() {
 		if j.stored.final() {
-			stored()
+			stored(nil)
 		} else {
-			s.replies = append(s.replies, stored)
+			s.replies = append(s.replies, reply{j, stored})
 		}
 		return nil
 	}
 	s.finish(j, Cancelled)
-	s.replies = append(s.replies, stored)
+	s.replies = append(s.replies, reply{j, stored})
 	return nil
 }
 
@@ -187,10 +195,11 @@
 	if len(s.dirty) == 0 && len(s.removed) == 0 && len(s.orders) == 0 && len(s.replies) == 0 && len(s.acks) == 0 {
 		return nil
 	}
-	b := &Batch{Orders: s.orders, Acks: s.acks, Replies: s.replies, phases: make(map[*job]Phase, len(s.dirty))}
+	b := &Batch{Orders: s.orders, Acks: s.acks, replies: s.replies, phases: make(map[*job]Phase, len(s.dirty))}
 	for _, j := range slices.SortedFunc(maps.Keys(s.dirty), func(a, b *job) int { return compareStrings(a.spec.ID, b.spec.ID) }) {
 		b.Records = append(b.Records, Record{Key: jobKey(j.spec.ID), Value: encode(j)})
 		b.phases[j] = j.phase
+		j.sent = true
 	}
 	for _, id := range s.removed {
 		b.Records = append(b.Records, Record{Key: jobKey(id)})
@@ -215,8 +224,32 @@
 	return o
 }
 
+// Refuse drops the jobs that were never sent to the store and tells their callers the
+// error: they have not run and will not.
+func (s *Scheduler) Refuse(err error) {
+	kept := s.replies[:0]
+	for _, r := range s.replies {
+		if r.job.sent || r.job.stored != "" {
+			kept = append(kept, r)
+			continue
+		}
+		s.drop(r.job)
+		r.tell(err)
+	}
+	s.replies = kept
+}
+
+// drop forgets a job of which nothing was sent anywhere.
+func (s *Scheduler) drop(j *job) {
+	j.eachTask(func(t *task) { s.release(t) })
+	delete(s.jobs, j.spec.ID)
+	delete(s.active, j)
+	delete(s.dirty, j)
+	s.orders = slices.DeleteFunc(s.orders, func(o Order) bool { return o.Task.Job == j.spec.ID })
+}
+
 // Stored takes note that a batch is stored: its phases may be shown and its ends
-// acknowledged.
+// acknowledged. It tells the callers that wait for it.
 func (s *Scheduler) Stored(b *Batch) {
 	for j, p := range b.phases {
 		j.stored = p
@@ -226,6 +259,9 @@
 			t.recorded, t.placed = true, s.now()
 		}
 	}
+	for _, r := range b.replies {
+		r.tell(nil)
+	}
 	for id, n := range b.Acks {
 		if w := s.workers[id]; w != nil {
 			w.acked = max(w.acked, n)
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"testing"
 
+	"github.com/pkg/errors"
 	"github.com/shoenig/test/must"
 
 	"galenawharf.example/galenawharf/clock"
@@ -38,7 +39,7 @@
 func (b *bench) submit(t *testing.T, id string, steps ...Step) *bool {
 	t.Helper()
 	stored := new(bool)
-	must.NoError(t, b.Submit(Spec{ID: id, Queue: Queue{Name: "q", Service: benchService, MaxAttempts: 2, Slack: 2}, Steps: steps}, func() { *stored = true }))
+	must.NoError(t, b.Submit(Spec{ID: id, Queue: Queue{Name: "q", Service: benchService, MaxAttempts: 2, Slack: 2}, Steps: steps}, func(error) { *stored = true }))
 	return stored
 }
 
@@ -53,9 +54,6 @@
 		return nil
 	}
 	b.Stored(t)
-	for _, r := range t.Replies {
-		r()
-	}
 	return t.Orders
 }
 
@@ -193,3 +191,24 @@
 	must.Len(t, 1, again)
 	must.NotEq(t, o.Worker, again[0].Worker)
 }
+
+func TestRefuse(t *testing.T) {
+	b := newBench(1)
+	var sent, unsent error
+	untouched := errors.New("not told")
+	sent, unsent = untouched, untouched
+	must.NoError(t, b.Submit(Spec{ID: "sent", Queue: Queue{Name: "q", Service: benchService, MaxAttempts: 1}, Steps: []Step{{Count: 1}}}, func(err error) { sent = err }))
+	b.Place()
+	first := b.Take()
+	must.NoError(t, b.Submit(Spec{ID: "unsent", Queue: Queue{Name: "q", Service: benchService, MaxAttempts: 1}, Steps: []Step{{Count: 1}}}, func(err error) { unsent = err }))
+	b.Place()
+	away := errors.New("away")
+	b.Refuse(away)
+	must.ErrorIs(t, unsent, away)
+	must.ErrorIs(t, sent, untouched)
+	must.False(t, b.Knows("unsent"))
+	// What was refused is neither stored nor started later.
+	must.Len(t, 1, b.commit(first))
+	must.NoError(t, sent)
+	must.SliceEmpty(t, b.store())
+}
