--- a/conductor/desk.go
+++ b/conductor/desk.go
@@ -11,8 +11,11 @@
 
 const (
 	// storeAway is how long appends may have failed before new work is refused at
-	// once: the answer of a store that is as slow as the sheets of trouble say.
-	storeAway = 500 * clock.Millis(1)
+	// once: two calls to a store that is as slow as the sheets of trouble say.
+	storeAway = 800 * clock.Millis(1)
+	// confirmLimit is how old the last renewal of the claim may be for a job to be
+	// called unknown; another daemon claims after 1.5 s and accepts jobs after that.
+	confirmLimit = 1500 * clock.Millis(1)
 	// storeLimit is how long a caller waits for a change to be stored. After that the
 	// fate of the change is open, and the caller had better ask again.
 	storeLimit = clock.Second
@@ -22,6 +25,8 @@
 	// ErrStoreAway says that the store does not answer, so nothing can be accepted. The
 	// request has not run and will not.
 	ErrStoreAway = errors.New("the store does not answer")
+	// ErrUnconfirmed says that this daemon has not renewed its claim lately.
+	ErrUnconfirmed = errors.New("another daemon may lead")
 	// ErrUnclear says that a change was not stored in time; it may be stored yet.
 	ErrUnclear = errors.New("the change is not stored yet")
 )
@@ -41,7 +46,11 @@
 // Cancel ends a job and returns when that is stored. The error is
 // scheduler.ErrUnknown, or as with Submit.
 func (c *Conductor) Cancel(ctx context.Context, id string) error {
-	return c.await(ctx, func(stored func(error)) error { return c.sched.Cancel(id, stored) })
+	err := c.await(ctx, func(stored func(error)) error { return c.sched.Cancel(id, stored) })
+	if errors.Is(err, scheduler.ErrUnknown) && c.unconfirmed() {
+		return ErrUnconfirmed
+	}
+	return err
 }
 
 // storeAway reports whether appends have failed for a while.
@@ -50,6 +59,11 @@
 	return away != 0 && c.now()-away > storeAway
 }
 
+// unconfirmed reports whether another daemon may have been leading for a while.
+func (c *Conductor) unconfirmed() bool {
+	return c.now()-max(c.writer.Confirmed(), c.confirmed()) > confirmLimit
+}
+
 func (c *Conductor) await(ctx context.Context, f func(stored func(error)) error) error {
 	ctx, cancel := context.WithTimeout(ctx, storeLimit.Duration())
 	defer cancel()
@@ -76,13 +90,17 @@
 	}
 }
 
-// Phase returns the phase of a job. The error is scheduler.ErrUnknown or ErrOver.
+// Phase returns the phase of a job. The error is scheduler.ErrUnknown, ErrOver, or
+// ErrUnconfirmed for an unknown job while another daemon may lead already.
 func (c *Conductor) Phase(id, queue string) (scheduler.Phase, error) {
 	var p scheduler.Phase
 	var err error
 	if !c.ask(func() { p, err = c.sched.Phase(id, queue) }) {
 		return "", ErrOver
 	}
+	if errors.Is(err, scheduler.ErrUnknown) && c.unconfirmed() {
+		return "", ErrUnconfirmed
+	}
 	return p, err
 }
 
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -35,6 +35,8 @@
 		address string
 		life    string
 		lead    func(context.Context, Term)
+		// depose ends the term of this daemon; nil while it does not lead.
+		depose context.CancelFunc
 		// delay is how long this host waits before a claim that is due.
 		delay clock.Millis
 
@@ -164,6 +166,9 @@
 	if c.Epoch > e.leader.Epoch && c.Life != e.life {
 		e.emit(logger.LeaderChanged, logger.Int("epoch", c.Epoch), logger.String("leader", c.Host))
 	}
+	if e.depose != nil && c.Epoch > e.leader.Epoch && c.Life != e.life {
+		e.depose()
+	}
 	e.leader = c
 }
 
@@ -185,6 +190,7 @@
 	}
 	e.emit(logger.LeaderElected, logger.Int("epoch", t.Epoch))
 	ctx, cancel := context.WithCancel(e.stop)
+	e.setDepose(cancel)
 	renewals := make(chan struct{})
 	go func() {
 		defer close(renewals)
@@ -192,6 +198,7 @@
 		e.renew(ctx, t)
 	}()
 	e.lead(ctx, t)
+	e.setDepose(nil)
 	cancel()
 	<-renewals
 	e.emit(logger.LeaderDeposed, logger.Int("epoch", t.Epoch))
@@ -203,6 +210,12 @@
 	e.resign(t)
 }
 
+func (e *Elector) setDepose(f context.CancelFunc) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.depose = f
+}
+
 // claim appends a claim on the condition that the newest one is still that.
 func (e *Elector) claim() (Term, bool) {
 	ctx, cancel := context.WithTimeout(e.stop, (4 * renewEvery).Duration())
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -102,7 +102,7 @@
 		return r
 	case errors.Is(err, scheduler.ErrUnknown):
 		return Reply{Outcome: Unknown}
-	case errors.Is(err, conductor.ErrStoreAway):
+	case errors.Is(err, conductor.ErrStoreAway), errors.Is(err, conductor.ErrUnconfirmed):
 		return refusal(err.Error())
 	case errors.Is(err, conductor.ErrOver) && v != Submit:
 		return refusal(err.Error())
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -21,6 +21,7 @@
 		"faulty job":               {err: errors.Wrap(scheduler.ErrInvalid, "no steps"), verb: Submit, want: Invalid},
 		"id of another queue":      {err: scheduler.ErrConflict, verb: Submit, want: Invalid},
 		"store away":               {err: conductor.ErrStoreAway, verb: Submit, want: Refused},
+		"another may lead":         {err: conductor.ErrUnconfirmed, verb: Phase, want: Refused},
 		"not stored in time":       {err: conductor.ErrUnclear, verb: Submit, want: Unclear},
 		"cancel not stored":        {err: conductor.ErrUnclear, verb: Cancel, want: Unclear},
 		"term over, submission":    {err: conductor.ErrOver, verb: Submit, want: Unclear},
--- a/recorder/writer.go
+++ b/recorder/writer.go
@@ -23,6 +23,8 @@
 		confirmed atomic.Int64
 		// failing is since when appends have failed, 0 while they succeed.
 		failing atomic.Int64
+		// limit bounds the next call.
+		limit clock.Millis
 		// owned reports whether an item is one of this writer's.
 		owned func(Item) bool
 	}
@@ -36,10 +38,12 @@
 
 const (
 	// firstLimit bounds the first call of an append: the store takes 4 ms, and 240 ms
-	// when it is as slow as the sheets of trouble say. Each further call may take
-	// twice as long, up to longestLimit.
+	// when it is as slow as the sheets of trouble say. A call without an answer lets
+	// the next ones take twice as long, up to longestLimit, until answers come in a
+	// fraction of the limit, 1/limitMargin, again.
 	firstLimit   = 400 * clock.Millis(1)
 	longestLimit = 1600 * clock.Millis(1)
+	limitMargin  = 4
 	// firstPause and longestPause bound the pauses between attempts, so that an
 	// outage costs at most ten calls a second.
 	firstPause   = 20 * clock.Millis(1)
@@ -58,7 +62,7 @@
 // NewWriter returns a writer that continues a topic at its end. owned tells its own
 // items from those that another writer puts first.
 func NewWriter(s Store, topic string, end int64, owned func(Item) bool, opts ...WriterOption) *Writer {
-	w := &Writer{store: s, topic: topic, end: end, owned: owned, now: clock.System, sleep: Sleep}
+	w := &Writer{store: s, topic: topic, end: end, owned: owned, limit: firstLimit, now: clock.System, sleep: Sleep}
 	for _, o := range opts {
 		o(w)
 	}
@@ -78,16 +82,19 @@
 // the fate of the append is known: the error is ErrDeposed, or that of the context,
 // after which the items may be stored or not.
 func (w *Writer) Append(ctx context.Context, items []Item) error {
-	pause, limit := firstPause, firstLimit
+	pause := firstPause
 	for {
 		sent := w.now()
-		end, err := w.attempt(ctx, limit, items)
+		end, err := w.attempt(ctx, w.limit, items)
 		if errors.Is(err, ErrMoved) {
-			end, err = w.settle(ctx, limit, items)
+			end, err = w.settle(ctx, w.limit, items)
 		}
 		switch {
 		case err == nil:
 			w.end = end
+			if w.now()-sent < w.limit/limitMargin {
+				w.limit = max(w.limit/2, firstLimit)
+			}
 			w.confirmed.Store(int64(sent))
 			w.failing.Store(0)
 			return nil
@@ -98,7 +105,10 @@
 		if !w.sleep(ctx, pause) {
 			return errors.Wrap(ctx.Err(), "recorder.Writer.Append")
 		}
-		pause, limit = min(2*pause, longestPause), min(2*limit, longestLimit)
+		pause = min(2*pause, longestPause)
+		if errors.Is(err, ErrUnclear) {
+			w.limit = min(2*w.limit, longestLimit)
+		}
 	}
 }
 
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -23,8 +23,9 @@
 	// failureQuarantine is the failure score from which a worker gets nothing new;
 	// two failed runs in a row without a done one.
 	failureQuarantine = 1.9
-	// failureForget is the time in which a quarantined worker gets another chance.
-	failureForget = 5 * clock.Second
+	// failureForget is the time after which a quarantined worker gets one run to show
+	// whether it is well again; the users' workers are ill for five to seven seconds.
+	failureForget = 3 * clock.Second
 )
 
 // Place gives waiting tasks their workers. The runs start when the next batch is
@@ -58,7 +59,7 @@
 	})
 	workers := s.usable(now)
 	for _, d := range ds {
-		s.placeDemand(d, workers, now)
+		workers = s.placeDemand(d, workers, now)
 	}
 }
 
@@ -86,10 +87,8 @@
 			now < w.blockedUntil || s.evacuated[w.info.DataCentre] {
 			continue
 		}
-		if w.failures >= failureQuarantine {
-			if now-w.failedAt < failureForget || len(w.tasks) > 0 {
-				continue
-			}
+		if w.failures >= failureQuarantine && now-w.failedAt < failureForget {
+			continue
 		}
 		ws = append(ws, w)
 	}
@@ -97,19 +96,54 @@
 	return ws
 }
 
-func (s *Scheduler) placeDemand(d demand, ws []*worker, now clock.Millis) {
+// placeDemand places the tasks of a demand and returns the workers for the next one.
+func (s *Scheduler) placeDemand(d demand, ws []*worker, now clock.Millis) []*worker {
 	step := &d.occurrence.job.spec.Steps[d.step]
 	if step.Gang {
 		s.placeGang(d, ws, now)
-		return
+		return ws
 	}
 	for _, t := range d.tasks {
 		w := s.choose(t, ws)
 		if w == nil {
-			return
+			if step.LongRunning {
+				return s.reserve(t, ws)
+			}
+			return ws
 		}
 		s.assign(t, w, now)
 	}
+	return ws
+}
+
+// reserve keeps the room of one worker for a long-running task that fits nowhere yet:
+// of the workers where it will fit when shorter tasks have ended, the one with the
+// most room. It returns the others.
+func (s *Scheduler) reserve(t *task, ws []*worker) []*worker {
+	best, bestFree := -1, int64(0)
+	for i, w := range ws {
+		step := t.spec()
+		if w.info.Service != t.job().spec.Queue.Service || !w.hasLabel(step.Label) || w.memory+step.Memory > w.info.Memory || w.gpu+step.GPU > w.info.GPU {
+			continue
+		}
+		if step.PerWorker > 0 && w.countOf(t) >= step.PerWorker {
+			continue
+		}
+		passing := int64(0)
+		for o := range w.tasks {
+			if !o.spec().LongRunning && !o.spec().Filler {
+				passing += o.spec().CPU
+			}
+		}
+		free := w.info.CPU - w.cpu
+		if free+passing >= step.CPU && (best < 0 || free > bestFree) {
+			best, bestFree = i, free
+		}
+	}
+	if best < 0 {
+		return ws
+	}
+	return slices.Delete(slices.Clone(ws), best, best+1)
 }
 
 // placeGang places all tasks of a gang or none.
@@ -159,6 +193,9 @@
 	t.recorded, t.waiting, t.slowSince = false, 0, 0
 	w.add(t)
 	s.explore(t.spec(), w)
+	if w.failures >= failureQuarantine {
+		w.probedAt = now
+	}
 	w.leaseEnd = max(w.leaseEnd, leaseBound(now, s.leaseLength))
 	s.touch(t.job())
 	s.orders = append(s.orders, s.order(Start, t))
@@ -177,7 +214,8 @@
 		if step.PerWorker > 0 && w.countOf(t) >= step.PerWorker {
 			continue
 		}
-		if w.failures >= failureQuarantine && len(w.tasks) > 0 {
+		if w.failures >= failureQuarantine && w.probedAt >= w.failedAt {
+			// One run at a time shows whether it is well again.
 			continue
 		}
 		if step.Filler && (w.over() || s.disturbance(step, w) > s.tolerance(t)) {
--- a/scheduler/ranking.go
+++ b/scheduler/ranking.go
@@ -11,6 +11,9 @@
 	// let all jobs meet their objective. Lower goes first.
 	rank struct {
 		priority int
+		// passing is 1 for jobs that end by themselves. Those that last go first: they
+		// need the largest rooms, which shorter tasks would take piece by piece.
+		passing int
 		// standing is 0 for jobs that may still meet their objective, 1 for those that
 		// can only be late, 2 for those that are too late for any use.
 		standing int
@@ -29,7 +32,10 @@
 // rankOf returns the rank of a job. A job that is half done goes before one that has
 // not begun: under overload as many as possible end in time, not all half late.
 func (s *Scheduler) rankOf(j *job) rank {
-	r := rank{priority: j.spec.Queue.Priority}
+	r := rank{priority: j.spec.Queue.Priority, passing: 1}
+	if j.lasting {
+		r.passing = 0
+	}
 	left, whole, chain := j.work()
 	if j.spec.Repeat == 0 && !j.lasting {
 		objective := clock.Millis(j.spec.Queue.Slack*float64(chain)) + j.spec.Queue.Target
@@ -47,7 +53,7 @@
 
 // compare orders ranks.
 func (r rank) compare(o rank) int {
-	return cmp.Or(cmp.Compare(r.priority, o.priority), cmp.Compare(r.standing, o.standing), cmp.Compare(r.density, o.density))
+	return cmp.Or(cmp.Compare(r.priority, o.priority), cmp.Compare(r.passing, o.passing), cmp.Compare(r.standing, o.standing), cmp.Compare(r.density, o.density))
 }
 
 // work returns the declared work that is left and the whole of it, in core-seconds,
--- a/scheduler/reporting.go
+++ b/scheduler/reporting.go
@@ -34,6 +34,9 @@
 		w.clockOffset = i.Clock - s.now()
 	}
 	w.info, w.listed = i, true
+	if i.Draining {
+		w.leavesAt = s.now() + i.Remaining
+	}
 }
 
 // RemoveWorker takes in that the registry has no such worker. Its runs are held
@@ -174,6 +177,10 @@
 	}
 	t.settling = 0
 	t.progress(a.Percent, s.now())
+	if t.spec().LongRunning && a.Percent == 100 && t.confirmed > w.failedAt {
+		// It works where others failed.
+		w.failures = 0
+	}
 	if a.Checkpoint != "" {
 		t.checkpoint = a.Checkpoint
 	}
@@ -307,7 +314,9 @@
 		return 0, false
 	}
 	now := s.now()
-	if w.silent != 0 && now-w.silent > extendSilent {
+	if w.silent != 0 {
+		// The lease it has is long enough for a few more calls; if those fail too,
+		// its runs must end soon, so that they can be started elsewhere.
 		return 0, false
 	}
 	w.leaseEnd = max(w.leaseEnd, leaseBound(now, s.leaseLength))
@@ -319,10 +328,6 @@
 }
 
 const (
-	// extendSilent is how long the lease of a worker that does not answer is still
-	// extended: one long poll and its answer. After that its runs must end, so that
-	// they can be started elsewhere.
-	extendSilent = 2500 * clock.Millis(1)
 	// refusalPause keeps runs away from a worker that refused one: two reports.
 	refusalPause = 300 * clock.Millis(1)
 )
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -335,6 +335,7 @@
 		}
 	}
 	s.checkProgress()
+	s.leave()
 	s.expire()
 	s.protect()
 }
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -62,6 +62,14 @@
 	b.Report(Report{Worker: worker, Born: 1, Clock: b.clock.Now(), Sent: b.clock.Now(), Active: active, Ended: ended})
 }
 
+func activeOf(orders ...Order) []ActiveRun {
+	var as []ActiveRun
+	for _, o := range orders {
+		as = append(as, ActiveRun{Task: o.Task.String(), Attempt: o.Attempt, Percent: 10})
+	}
+	return as
+}
+
 func endOf(number int64, o Order, how Ending) EndedRun {
 	return EndedRun{Number: number, Task: o.Task.String(), Attempt: o.Attempt, How: how}
 }
@@ -212,3 +220,74 @@
 	must.NoError(t, sent)
 	must.SliceEmpty(t, b.store())
 }
+
+func TestRoomIsKeptForLastingTasks(t *testing.T) {
+	b := newBench(1)
+	// Four short tasks fill the worker; a lasting one needs half of it.
+	b.submit(t, "short", Step{Count: 4, CPU: 2000})
+	running := b.store()
+	must.Len(t, 4, running)
+	for _, o := range running {
+		b.Answered(o, Done)
+	}
+	b.submit(t, "lasting", Step{Count: 1, CPU: 4000, LongRunning: true})
+	b.submit(t, "later", Step{Count: 4, CPU: 2000})
+	must.SliceEmpty(t, b.store())
+	for i, o := range running[:2] {
+		b.list("w0", activeOf(running[i+1:]...), endOf(int64(i+1), o, EndDone))
+		b.clock.Advance(retryPause)
+		placed := b.store()
+		if i == 0 {
+			must.SliceEmpty(t, placed, must.Sprint("a short task took the room"))
+			continue
+		}
+		must.Len(t, 1, placed)
+		must.Eq(t, "lasting", placed[0].Task.Job)
+	}
+}
+
+func TestQuarantineEndsByOneRun(t *testing.T) {
+	b := newBench(1)
+	b.submit(t, "lasting", Step{Count: 1, CPU: 100, LongRunning: true})
+	b.Answered(b.store()[0], Done)
+	lasting := []ActiveRun{{Task: "lasting.0.0.0", Attempt: 1, Percent: 100}}
+	number := int64(0)
+	for i := range 2 {
+		b.submit(t, fmt.Sprint("bad", i), Step{Count: 1, CPU: 100})
+		o := b.store()
+		must.Len(t, 1, o)
+		b.Answered(o[0], Done)
+		number++
+		b.list("w0", lasting, endOf(number, o[0], EndFailed))
+		must.NoError(t, b.Cancel(fmt.Sprint("bad", i), func(error) {}))
+	}
+	b.submit(t, "next", Step{Count: 3, CPU: 100})
+	must.SliceEmpty(t, b.store(), must.Sprint("a quarantined worker got a run"))
+	b.clock.Advance(failureForget)
+	probe := b.store()
+	must.Len(t, 1, probe)
+	b.Answered(probe[0], Done)
+	b.list("w0", lasting, endOf(number+1, probe[0], EndDone))
+	must.Len(t, 2, b.store(), must.Sprint("the worker is well again"))
+}
+
+func TestLeavingWorkerIsEmptied(t *testing.T) {
+	b := newBench(2)
+	b.submit(t, "lasting", Step{Count: 1, CPU: 100, LongRunning: true, MaxUnavailable: 1})
+	o := b.store()[0]
+	b.Answered(o, Done)
+	w := benchWorker(0)
+	if o.Worker == "w1" {
+		w = benchWorker(1)
+	}
+	w.Draining, w.Remaining = true, 2*clock.Second
+	b.UpdateWorker(w)
+	b.Sweep()
+	stops := b.Immediate()
+	must.Len(t, 1, stops)
+	must.Eq(t, Stop, stops[0].Kind)
+	b.list(o.Worker, nil, endOf(1, o, EndStopped))
+	again := b.store()
+	must.Len(t, 1, again)
+	must.NotEq(t, o.Worker, again[0].Worker)
+}
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -57,6 +57,10 @@
 		failures float64
 		// failedAt is when the last run failed.
 		failedAt clock.Millis
+		// leavesAt is the earliest time at which a draining worker leaves.
+		leavesAt clock.Millis
+		// probedAt is when a quarantined worker last got a run.
+		probedAt clock.Millis
 		// blockedUntil keeps new runs away after a refusal.
 		blockedUntil clock.Millis
 		// clockOffset is the worker's clock less ours.
