--- a/cmd/galenawharf/main.go
+++ b/cmd/galenawharf/main.go
@@ -61,7 +61,7 @@
 func all() []*command {
 	return []*command{
 		newServe(), newCheck(), newPlan(), newApply(), newGet(), newCancel(), newDrain(), newRestore(),
-		newForecast(), newExplain(), newAudit(), newDemo(), newVersion(),
+		newForecast(), newExplain(), newAudit(), newTrace(), newDemo(), newVersion(),
 	}
 }
 
--- a/logger/events.go
+++ b/logger/events.go
@@ -64,6 +64,7 @@
 	OrderUnclear  = Event{6023, log.WarnLevel, "order was not answered"}
 	OrderRefused  = Event{6024, log.InfoLevel, "worker refused an order"}
 	RunStalled    = Event{6025, log.WarnLevel, "run makes no progress"}
+	RunEnded      = Event{6027, log.InfoLevel, "run ended without being done"}
 	RunRelocated  = Event{6026, log.DebugLevel, "filler moves to where it disturbs nobody"}
 	WorkerSilent  = Event{6030, log.WarnLevel, "worker does not answer"}
 	WorkerBack    = Event{6031, log.InfoLevel, "worker answers again"}
--- a/scheduler/ending.go
+++ b/scheduler/ending.go
@@ -17,6 +17,10 @@
 	if checkpoint != "" {
 		t.checkpoint = checkpoint
 	}
+	if how != EndDone {
+		s.emit(logger.RunEnded, logger.String("task", t.name().String()), logger.Int("attempt", int64(t.attempt)),
+			logger.String("how", string(how)), logger.String("worker", w.info.ID), logger.Int("percent", int64(t.percent)))
+	}
 	s.release(t)
 	s.touch(j)
 	if j.phase.final() {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -257,6 +257,10 @@
 // acknowledged. It tells the callers that wait for it.
 func (s *Scheduler) Stored(b *Batch) {
 	for j, p := range b.phases {
+		if j.stored == "" {
+			s.emit(logger.JobAccepted, logger.String("id", j.spec.ID), logger.String("queue", j.spec.Queue.Name),
+				logger.Int("steps", int64(len(j.spec.Steps))), logger.Int("stored-after-ms", int64(s.wall()-j.accepted)))
+		}
 		j.stored = p
 	}
 	for _, o := range b.Orders {
