--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -29,6 +29,7 @@
 		confirmed func() clock.Millis
 		decode    func(recorder.Item) (scheduler.WorkerInfo, bool)
 		lease     clock.Millis
+		measures  Measures
 
 		events   chan func()
 		ctx      context.Context
@@ -95,7 +96,7 @@
 	decode func(recorder.Item) (scheduler.WorkerInfo, bool), opts ...Option) (*Conductor, error) {
 	c := &Conductor{
 		store: s, fleet: f, sched: sched, epoch: t.Epoch, confirmed: t.Confirmed, decode: decode, lease: lease,
-		now: clock.System, emit: func(logger.Event, ...logger.Field) {},
+		now: clock.System, emit: func(logger.Event, ...logger.Field) {}, measures: noMeasures(),
 		events: make(chan func(), eventBacklog), sessions: map[string]*session{}, batches: make(chan *scheduler.Batch, 1),
 	}
 	for _, o := range opts {
--- a/conductor/loop.go
+++ b/conductor/loop.go
@@ -38,6 +38,7 @@
 				c.sched.Refuse(ErrStoreAway)
 			}
 			c.manageSessions()
+			c.measures.Load(c.sched.Census())
 		case <-c.ctx.Done():
 			return
 		}
@@ -120,7 +121,10 @@
 // records of one job have to be stored together, so a large batch may be split.
 func (c *Conductor) keep(b *scheduler.Batch) bool {
 	for chunk := range chunks(b.Records) {
-		if err := c.writer.Append(c.ctx, chunk); err != nil {
+		sent := c.now()
+		err := c.writer.Append(c.ctx, chunk)
+		c.measures.Append(c.now() - sent)
+		if err != nil {
 			if errors.Is(err, recorder.ErrDeposed) {
 				c.emit(logger.StoreLost, logger.Err(err))
 			}
@@ -202,8 +206,10 @@
 			return
 		}
 		ctx, cancel := context.WithTimeout(c.ctx, orderLimit.Duration())
+		sent := c.now()
 		out := c.fleet.Send(ctx, o, c.epoch)
 		cancel()
+		c.measures.Order(c.now()-sent, out != scheduler.Unclear)
 		s.release()
 		c.do(func() { c.answered(o, out) })
 	}()
--- /dev/null
+++ b/runner/measures.go
@@ -0,0 +1,66 @@
+package runner
+
+import (
+	"context"
+	"net/http"
+
+	"galenawharf.example/galenawharf/clock"
+	"galenawharf.example/galenawharf/conductor"
+	"galenawharf.example/galenawharf/forwarder"
+	"galenawharf.example/galenawharf/measurer"
+)
+
+const metricsPath = "/metrics"
+
+var outcomeCounters = map[forwarder.Outcome]measurer.Counter{
+	forwarder.OK:      measurer.RequestsServed,
+	forwarder.Unknown: measurer.RequestsUnknown,
+	forwarder.Invalid: measurer.RequestsInvalid,
+	forwarder.Refused: measurer.RequestsRefused,
+	forwarder.Unclear: measurer.RequestsUnclear,
+}
+
+// answer serves a request of a caller and counts it by its outcome.
+func (r *Runner) answer(ctx context.Context, q forwarder.Request) forwarder.Reply {
+	began := r.now()
+	a := r.forward.Serve(ctx, q)
+	r.metrics.Record(measurer.RequestTime, (r.now() - began).Duration())
+	if c, ok := outcomeCounters[a.Outcome]; ok {
+		r.metrics.Add(c, 1)
+	}
+	return a
+}
+
+// peers serves other daemons and, beside them, the metrics.
+func (r *Runner) peers() http.Handler {
+	m := http.NewServeMux()
+	m.Handle(metricsPath, r.metrics.Handler())
+	m.Handle("/", r.forward)
+	return m
+}
+
+// measures returns what the conductor of a term reports to.
+func (r *Runner) measures() conductor.Measures {
+	return conductor.Measures{
+		Order: func(took clock.Millis, answered bool) {
+			r.metrics.Add(measurer.Orders, 1)
+			if !answered {
+				r.metrics.Add(measurer.OrdersUnclear, 1)
+			}
+			r.metrics.Record(measurer.OrderTime, took.Duration())
+		},
+		Look: func(took clock.Millis) {
+			r.metrics.Add(measurer.Looks, 1)
+			r.metrics.Record(measurer.LookTime, took.Duration())
+		},
+		Append: func(took clock.Millis) {
+			r.metrics.Add(measurer.Appends, 1)
+			r.metrics.Record(measurer.AppendTime, took.Duration())
+		},
+		Load: func(queued, active, silent int) {
+			r.metrics.Set(measurer.QueuedJobs, float64(queued))
+			r.metrics.Set(measurer.ActiveJobs, float64(active))
+			r.metrics.Set(measurer.SilentWorkers, float64(silent))
+		},
+	}
+}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -18,6 +18,7 @@
 	"galenawharf.example/galenawharf/elector"
 	"galenawharf.example/galenawharf/forwarder"
 	"galenawharf.example/galenawharf/logger"
+	"galenawharf.example/galenawharf/measurer"
 	"galenawharf.example/galenawharf/platform"
 	"galenawharf.example/galenawharf/recorder"
 	"galenawharf.example/galenawharf/scheduler"
@@ -28,6 +29,7 @@
 	Runner struct {
 		settings *platform.Settings
 		log      *logger.Logger
+		metrics  *measurer.Metrics
 		now      func() clock.Millis
 		store    recorder.Store
 		workers  *platform.Workers
@@ -79,7 +81,7 @@
 // New starts the daemon.
 func New(s *platform.Settings, l *logger.Logger) (*Runner, error) {
 	r := &Runner{
-		settings: s, log: l, now: clock.NewSteady(), operator: map[string][]byte{},
+		settings: s, log: l, metrics: measurer.New(s.Host(), s.DataCentre()), now: clock.NewSteady(), operator: map[string][]byte{},
 		store:   platform.NewStore(s.Store(), platform.NewClient(storeConnections)).Seam(),
 		workers: platform.NewWorkers(platform.NewClient(workerConnections)),
 	}
@@ -94,7 +96,7 @@
 	})
 	r.evacuated.Store(&[]string{})
 	r.forward = forwarder.New(func() *elector.Elector { return r.elector }, platform.NewClient(peerConnections))
-	r.ingress = platform.NewIngress(r.forward.Serve, l.Emit)
+	r.ingress = platform.NewIngress(r.answer, l.Emit)
 	life := strconv.FormatInt(int64(clock.System()), 36) + "-" + s.Peers()
 	r.elector = elector.New(r.store, s.Host(), s.Peers(), life, r.lead, elector.WithClock(r.now), elector.WithCores(s.Cores()), elector.WithEvents(l.Emit))
 	r.follow = recorder.Follow(r.store, platform.OperatorTopic, recorder.Pace{Wait: operatorWait}, recorder.Watch{
@@ -123,7 +125,7 @@
 func (r *Runner) serve() error {
 	for address, h := range map[string]http.Handler{
 		r.settings.Callers(): r.ingress,
-		r.settings.Peers():   r.forward,
+		r.settings.Peers():   r.peers(),
 		r.settings.Ready():   http.HandlerFunc(r.ready),
 	} {
 		l, err := net.Listen("tcp", address)
@@ -167,6 +169,7 @@
 			r.log.Emit(logger.EntryInvalid, logger.String("key", "config"), logger.Err(err))
 		} else if r.ingress.SetConfig(c) {
 			r.log.Emit(logger.ConfigInForce, logger.Int("version", c.Version()))
+			r.metrics.Set(measurer.ConfigVersion, float64(c.Version()))
 		}
 	}
 	e := platform.EvacuatedOf(r.operator)
@@ -182,20 +185,24 @@
 	s := scheduler.New(
 		scheduler.WithClocks(r.now, clock.System), scheduler.WithEvents(r.log.Emit),
 		scheduler.WithLease(lease), scheduler.WithRetention(r.settings.Retention()),
+		scheduler.WithBegun(func(d clock.Millis) { r.metrics.Record(measurer.FirstStartTime, d.Duration()) }),
 		scheduler.WithHarmLimit(r.settings.HarmLimit()), scheduler.WithRemoteFactor(r.settings.RemoteFactor()),
 	)
 	s.SetEvacuated(*r.evacuated.Load())
 	c, err := conductor.New(ctx, conductor.Term{Epoch: t.Epoch, FormerIsOver: t.FormerIsOver, Confirmed: t.Confirmed},
 		r.store, r.workers.Fleet(), s, lease, platform.DecodeWorker,
-		conductor.WithClock(r.now), conductor.WithEvents(r.log.Emit))
+		conductor.WithClock(r.now), conductor.WithMeasures(r.measures()), conductor.WithEvents(r.log.Emit))
 	if err != nil {
 		r.log.Emit(logger.StoreLost, logger.Err(err))
 		return
 	}
 	c.SetEvacuated(*r.evacuated.Load())
 	r.forward.SetLocal(c)
+	r.metrics.Add(measurer.Terms, 1)
+	r.metrics.Set(measurer.Leading, 1)
 	c.Wait()
 	r.forward.SetLocal(nil)
+	r.metrics.Set(measurer.Leading, 0)
 }
 
 // Leave ends the daemon without breaking off a request: callers are sent elsewhere,
@@ -224,6 +231,7 @@
 func (r *Runner) Close() {
 	r.elector.Close()
 	r.follow.Close()
+	r.metrics.Close()
 	for _, s := range r.servers {
 		// The process ends; a connection that can't be closed ends with it.
 		_ = s.Close()
--- a/scheduler/reporting.go
+++ b/scheduler/reporting.go
@@ -221,6 +221,7 @@
 	}
 	if j := t.job(); j.phase == Queued {
 		j.phase = Running
+		s.begun(s.wall() - j.accepted)
 		s.touch(j)
 	}
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -18,6 +18,8 @@
 		now  func() clock.Millis
 		wall func() clock.Millis
 		emit func(logger.Event, ...logger.Field)
+		// begun is called with the time from the acceptance of a job to its first start.
+		begun func(clock.Millis)
 
 		// leaseLength is how long a worker works on without hearing.
 		leaseLength clock.Millis
@@ -96,11 +98,15 @@
 	return func(s *Scheduler) { s.emit = emit }
 }
 
+// WithBegun sets what is called with the time from a job's acceptance to its first
+// start.
+func WithBegun(f func(clock.Millis)) Option { return func(s *Scheduler) { s.begun = f } }
+
 // New returns a scheduler without jobs and workers.
 func New(opts ...Option) *Scheduler {
 	system := clock.System
 	s := &Scheduler{
-		now: system, wall: system, emit: func(logger.Event, ...logger.Field) {},
+		now: system, wall: system, emit: func(logger.Event, ...logger.Field) {}, begun: func(clock.Millis) {},
 		leaseLength: defaultLease, retention: defaultRetention, harmLimit: defaultHarm, remoteFactor: defaultRemote,
 		jobs: map[string]*job{}, active: map[*job]struct{}{}, workers: map[string]*worker{},
 		evacuated: map[string]bool{}, images: map[string]*sensitivity{}, means: map[string]float64{},
@@ -183,6 +189,22 @@
 	return n
 }
 
+// Census returns how many jobs have not begun, how many have not ended, and how many
+// workers do not answer.
+func (s *Scheduler) Census() (queued, active, silent int) {
+	for j := range s.active {
+		if j.phase == Queued {
+			queued++
+		}
+	}
+	for _, w := range s.workers {
+		if w.silent != 0 {
+			silent++
+		}
+	}
+	return queued, len(s.active), silent
+}
+
 // SetEvacuated replaces the set of data centres where nothing may start.
 func (s *Scheduler) SetEvacuated(dataCentres []string) {
 	e := make(map[string]bool, len(dataCentres))
