--- a/runner/runner.go
+++ b/runner/runner.go
@@ -99,6 +99,7 @@
 	r.ingress = platform.NewIngress(r.answer, l.Emit)
 	life := strconv.FormatInt(int64(clock.System()), 36) + "-" + s.Peers()
 	r.elector = elector.New(r.store, s.Host(), s.Peers(), life, r.lead, elector.WithClock(r.now), elector.WithCores(s.Cores()), elector.WithEvents(l.Emit))
+	store := &dependency{now: r.now, emit: l.Emit, lost: logger.StoreLost, back: logger.StoreBack}
 	r.follow = recorder.Follow(r.store, platform.OperatorTopic, recorder.Pace{Wait: operatorWait}, recorder.Watch{
 		Reset: func(m map[string][]byte) { r.operator = m; r.operate() },
 		Change: func(items []recorder.Item) {
@@ -111,8 +112,8 @@
 			}
 			r.operate()
 		},
-		Read:   func() {},
-		Failed: func(err error) { l.Emit(logger.StoreLost, logger.Err(err)) },
+		Read:   store.succeeded,
+		Failed: store.failed,
 	})
 	if err := r.serve(); err != nil {
 		r.Close()
