--- a/logger/buffer.go
+++ b/logger/buffer.go
@@ -1,6 +1,7 @@
 package logger
 
 import (
+	"bytes"
 	"io"
 	"sync"
 	"time"
@@ -28,6 +29,9 @@
 	bufferLimit = 256 << 10
 	// gather is how long lines are gathered into one write.
 	gather = 200 * clock.Millis(1)
+	// atomicWrite is how much a pipe takes at once without mixing it with what others
+	// write; a longer line is written alone.
+	atomicWrite = 4096
 	// closeLimit is how long Close waits for a stuck writer.
 	closeLimit = 200 * clock.Millis(1)
 )
@@ -96,11 +100,27 @@
 	out := b.lines
 	b.lines = b.spare[:0]
 	b.mu.Unlock()
-	if len(out) > 0 {
+	for rest := out; len(rest) > 0; {
+		n := wholeLines(rest, atomicWrite)
 		// There is nowhere to report that the log can't be written.
-		_, _ = w.Write(out)
+		_, _ = w.Write(rest[:n])
+		rest = rest[n:]
 	}
 	b.mu.Lock()
 	b.spare = out
 	b.mu.Unlock()
 }
+
+// wholeLines returns how many bytes of b are the lines that fit a limit, at least one.
+func wholeLines(b []byte, limit int) int {
+	if len(b) <= limit {
+		return len(b)
+	}
+	if n := bytes.LastIndexByte(b[:limit], '\n'); n >= 0 {
+		return n + 1
+	}
+	if n := bytes.IndexByte(b, '\n'); n >= 0 {
+		return n + 1
+	}
+	return len(b)
+}
