--- a/imitator/pool.go
+++ b/imitator/pool.go
@@ -316,3 +316,24 @@
 	}
 	return scheduler.Done
 }
+
+// Born returns when a worker's life began.
+func (p *Pool) Born(id string) int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.workers[id].info.Born
+}
+
+// Clock returns a worker's own clock.
+func (p *Pool) Clock(id string) clock.Millis {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.workers[id].clock()
+}
+
+// Info returns what a worker says of itself.
+func (p *Pool) Info(id string) scheduler.WorkerInfo {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.workers[id].info
+}
