--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -68,8 +68,6 @@
 	taskMost = 900
 	// failShare is one in how many runs that fail.
 	failShare = 30
-	// maxAttempts of the queue; few enough that a lost failure would show.
-	maxAttempts = 12
 	// configText is the operator's configuration.
 	configText = `{"version":3,"routes":[{"name":"r","host":"soak.example","prefix":"/jobs/","service":"pool","max_attempts":12,"slack_factor":2,"target_latency_ms":500}],"limits":{"max_body_bytes":65536}}`
 )
