--- /dev/null
+++ b/scheduler/bench_test.go
@@ -0,0 +1,74 @@
+package scheduler
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"galenawharf.example/galenawharf/clock"
+)
+
+// BenchmarkTurn plays turns of a leader of 490 workers that are nearly full: some
+// runs end, some jobs come, many fillers wait.
+func BenchmarkTurn(b *testing.B) {
+	const workers, lasting, backlog = 490, 160, 120
+	c := clock.NewManual(1_000_000)
+	s := New(WithClocks(c.Now, c.Now))
+	r := rand.New(rand.NewPCG(1, 1))
+	for i := range workers {
+		w := benchWorker(i)
+		w.CPU, w.Memory = 16000, 64000
+		s.UpdateWorker(w)
+	}
+	submit := func(id string, q Queue, steps ...Step) {
+		if err := s.Submit(Spec{ID: id, Queue: q, Steps: steps}, func(error) {}); err != nil {
+			b.Fatal(err)
+		}
+	}
+	turn := func() []Order {
+		s.Place()
+		t := s.Take()
+		if t == nil {
+			return nil
+		}
+		s.Stored(t)
+		for _, o := range t.Orders {
+			s.Answered(o, Done)
+		}
+		return t.Orders
+	}
+	for i := range lasting {
+		submit(fmt.Sprint("l", i), Queue{Name: "l", Service: benchService}, Step{Count: 14, CPU: 3200, Memory: 6000, LongRunning: true, Objective: 45, Image: fmt.Sprint("s", i%10)})
+	}
+	turn()
+	job := 0
+	fill := func() {
+		job++
+		submit(fmt.Sprint("f", job), Queue{Name: "f", Service: benchService, Priority: 2, Slack: 2, MaxAttempts: 2},
+			Step{Count: 20, CPU: 1800, Memory: 3000, Estimate: 2500, Filler: true, Image: fmt.Sprint("f", r.IntN(18))})
+	}
+	for range backlog {
+		fill()
+	}
+	running := turn()
+	number := map[string]int64{}
+	b.ResetTimer()
+	for range b.N {
+		c.Advance(15)
+		for range min(12, len(running)) {
+			o := running[0]
+			running = running[1:]
+			number[o.Worker]++
+			var active []ActiveRun
+			for t := range s.workers[o.Worker].tasks {
+				active = append(active, ActiveRun{Task: t.name().String(), Attempt: t.attempt, Percent: 100, Gauge: 20})
+			}
+			s.Report(Report{Worker: o.Worker, Born: 1, Clock: c.Now(), Sent: c.Now(), Active: active, Ended: []EndedRun{endOf(number[o.Worker], o, EndDone)}})
+		}
+		if r.IntN(3) == 0 {
+			fill()
+		}
+		s.Immediate()
+		running = append(running, turn()...)
+	}
+}
--- a/scheduler/interference.go
+++ b/scheduler/interference.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"math"
+	"slices"
 
 	"github.com/pkg/errors"
 
@@ -28,6 +29,16 @@
 	}
 )
 
+// servingGroup is the serving tasks of one image on a worker.
+type servingGroup struct {
+	model *sensitivity
+	tasks int
+	// tail is the highest expected tail of them, as a logarithm.
+	tail float64
+}
+
+var comfortableLog = math.Log(comfortableTail)
+
 const (
 	// baseTail is the tail assumed of an image without readings: the users state
 	// objectives of 4.5 times the tail of an idle task, and load raises it.
@@ -198,23 +209,39 @@
 	}
 	share := float64(step.CPU) / float64(max(w.info.CPU, 1))
 	sum := 0.0
-	var shares map[string]float64
+	for _, g := range s.servingGroups(w) {
+		weight := g.model.expect(step.Image, s.now())
+		if weight < harmfulWeight {
+			continue
+		}
+		rise := weight * share
+		sum += float64(g.tasks) * math.Min(rise, math.Max(0, g.tail+rise-comfortableLog))
+	}
+	return sum
+}
+
+// servingGroups returns the serving tasks of a worker by image.
+func (s *Scheduler) servingGroups(w *worker) []servingGroup {
+	if w.grouped {
+		return w.groups
+	}
+	w.groups, w.grouped, w.overdue = w.groups[:0], true, false
+	shares := w.fillerShares()
 	for t := range w.tasks {
 		if t.spec().Objective == 0 {
 			continue
 		}
+		w.overdue = w.overdue || t.over != 0
 		m := s.sensitivityOf(t.spec().Image)
-		weight := m.expect(step.Image, s.now())
-		if weight < harmfulWeight {
-			continue
-		}
-		if shares == nil {
-			shares = w.fillerShares()
+		i := slices.IndexFunc(w.groups, func(g servingGroup) bool { return g.model == m })
+		if i < 0 {
+			w.groups = append(w.groups, servingGroup{model: m, tail: math.Inf(-1)})
+			i = len(w.groups) - 1
 		}
-		rise := weight * share
-		sum += math.Min(rise, math.Max(0, m.predict(shares)+t.excess+rise-math.Log(comfortableTail)))
+		w.groups[i].tasks++
+		w.groups[i].tail = max(w.groups[i].tail, m.predict(shares)+t.excess)
 	}
-	return sum
+	return w.groups
 }
 
 // learn takes in the tails that a worker has just reported, unless its fillers have
@@ -249,7 +276,7 @@
 		}
 		own := shares[t.spec().Image]
 		rise := m.weight(t.spec().Image) * own
-		room := math.Log(comfortableTail) - (m.predict(shares) + o.excess - rise)
+		room := comfortableLog - (m.predict(shares) + o.excess - rise)
 		if rise > room {
 			allowed = min(allowed, max(0, int(float64(t.pace)*room/rise)))
 		}
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -58,8 +58,16 @@
 			cmp.Compare(a.occurrence.job.spec.ID, b.occurrence.job.spec.ID), cmp.Compare(a.step, b.step))
 	})
 	workers := s.usable(now)
+	var full misfits
 	for _, d := range ds {
+		if full.covers(&d.occurrence.job.spec, d.step) {
+			continue
+		}
+		before := len(workers)
 		workers = s.placeDemand(d, workers, now)
+		if left := d.tasks[len(d.tasks)-1]; left.state == pending && len(workers) == before {
+			full.note(&d.occurrence.job.spec, d.step)
+		}
 	}
 }
 
@@ -207,7 +215,10 @@
 	var best *worker
 	var bestScore float64
 	step := t.spec()
-	for _, w := range ws {
+	tolerance, seen := s.tolerance(t), 0
+	s.rotation++
+	for i := range ws {
+		w := ws[(i+s.rotation)%len(ws)]
 		if w.info.Service != t.job().spec.Queue.Service || !w.hasLabel(step.Label) || !w.fits(step) {
 			continue
 		}
@@ -218,16 +229,24 @@
 			// One run at a time shows whether it is well again.
 			continue
 		}
-		if step.Filler && (w.over() || s.disturbance(step, w) > s.tolerance(t)) {
+		if step.Filler && (s.overdue(w) || s.disturbance(step, w) > tolerance) {
 			continue
 		}
 		if score := s.score(t, step, w); best == nil || score > bestScore {
 			best, bestScore = w, score
 		}
+		if seen++; seen >= candidates && !step.LongRunning && step.Rack == "" && !step.Colocate {
+			break
+		}
 	}
 	return best
 }
 
+// overdue reports whether a serving task of the worker is over its objective.
+func (s *Scheduler) overdue(w *worker) bool {
+	return w.serving > 0 && len(s.servingGroups(w)) > 0 && w.overdue
+}
+
 // tolerance returns how much a filler may disturb the tasks beside it.
 func (s *Scheduler) tolerance(t *task) float64 {
 	return disturbanceLimit * (1 + float64(s.now()-t.waiting)/float64(disturbancePatience))
@@ -244,6 +263,9 @@
 }
 
 const (
+	// candidates bounds the workers with room that are compared for a task that ends
+	// by itself; the best of so many is nearly as good as the best of all.
+	candidates = 64
 	// awayPenalty, failurePenalty and avoidPenalty are shares of a whole worker.
 	awayPenalty    = 1.0
 	failurePenalty = 0.5
--- a/scheduler/reporting.go
+++ b/scheduler/reporting.go
@@ -127,6 +127,7 @@
 		}
 	}
 	s.learn(w)
+	w.grouped = false
 	for t := range w.tasks {
 		if _, ok := listed[t]; !ok {
 			s.reportMissing(t, r.Sent)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -37,6 +37,8 @@
 		images    map[string]*sensitivity
 		// means has the mean work of the jobs of each queue, in core-seconds.
 		means map[string]float64
+		// rotation is where the search for a worker begins, so that all get their share.
+		rotation int
 		// modelled is when the models were last stored.
 		modelled clock.Millis
 
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -110,7 +110,7 @@
 // mixed notes on the worker that a filler has come, gone, or changed its speed.
 func (t *task) mixed(now clock.Millis) {
 	if t.worker != nil && t.spec().Filler {
-		t.worker.mixedAt = now
+		t.worker.mixedAt, t.worker.grouped = now, false
 	}
 }
 
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -68,6 +68,11 @@
 		clockKnown  bool
 		// pacedAt is when the fillers of the worker were last paced.
 		pacedAt clock.Millis
+		// groups are the serving tasks by image, and overdue is whether one is over its
+		// objective; both are valid while grouped is set.
+		groups  []servingGroup
+		grouped bool
+		overdue bool
 		// mixedAt is when the fillers at work, or their pace, last changed.
 		mixedAt clock.Millis
 		// told is the highest acknowledged end that the worker has heard of.
@@ -82,6 +87,7 @@
 		return
 	}
 	w.tasks[t] = struct{}{}
+	w.grouped = false
 	w.charge(t, 1)
 }
 
@@ -90,6 +96,7 @@
 		return
 	}
 	delete(w.tasks, t)
+	w.grouped = false
 	w.charge(t, -1)
 }
 
@@ -119,19 +126,6 @@
 	return w.cpu+s.CPU <= w.info.CPU
 }
 
-// over reports whether a serving task of the worker is over its objective.
-func (w *worker) over() bool {
-	if w.serving == 0 {
-		return false
-	}
-	for t := range w.tasks {
-		if t.over != 0 {
-			return true
-		}
-	}
-	return false
-}
-
 // expected returns the processor use to be expected of the worker's tasks.
 func (w *worker) expected() int64 {
 	return w.cpu - w.servingCPU + int64(servingUse*float64(w.servingCPU)) + w.fillerCPU
