--- /dev/null
+++ b/recorder/writer_test.go
@@ -0,0 +1,83 @@
+package recorder_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+
+	"github.com/shoenig/test/must"
+
+	"galenawharf.example/galenawharf/imitator"
+	"galenawharf.example/galenawharf/recorder"
+)
+
+// TestWriterSettles plays what may become of an append and checks that it is stored
+// exactly once, or that the writer learns that another has taken over.
+func TestWriterSettles(t *testing.T) {
+	mine := []recorder.Item{{Key: "mine", Value: []byte("1")}}
+	owned := func(i recorder.Item) bool { return i.Key == "mine" }
+	tests := map[string]struct {
+		faults []imitator.StoreFault
+		// rival writes before the append.
+		rival bool
+		want  error
+	}{
+		"done":                     {faults: []imitator.StoreFault{imitator.StoreFine}},
+		"refused, then done":       {faults: []imitator.StoreFault{imitator.StoreRefuses, imitator.StoreRefuses}},
+		"answer lost":              {faults: []imitator.StoreFault{imitator.StoreLosesAnswer}},
+		"silent, then done":        {faults: []imitator.StoreFault{imitator.StoreSilent, imitator.StoreSilent}},
+		"done late, and again":     {faults: []imitator.StoreFault{imitator.StoreLate}},
+		"another writer":           {rival: true, want: recorder.ErrDeposed},
+		"another writer, refused":  {rival: true, faults: []imitator.StoreFault{imitator.StoreRefuses}, want: recorder.ErrDeposed},
+		"another writer, unclear":  {rival: true, faults: []imitator.StoreFault{imitator.StoreLosesAnswer}, want: recorder.ErrDeposed},
+		"answer lost, twice over":  {faults: []imitator.StoreFault{imitator.StoreLosesAnswer, imitator.StoreLosesAnswer}},
+		"lost, then refused reads": {faults: []imitator.StoreFault{imitator.StoreLosesAnswer, imitator.StoreFine, imitator.StoreRefuses}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				faults := tc.faults
+				l := imitator.NewKeyedLog(4, func(string, string, string) imitator.StoreFault {
+					if len(faults) == 0 {
+						return imitator.StoreFine
+					}
+					f := faults[0]
+					faults = faults[1:]
+					return f
+				})
+				if tc.rival {
+					l.Put("t", recorder.Item{Key: "rival", Value: []byte("2")})
+				}
+				w := recorder.NewWriter(l.Client("c"), "t", 0, owned)
+				err := w.Append(t.Context(), mine)
+				if tc.want != nil {
+					must.ErrorIs(t, err, tc.want)
+					return
+				}
+				must.NoError(t, err)
+				recorder.Sleep(context.Background(), 5000)
+				must.Eq(t, mine, l.Items("t"))
+				must.Eq(t, 1, w.End())
+				must.Eq(t, 0, w.FailingSince())
+			})
+		})
+	}
+}
+
+func TestLoadTakesInWhatIsAddedMeanwhile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := imitator.NewKeyedLog(4, nil)
+		l.Put("t", recorder.Item{Key: "a", Value: []byte("1")}, recorder.Item{Key: "b", Value: []byte("1")})
+		s := l.Client("c")
+		newest := s.Newest
+		s.Newest = func(ctx context.Context, topic, after string) (recorder.Page, error) {
+			p, err := newest(ctx, topic, after)
+			l.Put("t", recorder.Item{Key: "a", Value: []byte("2")}, recorder.Item{Key: "b"}, recorder.Item{Key: "c", Value: []byte("1")})
+			return p, err
+		}
+		items, end, err := recorder.Load(t.Context(), s, "t")
+		must.NoError(t, err)
+		must.Eq(t, 5, end)
+		must.Eq(t, map[string][]byte{"a": []byte("2"), "c": []byte("1")}, items)
+	})
+}
