--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -23,6 +24,18 @@
 	leading chan *conductor.Conductor
 }
 
+// dice are rolled by several goroutines.
+type dice struct {
+	mu     sync.Mutex
+	random *rand.Rand
+}
+
+func (d *dice) roll(n int) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.random.IntN(n)
+}
+
 const testLease = 6 * clock.Second
 
 func startDaemon(name string, l *imitator.KeyedLog, p *imitator.Pool) *daemon {
@@ -84,34 +97,34 @@
 func TestJobsUnderTrouble(t *testing.T) {
 	const jobs = 12
 	tests := map[string]struct {
-		store func(r *rand.Rand) func(client, call, topic string) imitator.StoreFault
-		order func(r *rand.Rand) func(scheduler.Order) imitator.OrderFault
+		store func(r *dice) func(client, call, topic string) imitator.StoreFault
+		order func(r *dice) func(scheduler.Order) imitator.OrderFault
 		// during is played once jobs are accepted; it returns who leads after.
 		during func(p *imitator.Pool, l *imitator.KeyedLog, a, b *daemon, c *conductor.Conductor) *conductor.Conductor
 	}{
 		"calm": {},
-		"answers of the store are lost": {store: func(r *rand.Rand) func(string, string, string) imitator.StoreFault {
+		"answers of the store are lost": {store: func(r *dice) func(string, string, string) imitator.StoreFault {
 			return func(_, call, _ string) imitator.StoreFault {
-				if call == "append" && r.IntN(5) == 0 {
+				if call == "append" && r.roll(5) == 0 {
 					return imitator.StoreLosesAnswer
 				}
 				return imitator.StoreFine
 			}
 		}},
-		"appends are done late": {store: func(r *rand.Rand) func(string, string, string) imitator.StoreFault {
+		"appends are done late": {store: func(r *dice) func(string, string, string) imitator.StoreFault {
 			return func(_, call, topic string) imitator.StoreFault {
-				if call == "append" && topic == "jobs" && r.IntN(8) == 0 {
+				if call == "append" && topic == "jobs" && r.roll(8) == 0 {
 					return imitator.StoreLate
 				}
 				return imitator.StoreFine
 			}
 		}},
-		"orders are not answered": {order: func(r *rand.Rand) func(scheduler.Order) imitator.OrderFault {
-			return func(scheduler.Order) imitator.OrderFault { return imitator.OrderFault(r.IntN(3)) }
+		"orders are not answered": {order: func(r *dice) func(scheduler.Order) imitator.OrderFault {
+			return func(scheduler.Order) imitator.OrderFault { return imitator.OrderFault(r.roll(3)) }
 		}},
-		"orders are carried out late": {order: func(r *rand.Rand) func(scheduler.Order) imitator.OrderFault {
+		"orders are carried out late": {order: func(r *dice) func(scheduler.Order) imitator.OrderFault {
 			return func(scheduler.Order) imitator.OrderFault {
-				if r.IntN(2) == 0 {
+				if r.roll(2) == 0 {
 					return imitator.OrderLate
 				}
 				return imitator.OrderFine
@@ -143,7 +156,7 @@
 		for seed := range uint64(5) {
 			t.Run(fmt.Sprintf("%s/%d", name, seed), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
-					r := rand.New(rand.NewPCG(seed, 1))
+					r := &dice{random: rand.New(rand.NewPCG(seed, 1))}
 					var fault func(string, string, string) imitator.StoreFault
 					if tc.store != nil {
 						fault = tc.store(r)
