--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -18,7 +18,8 @@
 		Text       string
 		Checkpoint string
 		Percent    int
-		// Lease is how long the worker may work without hearing again.
+		// Deadline is until when the worker may work, by its own clock, without
+		// hearing again.
 		Deadline clock.Millis
 	}
 
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -26,6 +26,23 @@
 	// failureForget is the time after which a quarantined worker gets one run to show
 	// whether it is well again; the users' workers are ill for five to seven seconds.
 	failureForget = 3 * clock.Second
+	// candidates bounds the workers with room that are compared for a task that ends
+	// by itself; the best of so many is nearly as good as the best of all.
+	candidates = 64
+	// awayPenalty, failurePenalty and avoidPenalty are shares of a whole worker.
+	awayPenalty    = 1.0
+	failurePenalty = 0.5
+	avoidPenalty   = 1.0
+	// disturbancePenalty weighs a serving task pushed over its objective by its whole
+	// length against free processors.
+	disturbancePenalty = 4.0
+	// disturbanceLimit is the rise of the tails beside it, as a logarithm, that keeps
+	// a filler off a worker. Each disturbancePatience of waiting allows as much more.
+	disturbanceLimit    = 0.05
+	disturbancePatience = 2 * clock.Second
+	// imageBonus gathers the serving tasks of one image on few workers, so that
+	// fillers which disturb that image find room on others.
+	imageBonus = 1.0
 )
 
 // Place gives waiting tasks their workers. The runs start when the next batch is
@@ -262,26 +279,6 @@
 	return n
 }
 
-const (
-	// candidates bounds the workers with room that are compared for a task that ends
-	// by itself; the best of so many is nearly as good as the best of all.
-	candidates = 64
-	// awayPenalty, failurePenalty and avoidPenalty are shares of a whole worker.
-	awayPenalty    = 1.0
-	failurePenalty = 0.5
-	avoidPenalty   = 1.0
-	// disturbancePenalty weighs a serving task pushed over its objective by its whole
-	// length against free processors.
-	disturbancePenalty = 4.0
-	// disturbanceLimit is the rise of the tails beside it, as a logarithm, that keeps
-	// a filler off a worker. Each disturbancePatience of waiting allows as much more.
-	disturbanceLimit    = 0.05
-	disturbancePatience = 2 * clock.Second
-	// imageBonus gathers the serving tasks of one image on few workers, so that
-	// fillers which disturb that image find room on others.
-	imageBonus = 1.0
-)
-
 // score rates a worker by the share of its processors that stays free.
 func (s *Scheduler) score(t *task, step *Step, w *worker) float64 {
 	total := float64(max(w.info.CPU, 1))
--- a/scheduler/ranking.go
+++ b/scheduler/ranking.go
@@ -27,6 +27,8 @@
 	lateFactor = 3
 	// fixedWorth is the share of a job's worth that does not grow with its work.
 	fixedWorth = 0.3
+	// meanWeight is the weight of the newest job in the mean: some fifty jobs count.
+	meanWeight = 0.02
 )
 
 // rankOf returns the rank of a job. A job that is half done goes before one that has
@@ -97,6 +99,3 @@
 		j.lasting = j.lasting || j.spec.Steps[i].LongRunning
 	}
 }
-
-// meanWeight is the weight of the newest job in the mean: some fifty jobs count.
-const meanWeight = 0.02
--- a/scheduler/reporting.go
+++ b/scheduler/reporting.go
@@ -14,6 +14,8 @@
 	leaseMargin = 200 * clock.Millis(1)
 	// resendAfter is how long an order may be unanswered before it is sent again.
 	resendAfter = 150 * clock.Millis(1)
+	// refusalPause keeps runs away from a worker that refused one: two reports.
+	refusalPause = 300 * clock.Millis(1)
 )
 
 // UpdateWorker takes in what the registry says of a worker.
@@ -338,11 +340,6 @@
 	return now + lease + clock.Millis(float64(lease)*clockDrift) + leaseMargin
 }
 
-const (
-	// refusalPause keeps runs away from a worker that refused one: two reports.
-	refusalPause = 300 * clock.Millis(1)
-)
-
 // expire gives up the runs of workers whose lease is surely over.
 func (s *Scheduler) expire() {
 	now := s.now()
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -80,6 +80,15 @@
 	}
 )
 
+const (
+	// servingUse is the mean use of serving tasks as a share of what they are
+	// promised; their load on the users' sheets swings around 0.42.
+	servingUse = 0.45
+	// fillShare bounds the expected use of a worker with fillers. Above it the tail
+	// of the serving tasks rises steeply.
+	fillShare = 0.95
+)
+
 func (w *worker) hasLabel(l string) bool { return l == "" || slices.Contains(w.info.Labels, l) }
 
 func (w *worker) add(t *task) {
@@ -130,12 +139,3 @@
 func (w *worker) expected() int64 {
 	return w.cpu - w.servingCPU + int64(servingUse*float64(w.servingCPU)) + w.fillerCPU
 }
-
-const (
-	// servingUse is the mean use of serving tasks as a share of what they are
-	// promised; their load on the users' sheets swings around 0.42.
-	servingUse = 0.45
-	// fillShare bounds the expected use of a worker with fillers. Above it the tail
-	// of the serving tasks rises steeply.
-	fillShare = 0.95
-)
