scheduler: a run with an unanswered order is not taken back by a later refusal

Ruled out: a lapsed lease (2.5 s after the first order). A stop that is answered now rules the first order out before the task goes elsewhere. Test: TestUnansweredOrderIsNotWithdrawn, failed before in all four cases.

--- a/scheduler/record.go
+++ b/scheduler/record.go
@@ -153,7 +153,8 @@
 	if w.info.Born != r.Born {
 		return
 	}
-	t.state, t.worker, t.pace, t.recorded = placed, w, 100, true
+	// The former leader may have sent the order without an answer.
+	t.state, t.worker, t.pace, t.recorded, t.unclear = placed, w, 100, true, true
 	w.leaseEnd, w.inherits = inherited, true
 	w.add(t)
 }
--- a/scheduler/reporting.go
+++ b/scheduler/reporting.go
@@ -289,16 +289,24 @@
 	case Rejected, OtherLife:
 		w.blockedUntil = now + refusalPause
 		t.settling = now
-	case Late, Unclear, Fenced:
+	case Unclear:
 		// Sent again after the next report.
+		t.unclear = true
+	case Late, Fenced:
+		// As above.
 	}
 }
 
-// withdraw takes back a run that the worker surely does not have.
+// withdraw takes back a run that the worker refused or never heard of. If an earlier
+// order for the run was not answered, a stop has to rule that one out first.
 func (s *Scheduler) withdraw(t *task) {
 	if t.state != placed {
 		return
 	}
+	if t.unclear {
+		s.stop(t)
+		return
+	}
 	s.touch(t.job())
 	s.release(t)
 }
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -313,3 +313,31 @@
 		})
 	}
 }
+
+// TestUnansweredOrderIsNotWithdrawn sends an order twice: the first time there is no
+// answer, so it may be carried out yet, whatever becomes of the second.
+func TestUnansweredOrderIsNotWithdrawn(t *testing.T) {
+	for name, second := range map[string]Outcome{"absent": Absent, "not sent": NotSent, "no room": NoRoom, "unwell": Unwell} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(2)
+			b.submit(t, "job", Step{Count: 1, CPU: 100})
+			o := b.store()[0]
+			b.Answered(o, Unclear)
+			b.clock.Advance(resendAfter + 1)
+			b.list(o.Worker, nil)
+			must.Len(t, 1, b.Immediate())
+			b.Answered(o, second)
+			must.SliceEmpty(t, b.store(), must.Sprint("the task was started elsewhere"))
+			// A stop that is answered rules the first order out.
+			stops := b.Immediate()
+			must.Len(t, 1, stops)
+			must.Eq(t, Stop, stops[0].Kind)
+			b.Answered(stops[0], Done)
+			b.clock.Advance(refusalPause)
+			b.list(o.Worker, nil)
+			again := b.store()
+			must.Len(t, 1, again)
+			must.Eq(t, 2, again[0].Attempt)
+		})
+	}
+}
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -35,6 +35,9 @@
 		worker *worker
 		// confirmed is when the worker was first known to have the run.
 		confirmed clock.Millis
+		// unclear is whether an order to start the newest run was not answered, so that it
+		// may be carried out yet.
+		unclear bool
 		// recorded is whether the record with the newest run is stored.
 		recorded bool
 		// placed is when the run was given its worker.
