--- a/scheduler/reporting.go
+++ b/scheduler/reporting.go
@@ -221,6 +221,8 @@
 			s.stop(t)
 			return
 		}
+		// The order before may still be carried out, also if this one is refused first.
+		t.unclear = true
 		s.immediate = append(s.immediate, s.order(Start, t))
 	}
 }
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -341,3 +341,16 @@
 		})
 	}
 }
+
+// TestOvertakingRefusal sends an order again while the first is on its way; the
+// refusal of the second comes before any outcome of the first.
+func TestOvertakingRefusal(t *testing.T) {
+	b := newBench(2)
+	b.submit(t, "job", Step{Count: 1, CPU: 100})
+	o := b.store()[0]
+	b.clock.Advance(resendAfter + 1)
+	b.list(o.Worker, nil)
+	must.Len(t, 1, b.Immediate())
+	b.Answered(o, NoRoom)
+	must.SliceEmpty(t, b.store(), must.Sprint("the task was started elsewhere"))
+}
