--- a/scheduler/progress.go
+++ b/scheduler/progress.go
@@ -14,9 +14,6 @@
 	// stallFailures is added to the failures of a worker on which a run stands still;
 	// one is enough to keep new runs away.
 	stallFailures = 2
-	// speculateAfter is how long a worker may not answer before its speculative tasks
-	// are started elsewhere as well.
-	speculateAfter = 300 * clock.Millis(1)
 )
 
 // checkProgress moves runs away from workers on which they stand still.
@@ -24,11 +21,7 @@
 	now := s.now()
 	for _, w := range s.workers {
 		for t := range w.tasks {
-			switch {
-			case t.spec().Speculative && w.silent != 0 && now-w.silent > speculateAfter:
-				s.touch(t.job())
-				s.release(t)
-			case t.stalled && t.state == running && !t.stopping && w.silent == 0 && !t.spec().Gang:
+			if t.stalled && t.state == running && !t.stopping && w.silent == 0 && !t.spec().Gang {
 				s.moveAway(t, w, now)
 			}
 		}
