demonstrator: the hour of a test's calendar comes once its job is declared

Cause: the test's clock reached the hour 5 s after the daemons' start, whether or not the job was declared by then, and a run due before the declaration is not made up for. Shown by a trial with the hour 200 ms after the start: change in force 380 ms after the start, no submission, the same failure. Ruled out: the daemon, whose log of the trial has every step in place.

The clock now starts half an hour before and is put forward when the declaration is in force. The hour of TestEachKindOfWork, 12 s after the start, had the same flaw. 3 runs alone and 10 runs at once beside each other: passed.

--- a/demonstrator/endtoend_test.go
+++ b/demonstrator/endtoend_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -59,6 +60,16 @@
 	return sc
 }
 
+// adjustableClock gives a clock that runs on from start, and the function that
+// puts it forward to a later time.
+func adjustableClock(start clock.Millis) (now func() clock.Millis, putForward func(to clock.Millis)) {
+	steady := clock.NewSteady()
+	var offset atomic.Int64
+	offset.Store(int64(start - steady()))
+	now = func() clock.Millis { return steady() + clock.Millis(offset.Load()) }
+	return now, func(to clock.Millis) { offset.Store(int64(to - steady())) }
+}
+
 func (s *scene) apply(items []declarer.Item) {
 	change := declarer.ChangeOf("ana", declarer.Plan(nil, items, false))
 	s.eventually(func() bool {
@@ -130,11 +141,10 @@
 // TestEachKindOfWork: a check, a review, an invoice and a watch job are run,
 // answered, billed and audited.
 func TestEachKindOfWork(t *testing.T) {
-	steady := clock.NewSteady()
-	// The hour ends a short while after the start.
-	offset := clock.Hour - steady()%clock.Hour - 12*clock.Second
+	const hourEnd = 450_000 * clock.Hour
+	now, putForward := adjustableClock(hourEnd - 30*clock.Minute)
 	s := stage(t, "sorica", "scheduling", func(sh *Shape) {
-		sh.Clock = func() clock.Millis { return steady() + offset }
+		sh.Clock = now
 		sh.BillGrace = clock.Second
 	})
 	c, err := s.Callers(2).Check(s.ctx, connect.NewRequest(&schema.CheckRequest{RequestId: "c1", Team: "rosters", Service: "scheduling", Payload: []byte("clinic")}))
@@ -154,8 +164,9 @@
 		return err == nil && len(g.Msg.GetItems()) == 1
 	})
 
+	putForward(hourEnd - clock.Second)
 	s.eventually(func() bool {
-		f, err := s.Operators(2).Forecast(s.ctx, connect.NewRequest(&schema.ForecastRequest{Month: clock.System().Time().Format("2006-01"), By: "work"}))
+		f, err := s.Operators(2).Forecast(s.ctx, connect.NewRequest(&schema.ForecastRequest{Month: now().Time().Format("2006-01"), By: "work"}))
 		if err != nil {
 			return false
 		}
@@ -319,12 +330,12 @@
 // TestCalendarRunsOnce: when the hour of a job's calendar comes, in the
 // operator's time zone, its run is submitted under its key and starts once.
 func TestCalendarRunsOnce(t *testing.T) {
-	steady := clock.NewSteady()
 	hour := clock.FromTime(time.Date(2027, 1, 1, 0, 0, 0, 0, time.UTC))
-	offset := hour - steady() - 5*clock.Second
-	s := stage(t, "sorica", "scheduling", func(sh *Shape) {
-		sh.Clock = func() clock.Millis { return steady() + offset }
-	})
+	now, putForward := adjustableClock(hour - 30*clock.Minute)
+	s := stage(t, "sorica", "scheduling", func(sh *Shape) { sh.Clock = now })
+	// Runs due before the declaration are not made up for, so the hour comes
+	// only once it is in force.
+	putForward(hour - clock.Second)
 	const key = "monthly-invoice@2027-01-01t01"
 	s.eventually(func() bool { return s.starts(key) > 0 })
 	a := s.await(0, "monthly-invoice@2026-12-01t01")
