scheduler: steps of queues with a policy ask which workers may run them

The scheduler now notes what it has to ask, the most urgent first; every daemon takes one question at a time from the leader, asks the policy and brings the answer back, as a policy answers a host one question after the other. Starts carry the ticket; a refused or expired one is asked for again.

Found on the way, by the new case of TestJobsUnderTrouble (a policy, two orders of three unanswered: jobs left for good): an order without an answer was sent again with every report while the one before still waited for its turn, so the queue of a worker only grew and each order came after its deadline. An order is now sent again only once the one before has an outcome, and one that had to wait is given a new deadline or, for a silent worker, taken back.

--- /dev/null
+++ b/adviser/adviser_test.go
@@ -0,0 +1,62 @@
+package adviser
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+
+	"github.com/pkg/errors"
+	"github.com/shoenig/test/must"
+	"go.uber.org/goleak"
+
+	"galenawharf.example/galenawharf/clock"
+	"galenawharf.example/galenawharf/recorder"
+	"galenawharf.example/galenawharf/scheduler"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// TestAnswersReachTheLeader has a leader that fails now and then, and a policy that
+// takes its time.
+func TestAnswersReachTheLeader(t *testing.T) {
+	tests := map[string]struct {
+		failFirst bool
+		wanted    bool
+		asked     int64
+		answered  int64
+	}{
+		"all well":          {wanted: true, asked: 10, answered: 9},
+		"leader fails once": {wanted: true, failFirst: true, asked: 7, answered: 6},
+		"no queue needs it": {},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				calls := 0
+				var asked, answered atomic.Int64
+				a := New(Seams{
+					Wanted: func() bool { return tc.wanted },
+					Next: func(_ context.Context, v *scheduler.Verdict) (*scheduler.Consultation, error) {
+						if v != nil {
+							answered.Add(1)
+						}
+						if calls++; tc.failFirst && calls == 1 {
+							return nil, errors.New("no leader")
+						}
+						return &scheduler.Consultation{Step: "job.0.0"}, nil
+					},
+					Ask: func(ctx context.Context, c scheduler.Consultation) scheduler.Verdict {
+						asked.Add(1)
+						recorder.Sleep(ctx, 100)
+						return scheduler.Verdict{Consultation: c}
+					},
+				})
+				recorder.Sleep(t.Context(), 940*clock.Millis(1))
+				a.Close()
+				must.Eq(t, tc.asked, asked.Load())
+				must.Eq(t, tc.answered, answered.Load())
+			})
+		})
+	}
+}
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -41,7 +41,9 @@
 		// flushed is when the last batch was sent; armed is whether a flush is timed.
 		flushed clock.Millis
 		armed   bool
-		batches chan *scheduler.Batch
+		// advisers are the daemons that wait for a consultation, the longest first.
+		advisers []*adviser
+		batches  chan *scheduler.Batch
 	}
 
 	// Option sets up a Conductor.
@@ -75,6 +77,9 @@
 	authorityLimit = 4 * clock.Second
 	// orderLimit bounds a call to a worker: the answers of a worker take a few ms.
 	orderLimit = 800 * clock.Millis(1)
+	// queueLimit is how long an order may wait for earlier ones to the same worker
+	// before its deadline is out of date: half of what one of those may take.
+	queueLimit = orderLimit / 2
 	// eventBacklog is how many functions may wait for the owning goroutine.
 	eventBacklog = 1024
 )
--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"galenawharf.example/galenawharf/adviser"
 	"galenawharf.example/galenawharf/clock"
 	"galenawharf.example/galenawharf/conductor"
 	"galenawharf.example/galenawharf/elector"
@@ -38,7 +39,7 @@
 
 const testLease = 6 * clock.Second
 
-func startDaemon(name string, l *imitator.KeyedLog, p *imitator.Pool) *daemon {
+func startDaemon(name string, l *imitator.KeyedLog, p *imitator.Pool, y *imitator.Policy) *daemon {
 	d := &daemon{leading: make(chan *conductor.Conductor, 8)}
 	s := l.Client(name)
 	d.elector = elector.New(s, name, name, name+"-life", func(ctx context.Context, t elector.Term) {
@@ -48,11 +49,31 @@
 			return
 		}
 		d.leading <- c
+		if y != nil {
+			a := adviser.New(adviser.Seams{Wanted: func() bool { return true }, Ask: y.Ask, Next: next(c)})
+			defer a.Close()
+		}
 		c.Wait()
 	})
 	return d
 }
 
+// next exchanges verdicts for consultations with a conductor.
+func next(c *conductor.Conductor) func(context.Context, *scheduler.Verdict) (*scheduler.Consultation, error) {
+	return func(ctx context.Context, v *scheduler.Verdict) (*scheduler.Consultation, error) {
+		if v != nil {
+			c.Advise(*v)
+		}
+		ctx, cancel := context.WithTimeout(ctx, time.Second)
+		defer cancel()
+		q, ok := c.Consult(ctx)
+		if !ok {
+			return nil, nil
+		}
+		return &q, nil
+	}
+}
+
 // leader returns the conductor of whichever daemon leads next.
 func leader(ds ...*daemon) *conductor.Conductor {
 	for {
@@ -67,11 +88,11 @@
 	}
 }
 
-func submit(t *testing.T, c *conductor.Conductor, jobs int, ds ...*daemon) *conductor.Conductor {
+func submit(t *testing.T, c *conductor.Conductor, jobs int, advice *scheduler.Advice, ds ...*daemon) *conductor.Conductor {
 	t.Helper()
 	for i := range jobs {
 		spec := scheduler.Spec{
-			ID: fmt.Sprintf("%016x", i), Queue: scheduler.Queue{Name: "q", Service: "pool", MaxAttempts: 3, Slack: 2},
+			ID: fmt.Sprintf("%016x", i), Queue: scheduler.Queue{Name: "q", Service: "pool", MaxAttempts: 3, Slack: 2, Advice: advice},
 			Steps: []scheduler.Step{{Count: 3, CPU: 1000}, {Count: 2, CPU: 1000, After: []int{0}}},
 		}
 		for c.Submit(t.Context(), spec) != nil {
@@ -96,9 +117,12 @@
 // checks what must always hold: every accepted job is completed, no task runs twice.
 func TestJobsUnderTrouble(t *testing.T) {
 	const jobs = 12
+	advice := &scheduler.Advice{Base: 60, PerWorker: 2, Validity: 3 * clock.Second}
 	tests := map[string]struct {
 		store func(r *dice) func(client, call, topic string) imitator.StoreFault
 		order func(r *dice) func(scheduler.Order) imitator.OrderFault
+		// advice is set where the queue has a policy.
+		advice *scheduler.Advice
 		// during is played once jobs are accepted; it returns who leads after.
 		during func(p *imitator.Pool, l *imitator.KeyedLog, a, b *daemon, c *conductor.Conductor) *conductor.Conductor
 	}{
@@ -138,6 +162,10 @@
 			c.Close()
 			return leader(d, a, b)
 		}},
+		"a policy says which workers": {advice: advice},
+		"a policy, and orders are not answered": {advice: advice, order: func(r *dice) func(scheduler.Order) imitator.OrderFault {
+			return func(scheduler.Order) imitator.OrderFault { return imitator.OrderFault(r.roll(3)) }
+		}},
 		"a worker restarts": {during: func(p *imitator.Pool, l *imitator.KeyedLog, _, _ *daemon, c *conductor.Conductor) *conductor.Conductor {
 			time.Sleep(300 * time.Millisecond)
 			p.Restart("w1")
@@ -172,12 +200,17 @@
 						}
 						return 700, scheduler.EndDone
 					}, order)
+					var y *imitator.Policy
+					if tc.advice != nil {
+						y = imitator.NewPolicy(tc.advice.Base, tc.advice.Validity, func(step, worker string) bool { return (len(step)+int(worker[1]))%3 != 0 })
+						p.SetPolicy(y)
+					}
 					p.Register(l)
-					a, b := startDaemon("a", l, p), startDaemon("b", l, p)
+					a, b := startDaemon("a", l, p, y), startDaemon("b", l, p, y)
 					defer a.elector.Close()
 					defer b.elector.Close()
 					c := leader(a, b)
-					c = submit(t, c, jobs, a, b)
+					c = submit(t, c, jobs, tc.advice, a, b)
 					if tc.during != nil {
 						c = tc.during(p, l, a, b, c)
 					}
--- a/conductor/desk_test.go
+++ b/conductor/desk_test.go
@@ -28,7 +28,7 @@
 		})
 		p := imitator.NewPool(1, 4, func(scheduler.TaskName, int) (clock.Millis, scheduler.Ending) { return 100, scheduler.EndDone }, nil)
 		p.Register(l)
-		d := startDaemon("a", l, p)
+		d := startDaemon("a", l, p, nil)
 		defer d.elector.Close()
 		c := leader(d)
 		away.Store(true)
--- a/conductor/loop.go
+++ b/conductor/loop.go
@@ -63,6 +63,7 @@
 	for _, o := range c.sched.Immediate() {
 		c.send(o)
 	}
+	c.consult()
 	if c.writing != nil {
 		return
 	}
@@ -71,6 +72,7 @@
 		return
 	}
 	c.sched.Place()
+	c.consult()
 	b := c.sched.Take()
 	if b == nil {
 		return
@@ -202,9 +204,15 @@
 	c.group.Add(1)
 	go func() {
 		defer c.group.Done()
+		queued := c.now()
 		if !s.acquire(c.ctx) {
 			return
 		}
+		if o.Kind == scheduler.Start && c.now()-queued > queueLimit && !c.renewDeadline(&o) {
+			s.release()
+			c.do(func() { c.answered(o, scheduler.NotSent) })
+			return
+		}
 		ctx, cancel := context.WithTimeout(c.ctx, orderLimit.Duration())
 		sent := c.now()
 		out := c.fleet.Send(ctx, o, c.epoch)
@@ -230,6 +238,14 @@
 	}
 }
 
+// renewDeadline replaces that of an order which had to wait for others, and reports
+// whether the order may still be sent.
+func (c *Conductor) renewDeadline(o *scheduler.Order) bool {
+	var ok bool
+	c.ask(func() { o.Deadline, ok = c.deadline(o.Worker) })
+	return ok
+}
+
 // deadline returns until when a worker may work, if this daemon may say so.
 func (c *Conductor) deadline(worker string) (clock.Millis, bool) {
 	if c.now()-max(c.writer.Confirmed(), c.confirmed()) > authorityLimit {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -144,6 +144,10 @@
 
 // ServeHTTP answers a peer.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == consultationsPath && r.Method == http.MethodPost {
+		f.serveConsultation(w, r)
+		return
+	}
 	if r.URL.Path != path || r.Method != http.MethodPost {
 		w.WriteHeader(http.StatusNotFound)
 		return
--- a/imitator/pool.go
+++ b/imitator/pool.go
@@ -29,6 +29,8 @@
 		starts  int
 		order   func(o scheduler.Order) OrderFault
 		length  func(scheduler.TaskName, int) (clock.Millis, scheduler.Ending)
+		// policy admits tasks; nil for workers that take all.
+		policy *Policy
 	}
 
 	// OrderFault is what happens to one order.
@@ -80,6 +82,9 @@
 	return p
 }
 
+// SetPolicy makes the workers take only tasks with a ticket.
+func (p *Pool) SetPolicy(y *Policy) { p.policy = y }
+
 func (p *Pool) boot(id string, slots int, born int64) {
 	p.workers[id] = &poolWorker{
 		info:   scheduler.WorkerInfo{ID: id, Address: id, Service: "pool", DataCentre: "a", CPU: int64(slots) * 1000, Memory: int64(slots) * 1000, Born: born},
@@ -204,6 +209,8 @@
 		return scheduler.Obsolete
 	case o.Deadline <= w.clock():
 		return scheduler.Late
+	case p.policy != nil && !p.policy.admits(name, w.info.ID, o.Ticket):
+		return scheduler.NoTicket
 	case len(w.runs) >= w.slots:
 		return scheduler.NoRoom
 	}
--- a/logger/events.go
+++ b/logger/events.go
@@ -66,6 +66,8 @@
 	RunStalled    = Event{6025, log.WarnLevel, "run makes no progress"}
 	RunEnded      = Event{6027, log.InfoLevel, "run ended without being done"}
 	RunRelocated  = Event{6026, log.DebugLevel, "filler moves to where it disturbs nobody"}
+	AdviceGiven   = Event{6028, log.DebugLevel, "policy said which workers may run a step"}
+	AdviceFailed  = Event{6029, log.WarnLevel, "policy did not say which workers may run a step"}
 	WorkerSilent  = Event{6030, log.WarnLevel, "worker does not answer"}
 	WorkerBack    = Event{6031, log.InfoLevel, "worker answers again"}
 	WorkerLost    = Event{6032, log.WarnLevel, "lease of a silent worker is over"}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -13,6 +13,7 @@
 	"github.com/looplab/fsm"
 	"github.com/pkg/errors"
 
+	"galenawharf.example/galenawharf/adviser"
 	"galenawharf.example/galenawharf/clock"
 	"galenawharf.example/galenawharf/conductor"
 	"galenawharf.example/galenawharf/elector"
@@ -41,6 +42,7 @@
 		follow  *recorder.Follower
 		// operator has the newest records of the operator; used by the follower only.
 		operator  map[string][]byte
+		adviser   *adviser.Adviser
 		evacuated atomic.Pointer[[]string]
 		leaving   atomic.Bool
 		servers   []*http.Server
@@ -58,6 +60,9 @@
 	storeConnections = 6
 	// workerConnections bounds those to one worker: a look and two orders.
 	workerConnections = 3
+	// policyConnections bounds those to the service that advises, which answers a host
+	// one question at a time.
+	policyConnections = 1
 	// peerConnections bounds those to the leader.
 	peerConnections = 16
 	// operatorWait is how long the store holds a read of the operator's records. A
@@ -115,6 +120,8 @@
 		Read:   store.succeeded,
 		Failed: store.failed,
 	})
+	policy := platform.NewPolicy(s.Advice(), platform.NewClient(policyConnections))
+	r.adviser = adviser.New(adviser.Seams{Wanted: r.advised, Next: r.forward.Consult, Ask: policy.Ask})
 	if err := r.serve(); err != nil {
 		r.Close()
 		return nil, errors.Wrap(err, "runner.New")
@@ -144,6 +151,12 @@
 	return nil
 }
 
+// advised reports whether the steps of any queue need a policy's advice.
+func (r *Runner) advised() bool {
+	c := r.ingress.Config()
+	return r.settings.Advice() != "" && c != nil && c.Advised()
+}
+
 // ready answers the balancer: this host takes callers while it knows the
 // configuration and a leader.
 func (r *Runner) ready(w http.ResponseWriter, q *http.Request) {
@@ -231,6 +244,7 @@
 // Close ends the daemon at once.
 func (r *Runner) Close() {
 	r.elector.Close()
+	r.adviser.Close()
 	r.follow.Close()
 	r.metrics.Close()
 	for _, s := range r.servers {
--- a/scheduler/draining.go
+++ b/scheduler/draining.go
@@ -26,7 +26,7 @@
 			if ws == nil {
 				ws = s.usable(now)
 			}
-			if s.choose(t, ws) != nil {
+			if s.hasRoom(t, ws) {
 				s.emit(logger.RunRelocated, logger.String("task", t.name().String()), logger.String("worker", w.info.ID), logger.String("why", "worker leaves"))
 				s.stop(t)
 				if moves++; moves == movesPerSweep {
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -53,6 +53,9 @@
 		done []int
 		// remaining counts the steps that are not done.
 		remaining int
+		// permits has what is known of who may run each step, by step; only for queues
+		// with a policy.
+		permits map[int]*permits
 	}
 )
 
--- a/scheduler/misfits.go
+++ b/scheduler/misfits.go
@@ -29,7 +29,7 @@
 // note takes in that a task found no worker. Steps with a bound on their tasks a
 // worker say nothing about others.
 func (m *misfits) note(j *Spec, step int) {
-	if s := &j.Steps[step]; s.PerWorker > 0 || s.Gang || s.LongRunning {
+	if s := &j.Steps[step]; s.PerWorker > 0 || s.Gang || s.LongRunning || j.Queue.Advice != nil {
 		return
 	}
 	if m.seen == nil {
@@ -43,7 +43,7 @@
 
 // covers reports whether a task is at least as large as one that found no worker.
 func (m *misfits) covers(j *Spec, step int) bool {
-	if j.Steps[step].LongRunning {
+	if j.Steps[step].LongRunning || j.Queue.Advice != nil {
 		return false
 	}
 	k, size := keyOf(j, step)
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -17,7 +17,9 @@
 		// Text and Checkpoint go with a start, Percent with a pace.
 		Text       string
 		Checkpoint string
-		Percent    int
+		// Ticket goes with a start on a queue with a policy.
+		Ticket  string
+		Percent int
 		// Deadline is until when the worker may work, by its own clock, without
 		// hearing again.
 		Deadline clock.Millis
@@ -75,6 +77,8 @@
 	OtherLife
 	// Fenced: another leader has taken over.
 	Fenced
+	// NoTicket: the worker does not take the ticket.
+	NoTicket
 	// Rejected: the worker takes the order for malformed.
 	Rejected
 )
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -49,6 +49,7 @@
 // stored.
 func (s *Scheduler) Place() {
 	now := s.now()
+	s.consultations = nil
 	var ds []demand
 	for j := range s.active {
 		var r *rank
@@ -82,9 +83,13 @@
 		}
 		before := len(workers)
 		workers = s.placeDemand(d, workers, now)
-		if left := d.tasks[len(d.tasks)-1]; left.state == pending && len(workers) == before {
+		left := d.tasks[len(d.tasks)-1]
+		if left.state == pending && len(workers) == before {
 			full.note(&d.occurrence.job.spec, d.step)
 		}
+		if left.state == pending && d.occurrence.job.spec.Queue.Advice != nil {
+			s.noteConsultation(d, workers, now)
+		}
 	}
 }
 
@@ -124,6 +129,9 @@
 // placeDemand places the tasks of a demand and returns the workers for the next one.
 func (s *Scheduler) placeDemand(d demand, ws []*worker, now clock.Millis) []*worker {
 	step := &d.occurrence.job.spec.Steps[d.step]
+	if d.occurrence.awaitsAdvice(d.step, now) {
+		return ws
+	}
 	if step.Gang {
 		s.placeGang(d, ws, now)
 		return ws
@@ -148,7 +156,7 @@
 	best, bestFree := -1, int64(0)
 	for i, w := range ws {
 		step := t.spec()
-		if w.info.Service != t.job().spec.Queue.Service || !w.hasLabel(step.Label) || w.memory+step.Memory > w.info.Memory || w.gpu+step.GPU > w.info.GPU {
+		if w.info.Service != t.job().spec.Queue.Service || !w.hasLabel(step.Label) || t.denied(w) || w.memory+step.Memory > w.info.Memory || w.gpu+step.GPU > w.info.GPU {
 			continue
 		}
 		if step.PerWorker > 0 && w.countOf(t) >= step.PerWorker {
@@ -215,7 +223,7 @@
 	w.remove(t)
 	t.state, t.worker, t.placed, t.pace = placed, w, now, 100
 	t.percent, t.progressed, t.stalled, t.confirmed, t.stopping, t.settling = 0, now, false, 0, false, 0
-	t.unclear, t.recorded, t.waiting, t.slowSince = false, false, 0, 0
+	t.sending, t.unclear, t.recorded, t.waiting, t.slowSince = 0, false, false, 0, 0
 	w.add(t)
 	s.explore(t.spec(), w)
 	if w.failures >= failureQuarantine {
@@ -236,17 +244,7 @@
 	s.rotation++
 	for i := range ws {
 		w := ws[(i+s.rotation)%len(ws)]
-		if w.info.Service != t.job().spec.Queue.Service || !w.hasLabel(step.Label) || !w.fits(step) {
-			continue
-		}
-		if step.PerWorker > 0 && w.countOf(t) >= step.PerWorker {
-			continue
-		}
-		if w.failures >= failureQuarantine && w.probedAt >= w.failedAt {
-			// One run at a time shows whether it is well again.
-			continue
-		}
-		if step.Filler && (s.overdue(w) || s.disturbance(step, w) > tolerance) {
+		if !s.admitted(t, w) || !s.suits(t, step, w, tolerance) {
 			continue
 		}
 		if score := s.score(t, step, w); best == nil || score > bestScore {
@@ -259,6 +257,28 @@
 	return best
 }
 
+// hasRoom reports whether a worker would suit a task, whatever the policy of its
+// queue says of workers that it was not asked about.
+func (s *Scheduler) hasRoom(t *task, ws []*worker) bool {
+	step, tolerance := t.spec(), s.tolerance(t)
+	return slices.ContainsFunc(ws, func(w *worker) bool { return s.suits(t, step, w, tolerance) })
+}
+
+// suits reports whether a worker has what a task needs, and room for it.
+func (s *Scheduler) suits(t *task, step *Step, w *worker, tolerance float64) bool {
+	switch {
+	case w.info.Service != t.job().spec.Queue.Service, !w.hasLabel(step.Label), !w.fits(step), t.denied(w):
+		return false
+	case step.PerWorker > 0 && w.countOf(t) >= step.PerWorker:
+		return false
+	case w.failures >= failureQuarantine && w.probedAt >= w.failedAt:
+		// One run at a time shows whether it is well again.
+		return false
+	default:
+		return !step.Filler || !s.overdue(w) && s.disturbance(step, w) <= tolerance
+	}
+}
+
 // overdue reports whether a serving task of the worker is over its objective.
 func (s *Scheduler) overdue(w *worker) bool {
 	return w.serving > 0 && len(s.servingGroups(w)) > 0 && w.overdue
--- a/scheduler/protecting.go
+++ b/scheduler/protecting.go
@@ -104,7 +104,7 @@
 		return
 	}
 	for _, o := range s.usable(now) {
-		if o != w && o.info.Service == w.info.Service && o.hasLabel(t.spec().Label) && o.fits(t.spec()) && s.disturbance(t.spec(), o) <= disturbanceLimit {
+		if o != w && !t.denied(o) && o.info.Service == w.info.Service && o.hasLabel(t.spec().Label) && o.fits(t.spec()) && s.disturbance(t.spec(), o) <= disturbanceLimit {
 			s.emit(logger.RunRelocated, logger.String("task", t.name().String()), logger.String("worker", w.info.ID), logger.Int("pace", int64(t.pace)))
 			s.stop(t)
 			return
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -17,5 +17,7 @@
 		Slack float64 `json:"slack"`
 		// Target is added to the objective.
 		Target clock.Millis `json:"target"`
+		// Advice is set where a policy says which workers may run a step.
+		Advice *Advice `json:"advice,omitempty"`
 	}
 )
--- a/scheduler/reporting.go
+++ b/scheduler/reporting.go
@@ -201,7 +201,7 @@
 	} else {
 		t.load = a.Gauge
 	}
-	if t.job().phase.final() {
+	if t.job().phase.final() && t.sending == 0 {
 		s.stop(t)
 	}
 	return t
@@ -215,7 +215,7 @@
 		s.emit(logger.RunMissing, logger.String("task", t.name().String()), logger.Int("attempt", int64(t.attempt)))
 		s.touch(t.job())
 		s.release(t)
-	case t.state == placed && t.recorded && t.settling == 0 && s.now()-t.placed > resendAfter:
+	case t.state == placed && t.recorded && t.settling == 0 && t.sending == 0 && s.now()-t.placed > resendAfter:
 		t.placed = s.now()
 		if t.job().phase.final() || t.stopping {
 			s.stop(t)
@@ -242,6 +242,10 @@
 
 // Answered takes in the outcome of an order.
 func (s *Scheduler) Answered(o Order, out Outcome) {
+	t := s.find(o.Task.String())
+	if t != nil && t.attempt == o.Attempt {
+		t.sending = max(t.sending-1, 0)
+	}
 	w := s.workers[o.Worker]
 	if w == nil || w.info.Born != o.Born {
 		return
@@ -252,7 +256,6 @@
 	default:
 		w.silent, w.lost, w.absent = 0, false, false
 	}
-	t := s.find(o.Task.String())
 	if t == nil || t.worker != w || t.attempt != o.Attempt {
 		return
 	}
@@ -286,6 +289,9 @@
 	case NotSent, Absent:
 		w.blockedUntil = now + refusalPause
 		s.withdraw(t)
+	case NoTicket:
+		t.ticketRefused(w)
+		s.withdraw(t)
 	case Obsolete:
 		t.settling = now
 	case Rejected, OtherLife:
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -49,6 +49,9 @@
 		immediate []Order
 		replies   []reply
 		acks      map[string]int64
+		// consultations are those that the last round of placing found wanting, the
+		// most urgent first.
+		consultations []Consultation
 	}
 
 	// reply tells a caller when its change is stored, or why it never will be.
@@ -332,9 +335,10 @@
 
 func (s *Scheduler) order(k OrderKind, t *task) Order {
 	w := t.worker
+	t.sending++
 	return Order{
 		Kind: k, Worker: w.info.ID, Address: w.info.Address, Born: w.info.Born, Task: t.name(), Attempt: t.attempt,
-		Text: t.job().spec.Text, Checkpoint: t.checkpoint, Percent: t.pace,
+		Text: t.job().spec.Text, Checkpoint: t.checkpoint, Ticket: t.ticketFor(w), Percent: t.pace,
 	}
 }
 
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -38,6 +38,8 @@
 		// unclear is whether an order to start the newest run was not answered, so that it
 		// may be carried out yet.
 		unclear bool
+		// sending counts the orders about the newest run that are on their way.
+		sending int
 		// recorded is whether the record with the newest run is stored.
 		recorded bool
 		// placed is when the run was given its worker.
