scheduler: waves of upkeep are carried out

The leader empties the machines of a wave, a few at a time as the time left asks, takes them down, and says so; steps with a bound on missing tasks keep it, also when the wave is late for that.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -30,6 +30,7 @@
 		decode    func(recorder.Item) (scheduler.WorkerInfo, bool)
 		lease     clock.Millis
 		measures  Measures
+		cloud     Cloud
 
 		events   chan func()
 		ctx      context.Context
@@ -112,7 +113,11 @@
 		c.cancel()
 		return nil, errors.Wrap(err, "conductor.New")
 	}
-	c.group.Add(2)
+	c.group.Add(3)
+	go func() {
+		defer c.group.Done()
+		c.maintain()
+	}()
 	go func() {
 		defer c.group.Done()
 		c.run()
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -43,7 +43,9 @@
 		// operator has the newest records of the operator; used by the follower only.
 		operator  map[string][]byte
 		adviser   *adviser.Adviser
+		cloud     *http.Client
 		evacuated atomic.Pointer[[]string]
+		waves     atomic.Pointer[[]scheduler.Wave]
 		leaving   atomic.Bool
 		servers   []*http.Server
 	}
@@ -63,6 +65,8 @@
 	// policyConnections bounds those to the service that advises, which answers a host
 	// one question at a time.
 	policyConnections = 1
+	// cloudConnections bounds those to the service for machines: a listing and orders.
+	cloudConnections = 4
 	// peerConnections bounds those to the leader.
 	peerConnections = 16
 	// operatorWait is how long the store holds a read of the operator's records. A
@@ -89,6 +93,7 @@
 		settings: s, log: l, metrics: measurer.New(s.Host(), s.DataCentre()), now: clock.NewSteady(), operator: map[string][]byte{},
 		store:   platform.NewStore(s.Store(), platform.NewClient(storeConnections)).Seam(),
 		workers: platform.NewWorkers(platform.NewClient(workerConnections)),
+		cloud:   platform.NewClient(cloudConnections),
 	}
 	r.life = fsm.NewFSM(stateStarting, fsm.Events{
 		{Name: stateServing, Src: []string{stateStarting}, Dst: stateServing},
@@ -100,6 +105,7 @@
 		"enter_" + stateStopped: func(context.Context, *fsm.Event) { l.Emit(logger.Stopped) },
 	})
 	r.evacuated.Store(&[]string{})
+	r.waves.Store(&[]scheduler.Wave{})
 	r.forward = forwarder.New(func() *elector.Elector { return r.elector }, platform.NewClient(peerConnections))
 	r.ingress = platform.NewIngress(r.answer, l.Emit)
 	life := strconv.FormatInt(int64(clock.System()), 36) + "-" + s.Peers()
@@ -188,8 +194,14 @@
 	}
 	e := platform.EvacuatedOf(r.operator)
 	r.evacuated.Store(&e)
+	w, invalid := platform.WavesOf(r.operator)
+	for _, k := range invalid {
+		r.log.Emit(logger.EntryInvalid, logger.String("key", k))
+	}
+	r.waves.Store(&w)
 	if c := r.forward.Leading(); c != nil {
 		c.SetEvacuated(e)
+		c.SetWaves(w)
 	}
 }
 
@@ -201,16 +213,22 @@
 		scheduler.WithLease(lease), scheduler.WithRetention(r.settings.Retention()),
 		scheduler.WithBegun(func(d clock.Millis) { r.metrics.Record(measurer.FirstStartTime, d.Duration()) }),
 		scheduler.WithHarmLimit(r.settings.HarmLimit()), scheduler.WithRemoteFactor(r.settings.RemoteFactor()),
+		scheduler.WithUpkeepLength(r.settings.UpkeepLength()),
 	)
 	s.SetEvacuated(*r.evacuated.Load())
+	var cloud conductor.Cloud
+	if r.settings.Cloud() != "" {
+		cloud = platform.NewCloud(r.settings.Cloud(), r.settings.Host(), r.store, r.cloud).Seam()
+	}
 	c, err := conductor.New(ctx, conductor.Term{Epoch: t.Epoch, FormerIsOver: t.FormerIsOver, Confirmed: t.Confirmed},
 		r.store, r.workers.Fleet(), s, lease, platform.DecodeWorker,
-		conductor.WithClock(r.now), conductor.WithMeasures(r.measures()), conductor.WithEvents(r.log.Emit))
+		conductor.WithClock(r.now), conductor.WithMeasures(r.measures()), conductor.WithEvents(r.log.Emit), conductor.WithCloud(cloud))
 	if err != nil {
 		r.log.Emit(logger.StoreLost, logger.Err(err))
 		return
 	}
 	c.SetEvacuated(*r.evacuated.Load())
+	c.SetWaves(*r.waves.Load())
 	r.forward.SetLocal(c)
 	r.metrics.Add(measurer.Terms, 1)
 	r.metrics.Set(measurer.Leading, 1)
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -113,7 +113,7 @@
 func (s *Scheduler) usable(now clock.Millis) []*worker {
 	var ws []*worker
 	for _, w := range s.workers {
-		if !w.listed || w.info.Draining || w.lost || w.silent != 0 || w.inherits ||
+		if !w.listed || w.info.Draining || w.lost || w.silent != 0 || w.inherits || w.upkeep ||
 			now < w.blockedUntil || s.evacuated[w.info.DataCentre] {
 			continue
 		}
@@ -313,6 +313,9 @@
 		free -= awayPenalty
 	}
 	free -= failurePenalty * w.failures
+	if w.due {
+		free -= duePenalty
+	}
 	if t.avoid == w.info.ID {
 		free -= avoidPenalty
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -52,6 +52,10 @@
 		// consultations are those that the last round of placing found wanting, the
 		// most urgent first.
 		consultations []Consultation
+		// upkeepLength is how long a machine is down for its upkeep.
+		upkeepLength clock.Millis
+		waves        map[string]*wave
+		upkeeps      []Upkeep
 	}
 
 	// reply tells a caller when its change is stored, or why it never will be.
@@ -79,6 +83,7 @@
 	defaultRetention = 120 * clock.Second
 	defaultHarm      = 4 * clock.Second
 	defaultRemote    = 2.0
+	defaultUpkeep    = 2 * clock.Second
 )
 
 // WithClocks sets the steady clock and the time of day.
@@ -115,7 +120,7 @@
 		leaseLength: defaultLease, retention: defaultRetention, harmLimit: defaultHarm, remoteFactor: defaultRemote,
 		jobs: map[string]*job{}, active: map[*job]struct{}{}, workers: map[string]*worker{},
 		evacuated: map[string]bool{}, images: map[string]*sensitivity{}, means: map[string]float64{},
-		dirty: map[*job]struct{}{}, acks: map[string]int64{},
+		dirty: map[*job]struct{}{}, acks: map[string]int64{}, upkeepLength: defaultUpkeep, waves: map[string]*wave{},
 	}
 	for _, o := range opts {
 		o(s)
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -75,6 +75,9 @@
 		overdue bool
 		// mixedAt is when the fillers at work, or their pace, last changed.
 		mixedAt clock.Millis
+		// due is whether the worker's machine is to go down for its upkeep, and upkeep
+		// whether that is under way, so that nothing may start here.
+		due, upkeep bool
 		// told is the highest acknowledged end that the worker has heard of.
 		told int64
 	}
