scheduler: gangs that are slow over racks keep to one; tasks wait for the rack of their data as long as the detour would take

WithRemoteFactor was set and read by nobody: a task started away from its data as soon as its own rack was full, at twice its length, and a gang over any racks.

--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"galenawharf.example/galenawharf/clock"
@@ -76,6 +77,7 @@
 			cmp.Compare(a.occurrence.job.spec.ID, b.occurrence.job.spec.ID), cmp.Compare(a.step, b.step))
 	})
 	workers := s.usable(now)
+	s.racks = racksOf(workers)
 	var full misfits
 	for _, d := range ds {
 		if full.covers(&d.occurrence.job.spec, d.step) {
@@ -133,8 +135,7 @@
 		return ws
 	}
 	if step.Gang {
-		s.placeGang(d, ws, now)
-		return ws
+		return s.placeGang(d, ws, now)
 	}
 	for _, t := range d.tasks {
 		w := s.choose(t, ws)
@@ -179,8 +180,9 @@
 	return slices.Delete(slices.Clone(ws), best, best+1)
 }
 
-// placeGang places all tasks of a gang or none.
-func (s *Scheduler) placeGang(d demand, ws []*worker, now clock.Millis) {
+// placeGang places all tasks of a gang or none, and returns the workers for the next
+// demand.
+func (s *Scheduler) placeGang(d demand, ws []*worker, now clock.Millis) []*worker {
 	if len(d.tasks) != d.occurrence.job.spec.Steps[d.step].Count {
 		// Members of the former run are still held.
 		for _, t := range d.occurrence.steps[d.step] {
@@ -188,7 +190,7 @@
 				s.stop(t)
 			}
 		}
-		return
+		return ws
 	}
 	attempt, checkpoint := 0, ""
 	for _, t := range d.tasks {
@@ -197,24 +199,56 @@
 			checkpoint = t.checkpoint
 		}
 	}
-	var chosen []*task
+	if !s.seatGang(d, ws, now) {
+		return ws
+	}
 	for _, t := range d.tasks {
+		w := t.worker
+		t.attempt, t.checkpoint = attempt, checkpoint
+		s.assign(t, w, now)
+	}
+	return ws
+}
+
+// seatGang gives each task of a gang a worker, or none. A gang that is slow over
+// several racks is kept to one until it has waited as long as the detour would take.
+func (s *Scheduler) seatGang(d demand, ws []*worker, now clock.Millis) bool {
+	step := &d.occurrence.job.spec.Steps[d.step]
+	if !step.Colocate || len(s.racks) <= 1 {
+		return s.seatOn(d, ws)
+	}
+	free := map[string]int64{}
+	for _, w := range ws {
+		if w.info.Service == d.occurrence.job.spec.Queue.Service {
+			free[w.info.Rack] += max(w.info.CPU-w.cpu, 0)
+		}
+	}
+	racks := slices.SortedFunc(maps.Keys(free), func(a, b string) int { return cmp.Or(cmp.Compare(free[b], free[a]), cmp.Compare(a, b)) })
+	for _, r := range racks {
+		if free[r] < int64(step.Count)*step.CPU {
+			break
+		}
+		if s.seatOn(d, slices.DeleteFunc(slices.Clone(ws), func(w *worker) bool { return w.info.Rack != r })) {
+			return true
+		}
+	}
+	return now-d.tasks[0].waiting >= s.detour(step) && s.seatOn(d, ws)
+}
+
+// seatOn gives each task of a gang one of the workers, or none.
+func (s *Scheduler) seatOn(d demand, ws []*worker) bool {
+	for i, t := range d.tasks {
 		w := s.choose(t, ws)
 		if w == nil {
-			for _, c := range chosen {
+			for _, c := range d.tasks[:i] {
 				s.release(c)
 			}
-			return
+			return false
 		}
 		t.worker = w
 		w.add(t)
-		chosen = append(chosen, t)
-	}
-	for _, t := range chosen {
-		w := t.worker
-		t.attempt, t.checkpoint = attempt, checkpoint
-		s.assign(t, w, now)
 	}
+	return true
 }
 
 // assign gives a task to a worker.
@@ -271,6 +305,9 @@
 		return false
 	case step.PerWorker > 0 && w.countOf(t) >= step.PerWorker:
 		return false
+	case step.Rack != "" && !w.hasLabel(step.Rack) && s.racks[step.Rack] && s.now()-cmp.Or(t.waiting, s.now()) < s.detour(step):
+		// A run away from its data would end later than one that waits a little longer.
+		return false
 	case w.failures >= failureQuarantine && w.probedAt >= w.failedAt:
 		// One run at a time shows whether it is well again.
 		return false
@@ -279,6 +316,20 @@
 	}
 }
 
+// detour returns how much longer a task is expected to take away from its data, or a
+// gang spread over racks.
+func (s *Scheduler) detour(step *Step) clock.Millis {
+	return clock.Millis((s.remoteFactor - 1) * float64(step.Estimate))
+}
+
+func racksOf(ws []*worker) map[string]bool {
+	racks := map[string]bool{}
+	for _, w := range ws {
+		racks[w.info.Rack] = true
+	}
+	return racks
+}
+
 // overdue reports whether a serving task of the worker is over its objective.
 func (s *Scheduler) overdue(w *worker) bool {
 	return w.serving > 0 && len(s.servingGroups(w)) > 0 && w.overdue
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -35,6 +35,8 @@
 		workers   map[string]*worker
 		evacuated map[string]bool
 		images    map[string]*sensitivity
+		// racks has those with a worker that may get a new run.
+		racks map[string]bool
 		// means has the mean work of the jobs of each queue, in core-seconds.
 		means map[string]float64
 		// rotation is where the search for a worker begins, so that all get their share.
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -14,10 +14,12 @@
 		Service    string
 		DataCentre string
 		Labels     []string
-		CPU        int64
-		Memory     int64
-		GPU        int64
-		Draining   bool
+		// Rack is the one of the labels that names the worker's rack.
+		Rack     string
+		CPU      int64
+		Memory   int64
+		GPU      int64
+		Draining bool
 		// Remaining is the least time that a draining worker stays.
 		Remaining clock.Millis
 		// Born is the Unix time of the worker's start and names its life.
