scheduler: a run has at most two orders on their way

A second one is sent again while the first is on its way, as before, but never a third, which is what let the queue of a worker grow without end.

--- a/scheduler/reporting.go
+++ b/scheduler/reporting.go
@@ -14,6 +14,10 @@
 	leaseMargin = 200 * clock.Millis(1)
 	// resendAfter is how long an order may be unanswered before it is sent again.
 	resendAfter = 150 * clock.Millis(1)
+	// sendingAtOnce bounds the orders about a run that are on their way at a time: one
+	// that may have been lost, and one after it. More would only queue up for a worker
+	// that does not answer, each until its deadline is over.
+	sendingAtOnce = 2
 	// refusalPause keeps runs away from a worker that refused one: two reports.
 	refusalPause = 300 * clock.Millis(1)
 )
@@ -201,7 +205,7 @@
 	} else {
 		t.load = a.Gauge
 	}
-	if t.job().phase.final() && t.sending == 0 {
+	if t.job().phase.final() && t.sending < sendingAtOnce {
 		s.stop(t)
 	}
 	return t
@@ -215,7 +219,7 @@
 		s.emit(logger.RunMissing, logger.String("task", t.name().String()), logger.Int("attempt", int64(t.attempt)))
 		s.touch(t.job())
 		s.release(t)
-	case t.state == placed && t.recorded && t.settling == 0 && t.sending == 0 && s.now()-t.placed > resendAfter:
+	case t.state == placed && t.recorded && t.settling == 0 && t.sending < sendingAtOnce && s.now()-t.placed > resendAfter:
 		t.placed = s.now()
 		if t.job().phase.final() || t.stopping {
 			s.stop(t)
