forwarder: jobs are accepted through the store while the leader can't be reached

Ruled out: the store (its reads went on) and the leader's own limit (11).

A host now gives the leader 1.2 s, remembers for 0.5 s that it did not answer, deposits the job in the store, and is not ready while it stays cut off.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -44,7 +44,11 @@
 		armed   bool
 		// advisers are the daemons that wait for a consultation, the longest first.
 		advisers []*adviser
-		batches  chan *scheduler.Batch
+		// deposits are those whose jobs are not stored yet, by id; collected are those
+		// to drop.
+		deposits  map[string]recorder.Item
+		collected []recorder.Item
+		batches   chan *scheduler.Batch
 	}
 
 	// Option sets up a Conductor.
@@ -103,7 +107,7 @@
 	c := &Conductor{
 		store: s, fleet: f, sched: sched, epoch: t.Epoch, confirmed: t.Confirmed, decode: decode, lease: lease,
 		now: clock.System, emit: func(logger.Event, ...logger.Field) {}, measures: noMeasures(),
-		events: make(chan func(), eventBacklog), sessions: map[string]*session{}, batches: make(chan *scheduler.Batch, 1),
+		events: make(chan func(), eventBacklog), sessions: map[string]*session{}, deposits: map[string]recorder.Item{}, batches: make(chan *scheduler.Batch, 1),
 	}
 	for _, o := range opts {
 		o(c)
@@ -113,7 +117,11 @@
 		c.cancel()
 		return nil, errors.Wrap(err, "conductor.New")
 	}
-	c.group.Add(3)
+	c.group.Add(4)
+	go func() {
+		defer c.group.Done()
+		c.collect()
+	}()
 	go func() {
 		defer c.group.Done()
 		c.maintain()
@@ -193,7 +201,7 @@
 			c.emit(logger.RecordInvalid, logger.String("key", k), logger.Err(err))
 		}
 	}
-	return nil
+	return c.loadDeposits()
 }
 
 func (c *Conductor) entry(i recorder.Item) {
--- /dev/null
+++ b/conductor/deposits.go
@@ -0,0 +1,94 @@
+package conductor
+
+import (
+	"galenawharf.example/galenawharf/clock"
+	"galenawharf.example/galenawharf/depositor"
+	"galenawharf.example/galenawharf/logger"
+	"galenawharf.example/galenawharf/recorder"
+)
+
+const (
+	// depositWait is how long the store holds a read of the deposits without news.
+	depositWait = clock.Second
+	// collectEvery is how often deposits that were collected are dropped, and those
+	// that the store was away for are tried again.
+	collectEvery = 500 * clock.Millis(1)
+)
+
+// loadDeposits accepts the jobs that were deposited while nobody led, before anybody
+// can ask for them.
+func (c *Conductor) loadDeposits() error {
+	items, _, err := recorder.Load(c.ctx, c.store, depositor.Topic)
+	if err != nil {
+		return err
+	}
+	for k, v := range items {
+		c.deposited(recorder.Item{Key: k, Value: v})
+	}
+	return nil
+}
+
+// deposited accepts one deposit. It runs on the owning goroutine.
+func (c *Conductor) deposited(i recorder.Item) {
+	if len(i.Value) == 0 {
+		return
+	}
+	s, err := depositor.Decode(i)
+	if err == nil {
+		c.deposits[i.Key] = i
+		err = c.sched.Submit(s, func(refused error) {
+			if refused == nil {
+				c.collected = append(c.collected, recorder.Item{Key: i.Key})
+				delete(c.deposits, i.Key)
+			}
+		})
+	}
+	if err != nil {
+		// Nobody can run it, and hosts deposit only what they have checked.
+		c.emit(logger.RecordInvalid, logger.String("key", i.Key), logger.Err(err))
+		delete(c.deposits, i.Key)
+		c.collected = append(c.collected, recorder.Item{Key: i.Key})
+	}
+}
+
+// collect follows the deposits until the term is over, and drops those whose jobs
+// are stored.
+func (c *Conductor) collect() {
+	f := recorder.Follow(c.store, depositor.Topic, recorder.Pace{Wait: depositWait}, recorder.Watch{
+		Reset: func(m map[string][]byte) {
+			c.do(func() {
+				for k, v := range m {
+					c.deposited(recorder.Item{Key: k, Value: v})
+				}
+			})
+		},
+		Change: func(items []recorder.Item) {
+			c.do(func() {
+				for _, i := range items {
+					c.deposited(i)
+				}
+			})
+		},
+		Read:   func(clock.Millis) {},
+		Failed: func(error) {},
+	})
+	defer f.Close()
+	for recorder.Sleep(c.ctx, collectEvery) {
+		var done []recorder.Item
+		c.ask(func() {
+			done, c.collected = c.collected, nil
+			for k, i := range c.deposits {
+				if !c.sched.Knows(k) {
+					// The store was away and the job was dropped.
+					c.deposited(i)
+				}
+			}
+		})
+		if len(done) == 0 {
+			continue
+		}
+		if _, err := c.store.Append(c.ctx, depositor.Topic, recorder.AnyEnd, done); err != nil {
+			c.ask(func() { c.collected = append(c.collected, done...) })
+		}
+	}
+}
--- a/conductor/loop.go
+++ b/conductor/loop.go
@@ -19,7 +19,7 @@
 	f := recorder.Follow(c.store, registry, recorder.Pace{Pause: registryPause}, recorder.Watch{
 		Reset:  func(m map[string][]byte) { c.do(func() { c.reset(m) }) },
 		Change: func(items []recorder.Item) { c.do(func() { c.changed(items) }) },
-		Read:   func() {},
+		Read:   func(clock.Millis) {},
 		Failed: func(error) {},
 	})
 	defer f.Close()
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -100,7 +100,7 @@
 	f := recorder.Follow(s, topic, recorder.Pace{Wait: readWait}, recorder.Watch{
 		Reset:  func(m map[string][]byte) { e.observe(m[Key]) },
 		Change: func(items []recorder.Item) { e.observe(items[len(items)-1].Value) },
-		Read:   func() { e.mu.Lock(); e.watch.Read(e.now()); e.mu.Unlock() },
+		Read:   func(clock.Millis) { e.mu.Lock(); e.watch.Read(e.now()); e.mu.Unlock() },
 		Failed: func(error) { e.mu.Lock(); e.watch.Failed(); e.mu.Unlock() },
 	})
 	e.group.Add(1)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -13,6 +13,7 @@
 
 	"galenawharf.example/galenawharf/clock"
 	"galenawharf.example/galenawharf/conductor"
+	"galenawharf.example/galenawharf/depositor"
 	"galenawharf.example/galenawharf/elector"
 	"galenawharf.example/galenawharf/scheduler"
 )
@@ -23,6 +24,8 @@
 		elector func() *elector.Elector
 		local   atomic.Pointer[conductor.Conductor]
 		client  *http.Client
+		reach   *reach
+		deposit func(context.Context, scheduler.Spec) error
 	}
 )
 
@@ -33,11 +36,15 @@
 	maxRequest = 4 << 20
 	// hops bounds how often a request is sent on to a newer leader.
 	hops = 2
+	// forwardLimit bounds the call to the leader, which says within a second that it
+	// could not store a change.
+	forwardLimit = 1200 * clock.Millis(1)
 )
 
-// New returns a forwarder that asks the elector who leads.
-func New(e func() *elector.Elector, c *http.Client) *Forwarder {
-	return &Forwarder{elector: e, client: c}
+// New returns a forwarder that asks the elector who leads. deposit stores a job where
+// the leader finds it; its errors are those of depositor.Depositor.
+func New(e func() *elector.Elector, c *http.Client, now func() clock.Millis, deposit func(context.Context, scheduler.Spec) error) *Forwarder {
+	return &Forwarder{elector: e, client: c, reach: &reach{now: now}, deposit: deposit}
 }
 
 // SetLocal names the conductor of this daemon while it leads, nil otherwise.
@@ -46,8 +53,27 @@
 // Leading returns the conductor of this daemon, nil while it does not lead.
 func (f *Forwarder) Leading() *conductor.Conductor { return f.local.Load() }
 
-// Serve answers a request of a caller.
+// Serve answers a request of a caller. A job that the leader did not accept is
+// deposited for it, or for the next one.
 func (f *Forwarder) Serve(ctx context.Context, q Request) Reply {
+	r := f.ask(ctx, q)
+	if q.Verb != Submit || r.Outcome != Refused && r.Outcome != Unclear || r.StoreAway {
+		// A store that does not answer the leader would hardly answer a deposit, and then
+		// the refusal could not be given any more.
+		return r
+	}
+	switch err := f.deposit(ctx, q.Spec); {
+	case err == nil:
+		return Reply{Outcome: OK}
+	case errors.Is(err, depositor.ErrAway):
+		return r
+	default:
+		return unclear(err)
+	}
+}
+
+// ask answers a request by the leader.
+func (f *Forwarder) ask(ctx context.Context, q Request) Reply {
 	for range hops {
 		if c := f.local.Load(); c != nil {
 			return lead(ctx, c, q)
@@ -56,6 +82,9 @@
 		if address == "" || here {
 			return refusal("no leader is known")
 		}
+		if f.reach.paused(address) {
+			return refusal("the leader did not answer just now")
+		}
 		r := f.forward(ctx, address, q)
 		if r.Outcome != NotLeading {
 			return r
@@ -102,7 +131,11 @@
 		return r
 	case errors.Is(err, scheduler.ErrUnknown):
 		return Reply{Outcome: Unknown}
-	case errors.Is(err, conductor.ErrStoreAway), errors.Is(err, conductor.ErrUnconfirmed):
+	case errors.Is(err, conductor.ErrStoreAway):
+		r := refusal(err.Error())
+		r.StoreAway = true
+		return r
+	case errors.Is(err, conductor.ErrUnconfirmed):
 		return refusal(err.Error())
 	case errors.Is(err, conductor.ErrOver) && v != Submit:
 		return refusal(err.Error())
@@ -119,19 +152,25 @@
 	if err != nil {
 		return Reply{Outcome: Invalid, Error: err.Error()}
 	}
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(b))
+	limited, cancel := context.WithTimeout(ctx, forwardLimit.Duration())
+	defer cancel()
+	r, err := http.NewRequestWithContext(limited, http.MethodPost, "http://"+address+path, bytes.NewReader(b))
 	if err != nil {
 		return Reply{Outcome: Invalid, Error: err.Error()}
 	}
 	r.GetBody = nil
 	resp, err := f.client.Do(r)
 	if err != nil {
+		if ctx.Err() == nil {
+			f.reach.lost(address)
+		}
 		var op *net.OpError
 		if errors.As(err, &op) && op.Op == "dial" || q.Verb != Submit {
 			return refusal("the leader does not answer: " + err.Error())
 		}
 		return unclear(err)
 	}
+	f.reach.found()
 	// The body was read; closing it can only fail for a connection that is gone.
 	defer func() { _ = resp.Body.Close() }()
 	var a Reply
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -30,6 +30,8 @@
 		RetryAfter clock.Millis `json:"-"`
 		RetryMS    int64        `json:"retry-after-ms,omitempty"`
 		Error      string       `json:"error,omitempty"`
+		// StoreAway is whether the leader refused because the store does not answer it.
+		StoreAway bool `json:"store-away,omitempty"`
 		// Leader is the newest claim that a daemon which does not lead knows.
 		Leader *elector.Claim `json:"leader,omitempty"`
 	}
--- a/imitator/keyedlog.go
+++ b/imitator/keyedlog.go
@@ -128,7 +128,7 @@
 func (l *KeyedLog) appendAt(topic string, at int64, items []recorder.Item) (int64, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if end := int64(len(l.topics[topic])); end != at {
+	if end := int64(len(l.topics[topic])); at != recorder.AnyEnd && end != at {
 		return end, recorder.ErrMoved
 	}
 	l.add(topic, items)
--- a/recorder/follower.go
+++ b/recorder/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -22,8 +23,9 @@
 		Reset func(map[string][]byte)
 		// Change gives items in the order of the topic.
 		Change func([]Item)
-		// Read is called after each call that succeeded, also one without news.
-		Read func()
+		// Read is called after each call that succeeded, also one without news, with how
+		// long the answer took beyond the wait for news; 0 where that is not known.
+		Read func(delay clock.Millis)
 		// Failed is called after each call that did not.
 		Failed func(error)
 	}
@@ -75,12 +77,14 @@
 		return err
 	}
 	w.Reset(items)
-	w.Read()
+	w.Read(0)
 	for {
 		if p.Pause > 0 && !Sleep(ctx, p.Pause) {
 			return ctx.Err()
 		}
+		sent := time.Now()
 		found, end, err := read(ctx, s, topic, from, p.Wait)
+		delay := clock.FromDuration(time.Since(sent)) - p.Wait
 		switch {
 		case errors.Is(err, ErrTrimmed):
 			return err
@@ -96,8 +100,9 @@
 		}
 		if len(found) > 0 {
 			w.Change(found)
+			delay = 0
 		}
-		w.Read()
+		w.Read(max(delay, 0))
 		from = end
 	}
 }
--- a/recorder/store.go
+++ b/recorder/store.go
@@ -31,7 +31,8 @@
 	// Store is the platform's store, by the calls that are used of it. All calls
 	// return the errors of this package.
 	Store struct {
-		// Append adds items if the topic ends at offset at, and returns the new end.
+		// Append adds items if the topic ends at offset at, or anyhow for AnyEnd, and
+		// returns the new end.
 		Append func(ctx context.Context, topic string, at int64, items []Item) (int64, error)
 		// Read returns the items from an offset on and the offset after them. It
 		// waits for one as long as given.
@@ -41,6 +42,9 @@
 	}
 )
 
+// AnyEnd lets an append be done wherever the topic ends.
+const AnyEnd = -1
+
 var (
 	// ErrMoved says that the topic does not end at the offset of a conditional append.
 	ErrMoved = errors.New("the topic has a newer end")
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -16,6 +16,7 @@
 	"galenawharf.example/galenawharf/adviser"
 	"galenawharf.example/galenawharf/clock"
 	"galenawharf.example/galenawharf/conductor"
+	"galenawharf.example/galenawharf/depositor"
 	"galenawharf.example/galenawharf/elector"
 	"galenawharf.example/galenawharf/forwarder"
 	"galenawharf.example/galenawharf/logger"
@@ -45,6 +46,9 @@
 		adviser   *adviser.Adviser
 		cloud     *http.Client
 		evacuated atomic.Pointer[[]string]
+		// storeRead is when the store last answered a read in time, 0 since one has failed
+		// or was slow.
+		storeRead atomic.Int64
 		waves     atomic.Pointer[[]scheduler.Wave]
 		leaving   atomic.Bool
 		servers   []*http.Server
@@ -73,6 +77,9 @@
 	// connection that has gone silent shows after it, well within the bound for
 	// changes of the configuration.
 	operatorWait = clock.Second
+	// slowStore is the time of an answer from which the store is taken to be slow: it
+	// usually takes 4 ms, and does one append after the other.
+	slowStore = 80 * clock.Millis(1)
 	// headerLimit bounds the reading of a request's header, as the platform does.
 	headerLimit = 3 * clock.Second
 	// rotationDelay is how long new callers still come after this host reports that
@@ -106,7 +113,8 @@
 	})
 	r.evacuated.Store(&[]string{})
 	r.waves.Store(&[]scheduler.Wave{})
-	r.forward = forwarder.New(func() *elector.Elector { return r.elector }, platform.NewClient(peerConnections))
+	deposits := depositor.New(r.store, r.now, func() clock.Millis { return clock.Millis(r.storeRead.Load()) })
+	r.forward = forwarder.New(func() *elector.Elector { return r.elector }, platform.NewClient(peerConnections), r.now, deposits.Deposit)
 	r.ingress = platform.NewIngress(r.answer, l.Emit)
 	life := strconv.FormatInt(int64(clock.System()), 36) + "-" + s.Peers()
 	r.elector = elector.New(r.store, s.Host(), s.Peers(), life, r.lead, elector.WithClock(r.now), elector.WithCores(s.Cores()), elector.WithEvents(l.Emit))
@@ -123,8 +131,18 @@
 			}
 			r.operate()
 		},
-		Read:   store.succeeded,
-		Failed: store.failed,
+		Read: func(delay clock.Millis) {
+			at := r.now()
+			if delay > slowStore {
+				at = 0
+			}
+			r.storeRead.Store(int64(at))
+			store.succeeded()
+		},
+		Failed: func(err error) {
+			r.storeRead.Store(0)
+			store.failed(err)
+		},
 	})
 	policy := platform.NewPolicy(s.Advice(), platform.NewClient(policyConnections))
 	r.adviser = adviser.New(adviser.Seams{Wanted: r.advised, Next: r.forward.Consult, Ask: policy.Ask})
@@ -170,7 +188,7 @@
 	switch {
 	case q.URL.Path != readyPath:
 		w.WriteHeader(http.StatusNotFound)
-	case r.leaving.Load() || r.ingress.Config() == nil || leader == "":
+	case r.leaving.Load() || r.ingress.Config() == nil || leader == "" || !r.forward.Reachable(q.Context()):
 		w.WriteHeader(http.StatusServiceUnavailable)
 	default:
 		if r.life.Can(stateServing) {
