--- a/recorder/follower.go
+++ b/recorder/follower.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/pkg/errors"
 
@@ -78,13 +77,14 @@
 	}
 	w.Reset(items)
 	w.Read(0)
+	now := clock.NewSteady()
 	for {
 		if p.Pause > 0 && !Sleep(ctx, p.Pause) {
 			return ctx.Err()
 		}
-		sent := time.Now()
+		sent := now()
 		found, end, err := read(ctx, s, topic, from, p.Wait)
-		delay := clock.FromDuration(time.Since(sent)) - p.Wait
+		delay := now() - sent - p.Wait
 		switch {
 		case errors.Is(err, ErrTrimmed):
 			return err
