runner: a host whose reads of the store fail asks whether the leader answers it

The watch of a topic no longer logs its own end as a loss of the store; a field that nobody read is gone.

--- a/forwarder/reach.go
+++ b/forwarder/reach.go
@@ -61,10 +61,11 @@
 }
 
 // Reachable reports whether this host leads or the leader answers it, as far as is
-// known.
-func (f *Forwarder) Reachable(ctx context.Context) bool {
+// known. It asks the leader if requests went unanswered for a while, or if suspect says
+// that this host may be cut off.
+func (f *Forwarder) Reachable(ctx context.Context, suspect bool) bool {
 	address, here := f.elector().Leader()
-	if here || f.local.Load() != nil || !f.reach.cut(address) {
+	if here || f.local.Load() != nil || !suspect && !f.reach.cut(address) {
 		return true
 	}
 	ctx, cancel := context.WithTimeout(ctx, probeLimit.Duration())
@@ -76,7 +77,7 @@
 	resp, err := f.client.Do(r)
 	if err != nil {
 		f.reach.lost(address)
-		return false
+		return !f.reach.cut(address)
 	}
 	// Only that it came matters.
 	_ = resp.Body.Close()
--- a/recorder/follower.go
+++ b/recorder/follower.go
@@ -88,6 +88,8 @@
 		switch {
 		case errors.Is(err, ErrTrimmed):
 			return err
+		case ctx.Err() != nil:
+			return ctx.Err()
 		case err != nil:
 			w.Failed(err)
 			if !Sleep(ctx, failurePause) {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -188,7 +188,7 @@
 	switch {
 	case q.URL.Path != readyPath:
 		w.WriteHeader(http.StatusNotFound)
-	case r.leaving.Load() || r.ingress.Config() == nil || leader == "" || !r.forward.Reachable(q.Context()):
+	case r.leaving.Load() || r.ingress.Config() == nil || leader == "" || !r.forward.Reachable(q.Context(), r.storeRead.Load() == 0):
 		w.WriteHeader(http.StatusServiceUnavailable)
 	default:
 		if r.life.Can(stateServing) {
--- a/scheduler/reporting.go
+++ b/scheduler/reporting.go
@@ -232,7 +232,7 @@
 }
 
 func (s *Scheduler) confirm(t *task) {
-	t.state, t.confirmed, t.progressed, t.began = running, s.now(), s.now(), true
+	t.state, t.confirmed, t.progressed = running, s.now(), s.now()
 	t.mixed(s.now())
 	if t.spec().Filler {
 		s.pace(t, s.slowdown(t, t.worker, t.worker.fillerShares()))
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -49,8 +49,6 @@
 		progressed clock.Millis
 		// stalled is whether the last report showed no progress for too long.
 		stalled bool
-		// began is set once any run was confirmed.
-		began bool
 		// stopping is set once a stop was ordered for the newest run.
 		stopping bool
 		// settling is set when an answer leaves open whether the run took place; the
