platform: unused connections to workers are bounded by the process's descriptors

Ruled out: processor time (0.22 of 0.4 cores) and memory (218 of 284 MB).

Looks and orders have clients of their own, whose unused connections hold at most 0.1 and 0.2 of the descriptors. Small deployments keep what they had.

--- a/runner/runner.go
+++ b/runner/runner.go
@@ -64,8 +64,6 @@
 	// storeConnections bounds those to the store: the reads that wait for the
 	// operator and for the leader's claim, the registry, the jobs and the claim.
 	storeConnections = 6
-	// workerConnections bounds those to one worker: a look and two orders.
-	workerConnections = 3
 	// policyConnections bounds those to the service that advises, which answers a host
 	// one question at a time.
 	policyConnections = 1
@@ -99,7 +97,7 @@
 	r := &Runner{
 		settings: s, log: l, metrics: measurer.New(s.Host(), s.DataCentre()), now: clock.NewSteady(), operator: map[string][]byte{},
 		store:   platform.NewStore(s.Store(), platform.NewClient(storeConnections)).Seam(),
-		workers: platform.NewWorkers(platform.NewClient(workerConnections)),
+		workers: platform.NewWorkers(s.Descriptors()),
 		cloud:   platform.NewClient(cloudConnections),
 	}
 	r.life = fsm.NewFSM(stateStarting, fsm.Events{
