conductor: after a takeover workers are asked a few at a time, those with runs first

Traced with times in a scratch copy: the state was loaded after 160 ms; then 990 first looks at once, each with a new connection, kept a host of 0.4 cores busy, and the conductor was named to the forwarder only after two calls to its busy loop. Ruled out: the store's limits and the loading.

First looks go out sixteen at a time, do not wait for news, and the conductor is named first. TestTakeoverOfManyWorkers fails before (200 looks at once).

The race detector found in that test that a function handed to the owning goroutine could still write what its caller read after the end of a term (question, renewDeadline, collect, maintain): no caller reads after a false.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -37,6 +37,8 @@
 		cancel   context.CancelFunc
 		group    sync.WaitGroup
 		sessions map[string]*session
+		// firstLooks holds a place for each first look on its way.
+		firstLooks chan struct{}
 		// writing is the batch on its way to the store.
 		writing *scheduler.Batch
 		// flushed is when the last batch was sent; armed is whether a flush is timed.
@@ -107,7 +109,7 @@
 	c := &Conductor{
 		store: s, fleet: f, sched: sched, epoch: t.Epoch, confirmed: t.Confirmed, decode: decode, lease: lease,
 		now: clock.System, emit: func(logger.Event, ...logger.Field) {}, measures: noMeasures(),
-		events: make(chan func(), eventBacklog), sessions: map[string]*session{}, deposits: map[string]recorder.Item{}, batches: make(chan *scheduler.Batch, 1),
+		events: make(chan func(), eventBacklog), sessions: map[string]*session{}, deposits: map[string]recorder.Item{}, firstLooks: make(chan struct{}, firstLooksAtOnce), batches: make(chan *scheduler.Batch, 1),
 	}
 	for _, o := range opts {
 		o(c)
@@ -227,7 +229,8 @@
 	}
 }
 
-// ask runs a function on the owning goroutine and waits for it.
+// ask runs a function on the owning goroutine and waits for it. After false the
+// function may run yet, so nothing that it writes may be read.
 func (c *Conductor) ask(f func()) bool {
 	ran := make(chan struct{})
 	if !c.do(func() { f(); close(ran) }) {
--- a/conductor/deposits.go
+++ b/conductor/deposits.go
@@ -75,7 +75,7 @@
 	defer f.Close()
 	for recorder.Sleep(c.ctx, collectEvery) {
 		var done []recorder.Item
-		c.ask(func() {
+		if !c.ask(func() {
 			done, c.collected = c.collected, nil
 			for k, i := range c.deposits {
 				if !c.sched.Knows(k) {
@@ -83,7 +83,9 @@
 					c.deposited(i)
 				}
 			}
-		})
+		}) {
+			return
+		}
 		if len(done) == 0 {
 			continue
 		}
--- a/conductor/loop.go
+++ b/conductor/loop.go
@@ -241,9 +241,13 @@
 // renewDeadline replaces that of an order which had to wait for others, and reports
 // whether the order may still be sent.
 func (c *Conductor) renewDeadline(o *scheduler.Order) bool {
+	var d clock.Millis
 	var ok bool
-	c.ask(func() { o.Deadline, ok = c.deadline(o.Worker) })
-	return ok
+	if !c.ask(func() { d, ok = c.deadline(o.Worker) }) || !ok {
+		return false
+	}
+	o.Deadline = d
+	return true
 }
 
 // deadline returns until when a worker may work, if this daemon may say so.
--- a/conductor/session.go
+++ b/conductor/session.go
@@ -31,6 +31,9 @@
 	lookWait = 1000 * clock.Millis(1)
 	// gaugeWait is that for workers whose serving tasks are watched.
 	gaugeWait = 500 * clock.Millis(1)
+	// firstLooksAtOnce bounds the first looks that are on their way: opening the
+	// connections to all workers at once would keep a small host busy for seconds.
+	firstLooksAtOnce = 16
 	// lookMargin is allowed for an answer beyond the wait.
 	lookMargin = 800 * clock.Millis(1)
 	// lookPause is the time before a worker that did not answer is asked again.
@@ -76,6 +79,7 @@
 // manageSessions starts to look at workers that have become busy.
 func (c *Conductor) manageSessions() {
 	live := map[string]bool{}
+	var idle []scheduler.Session
 	c.sched.Sessions(func(q scheduler.Session) {
 		k := sessionKey(q.Worker, q.Born)
 		live[k] = true
@@ -83,16 +87,17 @@
 			return
 		}
 		s := c.session(q.Worker, q.Born)
-		if s.looking {
-			return
+		switch {
+		case s.looking:
+		case q.Idle:
+			idle = append(idle, q)
+		default:
+			c.startLooking(s, q.Inherited)
 		}
-		s.looking = true
-		c.group.Add(1)
-		go func() {
-			defer c.group.Done()
-			c.look(s)
-		}()
 	})
+	for _, q := range idle {
+		c.startLooking(c.session(q.Worker, q.Born), q.Inherited)
+	}
 	for k, s := range c.sessions {
 		if !live[k] && !s.looking {
 			delete(c.sessions, k)
@@ -100,6 +105,34 @@
 	}
 }
 
+func (c *Conductor) startLooking(s *session, inherited bool) {
+	s.looking = true
+	c.group.Add(1)
+	go func() {
+		defer c.group.Done()
+		if !inherited || c.firstLook(s) {
+			c.look(s)
+		}
+	}()
+}
+
+// firstLook asks a worker for the first time in a term, and reports whether to go on.
+// After a takeover all workers are due at once; only some are asked at a time, those
+// with runs first.
+func (c *Conductor) firstLook(s *session) bool {
+	select {
+	case c.firstLooks <- struct{}{}:
+	case <-c.ctx.Done():
+		return false
+	}
+	defer func() { <-c.firstLooks }()
+	q, busy, _ := c.question(s)
+	if busy {
+		c.lookOnce(q)
+	}
+	return busy
+}
+
 // look asks a worker again and again while it is busy.
 func (c *Conductor) look(s *session) {
 	for {
@@ -136,8 +169,10 @@
 
 // question returns what to ask next, whether the session goes on, and whether ends
 // await storing.
-func (c *Conductor) question(s *session) (q Question, busy, blocked bool) {
-	ok := c.ask(func() {
+func (c *Conductor) question(s *session) (next Question, goesOn, awaitsStore bool) {
+	var q Question
+	var busy, blocked bool
+	if !c.ask(func() {
 		n, known := c.sched.Session(s.worker, s.born)
 		if !known || !n.Busy {
 			s.looking = false
@@ -146,14 +181,16 @@
 		busy, blocked = true, n.Blocked
 		q = Question{Worker: s.worker, Address: n.Address, Born: s.born, Acked: n.Acked, Wait: lookWait}
 		switch {
-		case n.Idle:
+		case n.Idle, n.Inherited:
 			q.Wait = 0
 		case n.Gauged:
 			q.Wait = gaugeWait
 		}
 		q.Deadline, _ = c.deadline(s.worker)
-	})
-	return q, busy && ok, blocked
+	}) {
+		return Question{}, false, false
+	}
+	return q, busy, blocked
 }
 
 // lookOnce asks the worker and reports whether it answered.
--- /dev/null
+++ b/conductor/takeover_test.go
@@ -0,0 +1,88 @@
+package conductor_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"galenawharf.example/galenawharf/clock"
+	"galenawharf.example/galenawharf/conductor"
+	"galenawharf.example/galenawharf/imitator"
+	"galenawharf.example/galenawharf/scheduler"
+)
+
+// TestTakeoverOfManyWorkers counts the first looks of a new leader that are on their
+// way at once, and when the workers with runs have had theirs.
+func TestTakeoverOfManyWorkers(t *testing.T) {
+	const (
+		workers = 200
+		jobs    = 5
+		// atOnce bounds the looks on their way of a host with a sixth of a core, so that
+		// it goes on answering callers.
+		atOnce = 16
+	)
+	synctest.Test(t, func(t *testing.T) {
+		l := imitator.NewKeyedLog(4, nil)
+		p := imitator.NewPool(workers, 4, func(scheduler.TaskName, int) (clock.Millis, scheduler.Ending) { return 20_000, scheduler.EndDone }, nil)
+		p.Register(l)
+		lead := func(epoch int64, f conductor.Fleet) *conductor.Conductor {
+			c, err := conductor.New(t.Context(), conductor.Term{Epoch: epoch, FormerIsOver: true, Confirmed: clock.System},
+				l.Client("h"), f, scheduler.New(scheduler.WithLease(testLease)), testLease, imitator.DecodeEntry)
+			must.NoError(t, err)
+			return c
+		}
+		first := lead(1, p.Fleet())
+		busy := map[string]bool{}
+		for i := range jobs {
+			must.NoError(t, first.Submit(t.Context(), scheduler.Spec{
+				ID: fmt.Sprintf("%016x", i), Queue: scheduler.Queue{Name: "q", Service: "pool", MaxAttempts: 3, Slack: 2},
+				Steps: []scheduler.Step{{Count: 2, CPU: 1000}},
+			}))
+		}
+		time.Sleep(time.Second)
+		for _, w := range p.Busy() {
+			busy[w] = true
+		}
+		first.Close()
+		must.MapNotEmpty(t, busy)
+
+		var mu sync.Mutex
+		now, most := 0, 0
+		var order []string
+		f := p.Fleet()
+		look := f.Look
+		f.Look = func(ctx context.Context, q conductor.Question, epoch int64) (scheduler.Report, scheduler.Outcome) {
+			mu.Lock()
+			seen := len(order)
+			if seen < workers {
+				order = append(order, q.Worker)
+			}
+			now++
+			if seen < workers {
+				most = max(most, now)
+			}
+			mu.Unlock()
+			time.Sleep(5 * time.Millisecond)
+			r, out := look(ctx, q, epoch)
+			mu.Lock()
+			now--
+			mu.Unlock()
+			return r, out
+		}
+		second := lead(2, f)
+		time.Sleep(2 * time.Second)
+		second.Close()
+		must.SliceEmpty(t, p.Faults())
+		must.Eq(t, workers, len(order))
+		must.LessEq(t, atOnce+len(busy), most, must.Sprint("first looks at once, beside the next looks at busy workers"))
+		for _, w := range order[:atOnce] {
+			delete(busy, w)
+		}
+		must.MapEmpty(t, busy, must.Sprint("workers with runs were not asked first"))
+	})
+}
--- a/conductor/upkeep.go
+++ b/conductor/upkeep.go
@@ -47,8 +47,10 @@
 	known := false
 	for recorder.Sleep(c.ctx, maintainEvery) {
 		open := false
-		c.ask(func() { open = c.sched.Maintaining() })
-		if !open {
+		switch {
+		case !c.ask(func() { open = c.sched.Maintaining() }):
+			return
+		case !open:
 			continue
 		}
 		if !known {
@@ -85,13 +87,15 @@
 		return
 	}
 	var states map[string]scheduler.WaveState
-	c.ask(func() {
+	if !c.ask(func() {
 		c.sched.ListMachines(ms, asked)
 		for _, u := range c.sched.Upkeeps() {
 			c.upkeep(u)
 		}
 		states = c.sched.WaveStates()
-	})
+	}) {
+		return
+	}
 	for id, s := range states {
 		if err := c.cloud.Publish(ctx, id, s); err != nil {
 			c.emit(logger.CloudFailed, logger.String("wave", id), logger.Err(err))
--- a/imitator/pool.go
+++ b/imitator/pool.go
@@ -357,3 +357,16 @@
 	}
 	return false
 }
+
+// Busy returns the workers that have runs.
+func (p *Pool) Busy() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var ids []string
+	for id, w := range p.workers {
+		if len(w.runs) > 0 {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -243,9 +243,9 @@
 		r.log.Emit(logger.StoreLost, logger.Err(err))
 		return
 	}
+	r.forward.SetLocal(c)
 	c.SetEvacuated(*r.evacuated.Load())
 	c.SetWaves(*r.waves.Load())
-	r.forward.SetLocal(c)
 	r.metrics.Add(measurer.Terms, 1)
 	r.metrics.Set(measurer.Leading, 1)
 	c.Wait()
--- a/scheduler/session.go
+++ b/scheduler/session.go
@@ -12,6 +12,8 @@
 		Idle bool
 		// Busy is whether the worker has runs or ends to hear of.
 		Busy bool
+		// Inherited is whether the worker has not reported to this leader yet.
+		Inherited bool
 		// Gauged is whether serving tasks share the worker with fillers.
 		Gauged bool
 		// Blocked is whether ends await storing, so that asking again would only
@@ -49,7 +51,7 @@
 		Busy:    len(w.tasks) > 0 || w.seen > w.acked || w.inherits || w.silent != 0 && w.listed || w.acked > w.told,
 		Gauged:  w.serving > 0 && w.fillerCPU > 0,
 		Blocked: w.seen > w.acked,
-		Idle:    len(w.tasks) == 0,
+		Idle:    len(w.tasks) == 0, Inherited: w.inherits,
 	}
 }
 
