--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -15,6 +15,7 @@
 	"galenawharf.example/galenawharf/conductor"
 	"galenawharf.example/galenawharf/depositor"
 	"galenawharf.example/galenawharf/elector"
+	"galenawharf.example/galenawharf/logger"
 	"galenawharf.example/galenawharf/scheduler"
 )
 
@@ -26,6 +27,7 @@
 		client  *http.Client
 		reach   *reach
 		deposit func(context.Context, scheduler.Spec) error
+		emit    func(logger.Event, ...logger.Field)
 	}
 )
 
@@ -43,8 +45,8 @@
 
 // New returns a forwarder that asks the elector who leads. deposit stores a job where
 // the leader finds it; its errors are those of depositor.Depositor.
-func New(e func() *elector.Elector, c *http.Client, now func() clock.Millis, deposit func(context.Context, scheduler.Spec) error) *Forwarder {
-	return &Forwarder{elector: e, client: c, reach: &reach{now: now}, deposit: deposit}
+func New(e func() *elector.Elector, c *http.Client, now func() clock.Millis, deposit func(context.Context, scheduler.Spec) error, emit func(logger.Event, ...logger.Field)) *Forwarder {
+	return &Forwarder{elector: e, client: c, reach: &reach{now: now, emit: emit}, deposit: deposit, emit: emit}
 }
 
 // SetLocal names the conductor of this daemon while it leads, nil otherwise.
@@ -64,6 +66,7 @@
 	}
 	switch err := f.deposit(ctx, q.Spec); {
 	case err == nil:
+		f.emit(logger.JobDeposited, logger.String("id", q.Spec.ID), logger.String("reason", r.Error))
 		return Reply{Outcome: OK}
 	case errors.Is(err, depositor.ErrAway):
 		return r
--- a/forwarder/reach.go
+++ b/forwarder/reach.go
@@ -6,13 +6,15 @@
 	"sync"
 
 	"galenawharf.example/galenawharf/clock"
+	"galenawharf.example/galenawharf/logger"
 )
 
 type (
 	// reach is whether the leader answers this host.
 	reach struct {
-		mu  sync.Mutex
-		now func() clock.Millis
+		mu   sync.Mutex
+		now  func() clock.Millis
+		emit func(logger.Event, ...logger.Field)
 		// address is the leader that did not answer; since is the first time that it
 		// did not, failed the last one. All are zero while it answers.
 		address       string
@@ -36,6 +38,7 @@
 	defer r.mu.Unlock()
 	if r.address != address {
 		r.address, r.since = address, r.now()
+		r.emit(logger.LeaderSilent, logger.String("leader", address))
 	}
 	r.failed = r.now()
 }
@@ -43,6 +46,9 @@
 func (r *reach) found() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.address != "" {
+		r.emit(logger.LeaderBack, logger.Int("away-ms", int64(r.now()-r.since)))
+	}
 	r.address, r.since, r.failed = "", 0, 0
 }
 
--- a/forwarder/reach_test.go
+++ b/forwarder/reach_test.go
@@ -13,12 +13,13 @@
 	"galenawharf.example/galenawharf/depositor"
 	"galenawharf.example/galenawharf/elector"
 	"galenawharf.example/galenawharf/imitator"
+	"galenawharf.example/galenawharf/logger"
 	"galenawharf.example/galenawharf/scheduler"
 )
 
 func TestReach(t *testing.T) {
 	now := clock.NewManual(10_000)
-	r := &reach{now: now.Now}
+	r := &reach{now: now.Now, emit: func(logger.Event, ...logger.Field) {}}
 	must.False(t, r.paused("a"))
 	r.lost("a")
 	must.True(t, r.paused("a"))
@@ -61,7 +62,7 @@
 			e.Hint(elector.Claim{Epoch: 99, Host: "other", Address: "127.0.0.1:9", Life: "other"})
 			deposits := 0
 			f := New(func() *elector.Elector { return e }, &http.Client{Transport: transport(func(*http.Request) (*http.Response, error) { return nil, tc.call })},
-				clock.System, func(context.Context, scheduler.Spec) error { deposits++; return tc.deposit })
+				clock.System, func(context.Context, scheduler.Spec) error { deposits++; return tc.deposit }, func(logger.Event, ...logger.Field) {})
 			must.Eq(t, tc.want, f.Serve(t.Context(), Request{Verb: tc.verb}).Outcome)
 			must.Eq(t, tc.deposits, deposits)
 		})
--- a/logger/events.go
+++ b/logger/events.go
@@ -56,6 +56,9 @@
 	Evacuated      = Event{6005, log.InfoLevel, "evacuated data centres changed"}
 	JobAccepted    = Event{6010, log.InfoLevel, "job accepted"}
 	JobRefused     = Event{6011, log.WarnLevel, "request refused"}
+	JobDeposited   = Event{6014, log.InfoLevel, "job stored for a leader that can't be reached"}
+	LeaderSilent   = Event{6015, log.WarnLevel, "leader does not answer this host"}
+	LeaderBack     = Event{6016, log.InfoLevel, "leader answers this host again"}
 	JobUnclear     = Event{6012, log.WarnLevel, "request ended without a known outcome"}
 	JobEnded       = Event{6013, log.InfoLevel, "job ended"}
 	RunPlaced      = Event{6020, log.InfoLevel, "run placed"}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -112,7 +112,7 @@
 	r.evacuated.Store(&[]string{})
 	r.waves.Store(&[]scheduler.Wave{})
 	deposits := depositor.New(r.store, r.now, func() clock.Millis { return clock.Millis(r.storeRead.Load()) })
-	r.forward = forwarder.New(func() *elector.Elector { return r.elector }, platform.NewClient(peerConnections), r.now, deposits.Deposit)
+	r.forward = forwarder.New(func() *elector.Elector { return r.elector }, platform.NewClient(peerConnections), r.now, deposits.Deposit, l.Emit)
 	r.ingress = platform.NewIngress(r.answer, l.Emit)
 	life := strconv.FormatInt(int64(clock.System()), 36) + "-" + s.Peers()
 	r.elector = elector.New(r.store, s.Host(), s.Peers(), life, r.lead, elector.WithClock(r.now), elector.WithCores(s.Cores()), elector.WithEvents(l.Emit))
