--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"galenawharf.example/galenawharf/clock"
+	"galenawharf.example/galenawharf/depositor"
 	"galenawharf.example/galenawharf/logger"
 	"galenawharf.example/galenawharf/recorder"
 	"galenawharf.example/galenawharf/scheduler"
@@ -53,6 +54,12 @@
 		batches   chan *scheduler.Batch
 	}
 
+	// listing is a whole topic as it was read.
+	listing struct {
+		items map[string][]byte
+		err   error
+	}
+
 	// Option sets up a Conductor.
 	Option func(*Conductor)
 
@@ -153,6 +160,9 @@
 
 // load takes over the records of the former leader.
 func (c *Conductor) load(t Term) error {
+	// The other topics are read meanwhile: a slow store takes a quarter of a second for
+	// each call.
+	entries, deposits := c.list(registry), c.list(depositor.Topic)
 	items, end, err := recorder.Load(c.ctx, c.store, topic)
 	if err != nil {
 		return err
@@ -176,23 +186,37 @@
 			return recorder.ErrDeposed
 		case e == c.epoch:
 			c.writer = recorder.NewWriter(c.store, topic, end, owned, recorder.WithClock(c.now))
-			return c.adopt(t, items)
+			return c.adopt(t, items, <-entries, <-deposits)
 		}
 	}
 	c.writer = recorder.NewWriter(c.store, topic, c.writer.End(), owned, recorder.WithClock(c.now))
-	return c.adopt(t, items)
+	return c.adopt(t, items, <-entries, <-deposits)
+}
+
+// list starts to read a whole topic.
+func (c *Conductor) list(topic string) <-chan listing {
+	l := make(chan listing, 1)
+	c.group.Add(1)
+	go func() {
+		defer c.group.Done()
+		items, _, err := recorder.Load(c.ctx, c.store, topic)
+		l <- listing{items, err}
+	}()
+	return l
 }
 
-func (c *Conductor) adopt(t Term, items map[string][]byte) error {
+func (c *Conductor) adopt(t Term, items map[string][]byte, entries, deposits listing) error {
+	if entries.err != nil {
+		return entries.err
+	}
+	if deposits.err != nil {
+		return deposits.err
+	}
 	until := c.now() + c.lease + c.lease/20 + orderLimit
 	if !t.FormerIsOver {
 		until += authorityLimit
 	}
-	entries, _, err := recorder.Load(c.ctx, c.store, registry)
-	if err != nil {
-		return err
-	}
-	for k, v := range entries {
+	for k, v := range entries.items {
 		c.entry(recorder.Item{Key: k, Value: v})
 	}
 	if len(items) > 0 {
@@ -203,7 +227,11 @@
 			c.emit(logger.RecordInvalid, logger.String("key", k), logger.Err(err))
 		}
 	}
-	return c.loadDeposits()
+	// Jobs that were deposited while nobody led are known before anybody can ask for them.
+	for k, v := range deposits.items {
+		c.deposited(recorder.Item{Key: k, Value: v})
+	}
+	return nil
 }
 
 func (c *Conductor) entry(i recorder.Item) {
--- a/conductor/deposits.go
+++ b/conductor/deposits.go
@@ -15,19 +15,6 @@
 	collectEvery = 500 * clock.Millis(1)
 )
 
-// loadDeposits accepts the jobs that were deposited while nobody led, before anybody
-// can ask for them.
-func (c *Conductor) loadDeposits() error {
-	items, _, err := recorder.Load(c.ctx, c.store, depositor.Topic)
-	if err != nil {
-		return err
-	}
-	for k, v := range items {
-		c.deposited(recorder.Item{Key: k, Value: v})
-	}
-	return nil
-}
-
 // deposited accepts one deposit. It runs on the owning goroutine.
 func (c *Conductor) deposited(i recorder.Item) {
 	if len(i.Value) == 0 {
