--- a/forwarder/reach_test.go
+++ b/forwarder/reach_test.go
@@ -77,3 +77,40 @@
 type transport func(*http.Request) (*http.Response, error)
 
 func (f transport) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
+
+// TestReachable has a leader that has not answered requests for a while, and asks it
+// once more.
+func TestReachable(t *testing.T) {
+	tests := map[string]struct {
+		lost, suspect, answers bool
+		calls                  int
+		want                   bool
+	}{
+		"all well":                          {answers: true, want: true},
+		"lost":                              {lost: true, calls: 1, want: false},
+		"lost, and back":                    {lost: true, answers: true, calls: 1, want: true},
+		"the store fails, the leader is up": {suspect: true, answers: true, calls: 1, want: true},
+		"the store fails, once no answer":   {suspect: true, calls: 1, want: true},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			log := imitator.NewKeyedLog(0, func(string, string, string) imitator.StoreFault { return imitator.StoreRefuses })
+			e := elector.New(log.Client("h"), "h", "127.0.0.1:1", "life", func(context.Context, elector.Term) {})
+			defer e.Close()
+			e.Hint(elector.Claim{Epoch: 99, Host: "other", Address: "127.0.0.1:9", Life: "other"})
+			now, calls := clock.NewManual(10_000), 0
+			f := New(func() *elector.Elector { return e }, &http.Client{Transport: transport(func(*http.Request) (*http.Response, error) {
+				if calls++; !tc.answers {
+					return nil, errors.New("no answer")
+				}
+				return &http.Response{StatusCode: http.StatusNotFound, Body: http.NoBody}, nil
+			})}, now.Now, func(context.Context, scheduler.Spec) error { return nil }, func(logger.Event, ...logger.Field) {})
+			if tc.lost {
+				f.reach.lost("127.0.0.1:9")
+				now.Advance(cutPatience + 1)
+			}
+			must.Eq(t, tc.want, f.Reachable(t.Context(), tc.suspect))
+			must.Eq(t, tc.calls, calls)
+		})
+	}
+}
