--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -135,7 +135,8 @@
 		return ws
 	}
 	if step.Gang {
-		return s.placeGang(d, ws, now)
+		s.placeGang(d, ws, now)
+		return ws
 	}
 	for _, t := range d.tasks {
 		w := s.choose(t, ws)
@@ -180,9 +181,8 @@
 	return slices.Delete(slices.Clone(ws), best, best+1)
 }
 
-// placeGang places all tasks of a gang or none, and returns the workers for the next
-// demand.
-func (s *Scheduler) placeGang(d demand, ws []*worker, now clock.Millis) []*worker {
+// placeGang places all tasks of a gang or none.
+func (s *Scheduler) placeGang(d demand, ws []*worker, now clock.Millis) {
 	if len(d.tasks) != d.occurrence.job.spec.Steps[d.step].Count {
 		// Members of the former run are still held.
 		for _, t := range d.occurrence.steps[d.step] {
@@ -190,7 +190,7 @@
 				s.stop(t)
 			}
 		}
-		return ws
+		return
 	}
 	attempt, checkpoint := 0, ""
 	for _, t := range d.tasks {
@@ -200,14 +200,13 @@
 		}
 	}
 	if !s.seatGang(d, ws, now) {
-		return ws
+		return
 	}
 	for _, t := range d.tasks {
 		w := t.worker
 		t.attempt, t.checkpoint = attempt, checkpoint
 		s.assign(t, w, now)
 	}
-	return ws
 }
 
 // seatGang gives each task of a gang a worker, or none. A gang that is slow over
@@ -305,8 +304,7 @@
 		return false
 	case step.PerWorker > 0 && w.countOf(t) >= step.PerWorker:
 		return false
-	case step.Rack != "" && !w.hasLabel(step.Rack) && s.racks[step.Rack] && s.now()-cmp.Or(t.waiting, s.now()) < s.detour(step):
-		// A run away from its data would end later than one that waits a little longer.
+	case step.Rack != "" && !w.hasLabel(step.Rack) && s.racks[step.Rack] && !s.worthDetour(t, step):
 		return false
 	case w.failures >= failureQuarantine && w.probedAt >= w.failedAt:
 		// One run at a time shows whether it is well again.
@@ -316,6 +314,12 @@
 	}
 }
 
+// worthDetour reports whether a task has waited for room beside its data as long as a
+// run elsewhere would take longer: until then waiting on may end sooner.
+func (s *Scheduler) worthDetour(t *task, step *Step) bool {
+	return t.waiting != 0 && s.now()-t.waiting >= s.detour(step)
+}
+
 // detour returns how much longer a task is expected to take away from its data, or a
 // gang spread over racks.
 func (s *Scheduler) detour(step *Step) clock.Millis {
