scheduler: ends are acknowledged to the life of a worker that had them

Traced by its id: the store was away for 7.2 s, in which worker w3 was restarted; when the batch was stored, the number of w3's last end went to its new life, whose ends are numbered from 1. Its first ends were then forgotten unseen, its run was missed from the list (GE6022) and placed again. Ruled out: a takeover (one leader throughout), an order carried out late.

Acknowledgements name the worker's birth. TestAckOfAFormerLife fails before.

--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -28,6 +28,12 @@
 	// Outcome is what is known of an order after its call.
 	Outcome int
 
+	// Ack is the highest end of one life of a worker.
+	Ack struct {
+		Born   int64
+		Number int64
+	}
+
 	// Record is a job to store under its key; a nil value deletes it.
 	Record struct {
 		Key   string
@@ -40,7 +46,7 @@
 		Records []Record
 		Orders  []Order
 		// Acks has for each worker the highest end that the batch stores.
-		Acks map[string]int64
+		Acks map[string]Ack
 		// replies are told when the batch is stored.
 		replies []reply
 		// phases are those that the batch stores.
--- a/scheduler/reporting.go
+++ b/scheduler/reporting.go
@@ -125,7 +125,7 @@
 		w.seen = max(w.seen, e.Number)
 	}
 	if w.seen > w.acked {
-		s.acks[w.info.ID] = w.seen
+		s.acks[w.info.ID] = Ack{Born: w.info.Born, Number: w.seen}
 	}
 	for _, a := range r.Active {
 		if t := s.reportActive(w, a); t != nil {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -50,7 +50,7 @@
 		// immediate orders need nothing stored before them.
 		immediate []Order
 		replies   []reply
-		acks      map[string]int64
+		acks      map[string]Ack
 		// consultations are those that the last round of placing found wanting, the
 		// most urgent first.
 		consultations []Consultation
@@ -122,7 +122,7 @@
 		leaseLength: defaultLease, retention: defaultRetention, harmLimit: defaultHarm, remoteFactor: defaultRemote,
 		jobs: map[string]*job{}, active: map[*job]struct{}{}, workers: map[string]*worker{},
 		evacuated: map[string]bool{}, images: map[string]*sensitivity{}, means: map[string]float64{},
-		dirty: map[*job]struct{}{}, acks: map[string]int64{}, upkeepLength: defaultUpkeep, waves: map[string]*wave{},
+		dirty: map[*job]struct{}{}, acks: map[string]Ack{}, upkeepLength: defaultUpkeep, waves: map[string]*wave{},
 	}
 	for _, o := range opts {
 		o(s)
@@ -252,7 +252,7 @@
 		}
 	}
 	clear(s.dirty)
-	s.removed, s.orders, s.replies, s.acks = nil, nil, nil, map[string]int64{}
+	s.removed, s.orders, s.replies, s.acks = nil, nil, nil, map[string]Ack{}
 	return b
 }
 
@@ -305,9 +305,10 @@
 	for _, r := range b.replies {
 		r.tell(nil)
 	}
-	for id, n := range b.Acks {
-		if w := s.workers[id]; w != nil {
-			w.acked = max(w.acked, n)
+	for id, a := range b.Acks {
+		// A worker that was restarted meanwhile numbers its ends anew.
+		if w := s.workers[id]; w != nil && w.info.Born == a.Born {
+			w.acked = max(w.acked, a.Number)
 		}
 	}
 }
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -360,3 +360,22 @@
 	b.Answered(o, NoRoom)
 	must.SliceEmpty(t, b.store(), must.Sprint("the task was started elsewhere"))
 }
+
+// TestAckOfAFormerLife restarts a worker while its ends are on their way to the store.
+func TestAckOfAFormerLife(t *testing.T) {
+	b := newBench(1)
+	b.submit(t, "job", Step{Count: 1, CPU: 100})
+	o := b.store()[0]
+	b.Answered(o, Done)
+	b.list("w0", nil, endOf(7, o, EndDone))
+	b.Place()
+	batch := b.Take()
+	must.MapLen(t, 1, batch.Acks)
+	w := benchWorker(0)
+	w.Born = 2
+	b.UpdateWorker(w)
+	b.Stored(batch)
+	s, ok := b.Session("w0", 2)
+	must.True(t, ok)
+	must.Eq(t, 0, s.Acked, must.Sprint("ends of the new life are acknowledged before they were listed"))
+}
