scheduler: headroom of serving tasks as a linear model, their own load as waves

Now: a Kalman filter of weights per serving image on objective/tail, a fit of mean and wave per serving step over a bank of periods, of which the one that fits all steps best counts. Paces follow from both, those that disturb most slowed first. Fillers take their room at full speed also while slowed: counted at their pace too many were admitted and all were late. Workers' tasks are a slice and workers are walked by name, so that a test repeats.

--- a/scheduler/bench_test.go
+++ b/scheduler/bench_test.go
@@ -60,7 +60,7 @@
 			running = running[1:]
 			number[o.Worker]++
 			var active []ActiveRun
-			for t := range s.workers[o.Worker].tasks {
+			for _, t := range s.workers[o.Worker].tasks {
 				active = append(active, ActiveRun{Task: t.name().String(), Attempt: t.attempt, Percent: 100, Gauge: 20})
 			}
 			s.Report(Report{Worker: o.Worker, Born: 1, Clock: c.Now(), Sent: c.Now(), Active: active, Ended: []EndedRun{endOf(number[o.Worker], o, EndDone)}})
--- a/scheduler/draining.go
+++ b/scheduler/draining.go
@@ -15,11 +15,11 @@
 	now := s.now()
 	var ws []*worker
 	moves := 0
-	for _, w := range s.workers {
+	for _, w := range s.ordered() {
 		if !w.info.Draining || w.silent != 0 || w.inherits {
 			continue
 		}
-		for t := range w.tasks {
+		for _, t := range w.tasks {
 			if t.state != running || t.stopping || t.spec().Gang || !t.outlasts(w, now) {
 				continue
 			}
--- a/scheduler/ending.go
+++ b/scheduler/ending.go
@@ -46,11 +46,11 @@
 // release takes a task off its worker.
 func (s *Scheduler) release(t *task) {
 	if t.worker != nil {
-		t.mixed(s.now())
+		t.left(s.now())
 		t.worker.remove(t)
 	}
 	t.worker, t.state, t.stopping, t.settling, t.confirmed, t.over = nil, pending, false, 0, 0, 0
-	t.percent, t.load, t.tail = 0, 0, 0
+	t.percent, t.load, t.tail, t.learntAt = 0, 0, 0, 0
 }
 
 func (s *Scheduler) taskDone(t *task) {
--- a/scheduler/interference.go
+++ b/scheduler/interference.go
@@ -1,34 +1,40 @@
 package scheduler
 
 import (
+	"cmp"
 	"math"
 	"slices"
 
 	"galenawharf.example/galenawharf/clock"
 )
 
-// servingGroup is the serving tasks of one image on a worker.
+// servingGroup is the serving tasks of one step on a worker.
 type servingGroup struct {
-	model *sensitivity
-	tasks int
-	// tail is the highest expected tail of them, as a logarithm.
-	tail float64
+	model    *sensitivity
+	baseline *baseline
+	tasks    int
+	// fall is by how much the fillers on the worker lower their headroom.
+	fall float64
 }
 
-var comfortableLog = math.Log(comfortableTail)
-
 const (
-	// settleTime is how long the fillers of a worker must be unchanged before its
-	// gauges are learnt from: the half second that they cover.
+	// settleTime is how long no filler may have left a worker before its gauges are
+	// learnt from: the half second that they cover.
 	settleTime = 500 * clock.Millis(1)
-	// comfortableTail is the share of the objective up to which fillers may raise a
-	// tail; the load of the serving tasks themselves swings by half.
-	comfortableTail = 0.5
-	// excessWeight is the weight of the newest reading in the excess of a task: its
-	// load swings in some ten seconds, and readings come twice a second.
-	excessWeight = 0.3
-	// excessLimit bounds the excess, so that a stall does not stop fillers for long.
-	excessLimit = 0.7
+	// comfortableHeadroom is what a new filler leaves to the serving tasks beside it: the
+	// load of their users may rise further while it runs.
+	comfortableHeadroom = 1.5
+	// placeAhead is the time for which that is reckoned: the run time of the users'
+	// fillers.
+	placeAhead = 2000 * clock.Millis(1)
+	// pacedHeadroom is what fillers at work leave: the objective, and a margin for the
+	// errors of the model.
+	pacedHeadroom = 1.2
+	// paceAhead is how long a pace has to do: until the next one takes effect.
+	paceAhead = 700 * clock.Millis(1)
+	// leastUse bounds the use of a filler below, as a share of what it is declared to
+	// use: what it was last seen to use may be a pause.
+	leastUse = 0.5
 )
 
 // sensitivityOf returns the model of a serving image.
@@ -45,20 +51,37 @@
 // at their pace, by image.
 func (w *worker) fillerShares() map[string]float64 {
 	shares := map[string]float64{}
-	total := float64(max(w.info.CPU, 1))
-	for t := range w.tasks {
+	for _, t := range w.tasks {
 		if t.spec().Filler && t.state != done {
-			shares[t.spec().Image] += float64(t.spec().CPU) / total * float64(t.pace) / 100
+			shares[t.spec().Image] += t.fullShare(w) * float64(t.pace) / 100
 		}
 	}
 	return shares
 }
 
+// fullShare returns the share of the worker's processors that a filler uses at full
+// speed.
+func (t *task) fullShare(w *worker) float64 {
+	use := t.use
+	if use == 0 {
+		use = 1
+	}
+	return use * float64(t.spec().CPU) / float64(max(w.info.CPU, 1))
+}
+
+// used takes in the processor use that a filler was seen to have. A pace that was just
+// set may not show in it.
+func (t *task) used(now clock.Millis) {
+	if t.load > 0 && t.pacedCPU() > 0 && now-t.pacedAt > settleTime {
+		t.use = min(max(float64(t.load)/float64(t.pacedCPU()), leastUse), 1)
+	}
+}
+
 // measuredShares returns what the fillers were last seen to use.
 func (w *worker) measuredShares() map[string]float64 {
 	shares := map[string]float64{}
 	total := float64(max(w.info.CPU, 1))
-	for t := range w.tasks {
+	for _, t := range w.tasks {
 		if t.spec().Filler && t.state == running {
 			shares[t.spec().Image] += float64(t.load) / total
 		}
@@ -66,88 +89,110 @@
 	return shares
 }
 
-// disturbance returns by how much a filler of a step would push the tails of the
-// serving tasks of a worker beyond the comfortable share of their objective, summed
-// over those tasks, as a logarithm.
+// disturbance returns by how much a filler of a step would take the serving tasks of a
+// worker below a comfortable headroom, as a share of that, summed over the tasks.
 func (s *Scheduler) disturbance(step *Step, w *worker) float64 {
 	if w.serving == 0 {
 		return 0
 	}
+	now := s.now()
 	share := float64(step.CPU) / float64(max(w.info.CPU, 1))
 	sum := 0.0
 	for _, g := range s.servingGroups(w) {
-		weight := g.model.expect(step.Image, s.now())
+		weight := g.model.expect(step.Image, now)
 		if weight < harmfulWeight {
 			continue
 		}
-		rise := weight * share
-		sum += float64(g.tasks) * math.Min(rise, math.Max(0, g.tail+rise-comfortableLog))
+		fall := weight * share
+		after := g.baseline.least(now, now+placeAhead) - g.fall - fall
+		sum += float64(g.tasks) * math.Min(fall, math.Max(0, comfortableHeadroom-after))
 	}
-	return sum
+	return sum / comfortableHeadroom
 }
 
-// servingGroups returns the serving tasks of a worker by image.
+// servingGroups returns the serving tasks of a worker by step.
 func (s *Scheduler) servingGroups(w *worker) []servingGroup {
 	if w.grouped {
 		return w.groups
 	}
 	w.groups, w.grouped, w.overdue = w.groups[:0], true, false
 	shares := w.fillerShares()
-	for t := range w.tasks {
+	for _, t := range w.tasks {
 		if t.spec().Objective == 0 {
 			continue
 		}
 		w.overdue = w.overdue || t.over != 0
-		m := s.sensitivityOf(t.spec().Image)
-		i := slices.IndexFunc(w.groups, func(g servingGroup) bool { return g.model == m })
+		b := s.baselineOf(t)
+		i := slices.IndexFunc(w.groups, func(g servingGroup) bool { return g.baseline == b })
 		if i < 0 {
-			w.groups = append(w.groups, servingGroup{model: m, tail: math.Inf(-1)})
+			m := s.sensitivityOf(t.spec().Image)
+			w.groups = append(w.groups, servingGroup{model: m, baseline: b, fall: m.fall(shares)})
 			i = len(w.groups) - 1
 		}
 		w.groups[i].tasks++
-		w.groups[i].tail = max(w.groups[i].tail, m.predict(shares)+t.excess)
 	}
 	return w.groups
 }
 
-// learn takes in the tails that a worker has just reported, unless its fillers have
-// changed within the time that the gauges cover.
+// learn takes in the tails that a worker has just reported, unless a filler has left
+// within the time that the gauges cover.
 func (s *Scheduler) learn(w *worker) {
-	if w.serving == 0 || s.now()-w.mixedAt < settleTime {
+	now := s.now()
+	for _, t := range w.tasks {
+		if t.spec().Filler && t.state == running {
+			t.used(now)
+		}
+	}
+	w.grouped = false
+	if w.serving == 0 || now-w.mixedAt < settleTime {
 		return
 	}
 	shares := w.measuredShares()
-	for t := range w.tasks {
-		if t.spec().Objective > 0 && t.state == running && t.percent == 100 && t.tail > 0 {
-			m := s.sensitivityOf(t.spec().Image)
-			tail := float64(t.tail) / float64(t.spec().Objective)
-			miss := math.Log(math.Min(tail, tailCap)) - m.predict(shares)
-			t.follow(miss)
-			m.learn(tail, shares)
+	for _, t := range w.tasks {
+		if t.spec().Objective == 0 || t.state != running || t.percent != 100 || t.tail <= 0 || now-t.learntAt < gaugeAge {
+			continue
 		}
+		t.learntAt = now
+		headroom := math.Min(float64(t.spec().Objective)/float64(t.tail), idleHeadroom)
+		s.sensitivityOf(t.spec().Image).learn(s.baselineOf(t), now-gaugeAge, headroom, shares)
 	}
 }
 
-// slowdown returns the share of its speed that a filler may have, in percent, so that
-// the tails beside it stay comfortable: 100 unless it is known to do harm.
-func (s *Scheduler) slowdown(t *task, w *worker, shares map[string]float64) int {
-	allowed := 100
-	for o := range w.tasks {
-		if o.spec().Objective == 0 {
-			continue
+// paces returns the fillers of a worker and for each the pace, in percent, at which the
+// serving tasks beside them keep their headroom until the next change. Those that
+// disturb most for the work they do are slowed first.
+func (s *Scheduler) paces(w *worker) ([]*task, map[*task]int) {
+	now := s.now()
+	fillers := make([]*task, 0, len(w.tasks))
+	paces := map[*task]int{}
+	for _, t := range w.tasks {
+		if t.spec().Filler && t.state != done {
+			fillers = append(fillers, t)
+			paces[t] = 100
 		}
-		m := s.sensitivityOf(o.spec().Image)
-		if !m.harmful(t.spec().Image) {
+	}
+	for _, g := range s.servingGroups(w) {
+		excess := pacedHeadroom - g.baseline.least(now, now+paceAhead)
+		for _, t := range fillers {
+			excess += g.model.weight(t.spec().Image) * t.fullShare(w)
+		}
+		if excess <= 0 {
 			continue
 		}
-		own := shares[t.spec().Image]
-		rise := m.weight(t.spec().Image) * own
-		room := comfortableLog - (m.predict(shares) + o.excess - rise)
-		if rise > room {
-			allowed = min(allowed, max(0, int(float64(t.pace)*room/rise)))
+		slices.SortStableFunc(fillers, func(a, b *task) int {
+			return cmp.Compare(g.model.weight(b.spec().Image), g.model.weight(a.spec().Image))
+		})
+		for _, t := range fillers {
+			fall := g.model.weight(t.spec().Image) * t.fullShare(w)
+			if excess <= 0 || fall <= 0 {
+				break
+			}
+			cut := math.Min(fall, excess)
+			paces[t] = min(paces[t], int(100*(1-cut/fall)))
+			excess -= cut
 		}
 	}
-	return allowed
+	return fillers, paces
 }
 
 // explore notes that a filler is about to show how it disturbs the tasks of a worker.
@@ -155,7 +200,7 @@
 	if !step.Filler || w.serving == 0 {
 		return
 	}
-	for t := range w.tasks {
+	for _, t := range w.tasks {
 		if t.spec().Objective == 0 {
 			continue
 		}
@@ -164,9 +209,3 @@
 		}
 	}
 }
-
-// follow takes in by how much the logarithm of the tail of a serving task was above
-// what its image and the fillers beside it explain: its own load.
-func (t *task) follow(miss float64) {
-	t.excess += excessWeight * (max(-excessLimit, min(miss, excessLimit)) - t.excess)
-}
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -56,6 +56,8 @@
 		// permits has what is known of who may run each step, by step; only for queues
 		// with a policy.
 		permits map[int]*permits
+		// baselines of the steps that serve, by step.
+		baselines map[int]*baseline
 	}
 )
 
--- a/scheduler/modelrecord.go
+++ b/scheduler/modelrecord.go
@@ -11,15 +11,15 @@
 type (
 	// modelRecord is what is stored of a sensitivity.
 	modelRecord struct {
-		Base     float64            `json:"base"`
 		Weights  map[string]float64 `json:"weights"`
 		Evidence map[string]float64 `json:"evidence"`
 	}
 )
 
 const (
-	// modelKey is where the models are stored, for the next leader.
-	modelKey = "interference"
+	// modelKey is where the models are stored, for the next leader. A model of another
+	// form gets another key.
+	modelKey = "headroom"
 	// modelEvery is how often they are: what a leader has learnt within it is lost
 	// with the leader.
 	modelEvery = 2 * clock.Second
@@ -31,7 +31,7 @@
 func (s *Scheduler) encodeModels() ([]byte, error) {
 	out := map[string]modelRecord{}
 	for image, m := range s.images {
-		r := modelRecord{Base: m.weights[0], Weights: map[string]float64{}, Evidence: map[string]float64{}}
+		r := modelRecord{Weights: map[string]float64{}, Evidence: map[string]float64{}}
 		for filler, i := range m.index {
 			r.Weights[filler], r.Evidence[filler] = m.weights[i], m.evidence[i]
 		}
@@ -49,7 +49,6 @@
 	}
 	for image, r := range in {
 		m := s.sensitivityOf(image)
-		m.weights[0] = r.Base
 		for filler, w := range r.Weights {
 			i := m.position(filler)
 			m.weights[i], m.evidence[i] = w, r.Evidence[filler]
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -34,11 +34,11 @@
 	awayPenalty    = 1.0
 	failurePenalty = 0.5
 	avoidPenalty   = 1.0
-	// disturbancePenalty weighs a serving task pushed over its objective by its whole
-	// length against free processors.
+	// disturbancePenalty weighs a serving task that loses a comfortable headroom against
+	// free processors.
 	disturbancePenalty = 4.0
-	// disturbanceLimit is the rise of the tails beside it, as a logarithm, that keeps
-	// a filler off a worker. Each disturbancePatience of waiting allows as much more.
+	// disturbanceLimit is the disturbance that keeps a filler off a worker. Each
+	// disturbancePatience of waiting allows as much more.
 	disturbanceLimit    = 0.05
 	disturbancePatience = 2 * clock.Second
 	// imageBonus gathers the serving tasks of one image on few workers, so that
@@ -70,6 +70,7 @@
 		}
 	}
 	if len(ds) == 0 {
+		s.crowded = false
 		return
 	}
 	slices.SortFunc(ds, func(a, b demand) int {
@@ -79,6 +80,7 @@
 	workers := s.usable(now)
 	s.racks = racksOf(workers)
 	var full misfits
+	s.crowded = false
 	for _, d := range ds {
 		if full.covers(&d.occurrence.job.spec, d.step) {
 			continue
@@ -89,6 +91,7 @@
 		if left.state == pending && len(workers) == before {
 			full.note(&d.occurrence.job.spec, d.step)
 		}
+		s.crowded = s.crowded || left.state == pending && left.spec().Filler
 		if left.state == pending && d.occurrence.job.spec.Queue.Advice != nil {
 			s.noteConsultation(d, workers, now)
 		}
@@ -114,7 +117,7 @@
 // usable returns the workers that may get a new run.
 func (s *Scheduler) usable(now clock.Millis) []*worker {
 	var ws []*worker
-	for _, w := range s.workers {
+	for _, w := range s.ordered() {
 		if !w.listed || w.info.Draining || w.lost || w.silent != 0 || w.inherits || w.upkeep ||
 			now < w.blockedUntil || s.evacuated[w.info.DataCentre] {
 			continue
@@ -124,10 +127,15 @@
 		}
 		ws = append(ws, w)
 	}
-	slices.SortFunc(ws, func(a, b *worker) int { return compareStrings(a.info.ID, b.info.ID) })
 	return ws
 }
 
+// ordered returns the workers by name, so that the same events lead to the same
+// decisions.
+func (s *Scheduler) ordered() []*worker {
+	return slices.SortedFunc(maps.Values(s.workers), func(a, b *worker) int { return compareStrings(a.info.ID, b.info.ID) })
+}
+
 // placeDemand places the tasks of a demand and returns the workers for the next one.
 func (s *Scheduler) placeDemand(d demand, ws []*worker, now clock.Millis) []*worker {
 	step := &d.occurrence.job.spec.Steps[d.step]
@@ -165,7 +173,7 @@
 			continue
 		}
 		passing := int64(0)
-		for o := range w.tasks {
+		for _, o := range w.tasks {
 			if !o.spec().LongRunning && !o.spec().Filler {
 				passing += o.spec().CPU
 			}
@@ -346,7 +354,7 @@
 
 func (w *worker) countOf(t *task) int {
 	n := 0
-	for o := range w.tasks {
+	for _, o := range w.tasks {
 		if o.occurrence == t.occurrence && o.step == t.step {
 			n++
 		}
@@ -383,7 +391,7 @@
 		return 0
 	}
 	n := 0
-	for t := range w.tasks {
+	for _, t := range w.tasks {
 		if t.spec().Objective > 0 && t.spec().Image == image {
 			n++
 		}
--- a/scheduler/progress.go
+++ b/scheduler/progress.go
@@ -19,8 +19,8 @@
 // checkProgress moves runs away from workers on which they stand still.
 func (s *Scheduler) checkProgress() {
 	now := s.now()
-	for _, w := range s.workers {
-		for t := range w.tasks {
+	for _, w := range s.ordered() {
+		for _, t := range w.tasks {
 			if t.stalled && t.state == running && !t.stopping && w.silent == 0 && !t.spec().Gang {
 				s.moveAway(t, w, now)
 			}
--- a/scheduler/protecting.go
+++ b/scheduler/protecting.go
@@ -1,17 +1,20 @@
 package scheduler
 
 import (
+	"slices"
+
 	"galenawharf.example/galenawharf/clock"
 	"galenawharf.example/galenawharf/logger"
 )
 
 const (
-	// paceCut is the share of their speed that fillers keep each time a serving task
-	// beside them is over its objective, down to paceFloor.
-	paceCut   = 0.5
+	// paceFloor is the pace in percent down to which fillers are halved each time a
+	// serving task beside them is over its objective; the bursts of its users are short.
 	paceFloor = 25
-	// paceRise is added each paceEvery while the serving tasks are well.
-	paceRise = 25
+	// paceRise is added each paceEvery at most while they are well.
+	paceRise = 50
+	// paceStep is the least change of a pace.
+	paceStep = 8
 	// paceEvery is the time between changes; the gauge covers half a second.
 	paceEvery = 500 * clock.Millis(1)
 	// standstill is the share of the limit on harm after which fillers stand still.
@@ -42,7 +45,7 @@
 // lets them go again after.
 func (s *Scheduler) protect() {
 	now := s.now()
-	for _, w := range s.workers {
+	for _, w := range s.ordered() {
 		if w.serving == 0 || len(w.tasks) == w.serving || now-w.pacedAt < paceEvery {
 			continue
 		}
@@ -51,45 +54,44 @@
 	}
 }
 
-// protectOn sets the pace of the fillers of one worker. Where some are known to harm
-// the tasks that are over, those are slowed and the others go on.
+// protectOn sets the pace of the fillers of one worker: what the models allow, less
+// while a serving task is over its objective. After long they stand still. While fillers
+// wait for room, slowing those that disturb little would cost more jobs than it saves.
 func (s *Scheduler) protectOn(w *worker, now clock.Millis) {
 	over := clock.Millis(0)
-	var models []*sensitivity
-	for t := range w.tasks {
+	for _, t := range w.tasks {
 		if t.over != 0 && t.state == running {
 			over = max(over, now-t.over+1)
-			models = append(models, s.sensitivityOf(t.spec().Image))
-		}
-	}
-	known := false
-	for t := range w.tasks {
-		for _, m := range models {
-			known = known || t.spec().Filler && t.state == running && m.harmful(t.spec().Image)
 		}
 	}
 	urgent := float64(over) > standstill*float64(s.harmLimit)
-	shares := w.fillerShares()
-	for t := range w.tasks {
-		if !t.spec().Filler || t.state != running || t.stopping {
+	fillers, paces := s.paces(w)
+	for _, t := range fillers {
+		p := paces[t]
+		if t.state != running || t.stopping {
 			continue
 		}
-		p := nextPace(t.pace, 0, s.harmLimit)
 		switch {
 		case urgent:
 			p = 0
-		case over > 0 && s.harms(t, models):
-			p = nextPace(t.pace, over, s.harmLimit)
-		case over > 0 && !known:
-			p = nextPace(t.pace, over, s.harmLimit)
-		case over > 0:
-			p = t.pace
+		case over > 0 && (!s.crowded || s.harms(t, w)):
+			p = min(p, max(t.pace/2, paceFloor))
+		default:
+			p = min(p, t.pace+paceRise)
 		}
-		s.pace(t, min(p, s.slowdown(t, w, shares)))
+		s.pace(t, steady(t.pace, p))
 		s.relocate(t, w, now)
 	}
 }
 
+// harms reports whether a filler is known to disturb a task of its worker that is over
+// its objective.
+func (s *Scheduler) harms(f *task, w *worker) bool {
+	return slices.ContainsFunc(w.tasks, func(t *task) bool {
+		return t.over != 0 && s.sensitivityOf(t.spec().Image).harmful(f.spec().Image)
+	})
+}
+
 // relocate stops a filler that has been slow for a while if another worker would let
 // it work at full speed. It starts there from its checkpoint.
 func (s *Scheduler) relocate(t *task, w *worker, now clock.Millis) {
@@ -112,36 +114,20 @@
 	}
 }
 
-// harms reports whether a filler is known to disturb any of the images.
-func (s *Scheduler) harms(t *task, models []*sensitivity) bool {
-	for _, m := range models {
-		if m.harmful(t.spec().Image) {
-			return true
-		}
-	}
-	return false
-}
-
-// nextPace returns the share of its speed that a filler gets, in percent, when a
-// serving task beside it has been over its objective for a time, or 0.
-func nextPace(p int, over, limit clock.Millis) int {
-	switch {
-	case over == 0:
-		return min(p+paceRise, 100)
-	case float64(over) > standstill*float64(limit):
-		return 0
-	default:
-		return max(int(paceCut*float64(p)), min(p, paceFloor))
+// steady returns the pace to set: small changes are left out, as each takes a call.
+func steady(now, next int) int {
+	if d := next - now; d < paceStep && d > -paceStep && next != 0 && next != 100 {
+		return now
 	}
+	return next
 }
 
 func (s *Scheduler) pace(t *task, p int) {
 	if p == t.pace {
 		return
 	}
-	t.worker.fillerCPU -= t.pacedCPU()
 	t.pace = p
-	t.worker.fillerCPU += t.pacedCPU()
-	t.mixed(s.now())
+	t.worker.grouped = false
+	t.pacedAt = s.now()
 	s.immediate = append(s.immediate, s.order(Pace, t))
 }
--- a/scheduler/record.go
+++ b/scheduler/record.go
@@ -147,7 +147,7 @@
 	}
 	w := s.workers[r.Worker]
 	if w == nil {
-		w = &worker{info: WorkerInfo{ID: r.Worker, Born: r.Born}, tasks: map[*task]struct{}{}}
+		w = &worker{info: WorkerInfo{ID: r.Worker, Born: r.Born}}
 		s.workers[r.Worker] = w
 	}
 	if w.info.Born != r.Born {
--- a/scheduler/reporting.go
+++ b/scheduler/reporting.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"slices"
+
 	"galenawharf.example/galenawharf/clock"
 	"galenawharf.example/galenawharf/logger"
 )
@@ -33,7 +35,7 @@
 		w = s.reborn(w, i)
 	}
 	if w == nil {
-		w = &worker{tasks: map[*task]struct{}{}}
+		w = &worker{}
 		s.workers[i.ID] = w
 	}
 	if !w.clockKnown {
@@ -55,7 +57,7 @@
 
 // forget ends the life of a worker: nothing that it ran is left.
 func (s *Scheduler) forget(w *worker) {
-	for t := range w.tasks {
+	for _, t := range slices.Clone(w.tasks) {
 		s.touch(t.job())
 		s.release(t)
 	}
@@ -85,10 +87,10 @@
 func (s *Scheduler) reborn(w *worker, i WorkerInfo) *worker {
 	now := s.now()
 	s.emit(logger.WorkerReborn, logger.String("worker", i.ID), logger.Int("born", i.Born), logger.Int("runs", int64(len(w.tasks))))
-	n := &worker{info: i, listed: w.listed, tasks: map[*task]struct{}{}, inherits: len(w.tasks) > 0, leaseEnd: leaseBound(now, s.leaseLength)}
+	n := &worker{info: i, listed: w.listed, inherits: len(w.tasks) > 0, leaseEnd: leaseBound(now, s.leaseLength)}
 	n.clockOffset = i.Clock - now
 	s.workers[i.ID] = n
-	for t := range w.tasks {
+	for _, t := range slices.Clone(w.tasks) {
 		w.remove(t)
 		t.worker = n
 		n.add(t)
@@ -134,7 +136,7 @@
 	}
 	s.learn(w)
 	w.grouped = false
-	for t := range w.tasks {
+	for _, t := range slices.Clone(w.tasks) {
 		if _, ok := listed[t]; !ok {
 			s.reportMissing(t, r.Sent)
 		}
@@ -233,9 +235,9 @@
 
 func (s *Scheduler) confirm(t *task) {
 	t.state, t.confirmed, t.progressed = running, s.now(), s.now()
-	t.mixed(s.now())
-	if t.spec().Filler {
-		s.pace(t, s.slowdown(t, t.worker, t.worker.fillerShares()))
+	if t.spec().Filler && t.worker.serving > 0 {
+		_, paces := s.paces(t.worker)
+		s.pace(t, paces[t])
 	}
 	if j := t.job(); j.phase == Queued {
 		j.phase = Running
@@ -377,7 +379,7 @@
 				s.emit(logger.WorkerLost, logger.String("worker", w.info.ID), logger.Int("runs", int64(len(w.tasks))))
 			}
 			w.lost, w.inherits = true, false
-			for t := range w.tasks {
+			for _, t := range slices.Clone(w.tasks) {
 				s.touch(t.job())
 				s.release(t)
 			}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -35,10 +35,13 @@
 		workers   map[string]*worker
 		evacuated map[string]bool
 		images    map[string]*sensitivity
+		calendar  *calendar
 		// racks has those with a worker that may get a new run.
 		racks map[string]bool
 		// means has the mean work of the jobs of each queue, in core-seconds.
 		means map[string]float64
+		// crowded is whether fillers found no room in the last round of placing.
+		crowded bool
 		// rotation is where the search for a worker begins, so that all get their share.
 		rotation int
 		// modelled is when the models were last stored.
@@ -121,7 +124,7 @@
 		now: system, wall: system, emit: func(logger.Event, ...logger.Field) {}, begun: func(clock.Millis) {},
 		leaseLength: defaultLease, retention: defaultRetention, harmLimit: defaultHarm, remoteFactor: defaultRemote,
 		jobs: map[string]*job{}, active: map[*job]struct{}{}, workers: map[string]*worker{},
-		evacuated: map[string]bool{}, images: map[string]*sensitivity{}, means: map[string]float64{},
+		evacuated: map[string]bool{}, images: map[string]*sensitivity{}, calendar: newCalendar(), means: map[string]float64{},
 		dirty: map[*job]struct{}{}, acks: map[string]Ack{}, upkeepLength: defaultUpkeep, waves: map[string]*wave{},
 	}
 	for _, o := range opts {
--- a/scheduler/sensitivity.go
+++ b/scheduler/sensitivity.go
@@ -7,14 +7,15 @@
 )
 
 type (
-	// sensitivity learns how much fillers disturb the serving tasks of one image. It
-	// is a linear model of the logarithm of the tail latency, in multiples of the
-	// objective, over the share of the worker's processors that the fillers of each
-	// image use, fitted by recursive least squares.
+	// sensitivity learns how much fillers disturb the serving tasks of one image. The
+	// headroom of a task is its objective in multiples of its tail latency. It falls in
+	// proportion to the load on the task: that of its own users, which its baseline
+	// follows, and for each image of fillers its weight times the share of the worker's
+	// processors that they use. The weights are followed by a Kalman filter.
 	sensitivity struct {
-		// index of each filler image; 0 is the tail without fillers.
+		// index of each filler image.
 		index map[string]int
-		// weights and covariance of the model.
+		// weights and their covariance.
 		weights    []float64
 		covariance [][]float64
 		// evidence is the sum of the shares seen of each filler image.
@@ -26,36 +27,31 @@
 )
 
 const (
-	// baseTail is the tail assumed of an image without readings: the users state
-	// objectives of 4.5 times the tail of an idle task, and load raises it.
-	baseTail = 0.45
-	// baseVariance and priorVariance say how far the logarithm of the tail and the
-	// weights may be from what is assumed; disturbing pairs have weights of 4 to 10.
-	baseVariance  = 0.1
-	priorVariance = 20.0
-	// noise is the variance of a reading; the gauge is rough and load swings.
-	noise = 0.15
-	// forgetting is the weight of a reading after the next one; disturbance changes
-	// within seconds, at two readings a second from each of some dozen workers.
-	forgetting = 0.998
-	// maxVariance bounds the covariance of images that are seen no more.
-	maxVariance = 50.0
-	// tailCap bounds a reading, so that one stall does not outweigh all others.
-	tailCap = 8.0
+	// harmlessWeight is the weight assumed of an image that was not seen yet: what any
+	// work on the same worker costs.
+	harmlessWeight = 1.0
+	// priorVariance says how far a weight may be from that: disturbing pairs have
+	// weights of 5 to 25.
+	priorVariance = 25.0
+	// weightDrift is the variance that a weight gains with each reading.
+	weightDrift = 0.001
+	// readingNoise is the deviation of a reading, as a share of the headroom: the gauge
+	// is rough and counts whole milliseconds.
+	readingNoise = 0.12
 	// evidenceNeeded is the sum of shares before a weight counts: ten readings
 	// beside a filler that uses a twentieth of its worker.
 	evidenceNeeded = 0.5
 	// harmfulWeight is the weight from which a pair of images counts as harmful.
-	// Weights of other pairs were below 1.5 in all fits.
-	harmfulWeight = 2.0
+	// Weights of other pairs were below 3 in all fits.
+	harmfulWeight = 4.0
 	// unknownWeight is assumed of a pair of which too little is known while another
 	// filler tries it out, which takes exploreFor.
-	unknownWeight = 4.0
+	unknownWeight = 10.0
 	exploreFor    = 600 * clock.Millis(1)
 )
 
 func newSensitivity() *sensitivity {
-	return &sensitivity{index: map[string]int{}, weights: []float64{math.Log(baseTail)}, covariance: [][]float64{{baseVariance}}, evidence: []float64{0}, tried: map[string]clock.Millis{}}
+	return &sensitivity{index: map[string]int{}, tried: map[string]clock.Millis{}}
 }
 
 // position returns the index of a filler image, which it adds if it is new.
@@ -65,7 +61,7 @@
 	}
 	i := len(m.weights)
 	m.index[image] = i
-	m.weights = append(m.weights, 0)
+	m.weights = append(m.weights, harmlessWeight)
 	m.evidence = append(m.evidence, 0)
 	for r := range m.covariance {
 		m.covariance[r] = append(m.covariance[r], 0)
@@ -76,45 +72,52 @@
 	return i
 }
 
-// learn takes in a tail, in multiples of the objective, read beside fillers that use
-// the given shares.
-func (m *sensitivity) learn(tail float64, shares map[string]float64) {
+// learn takes in a headroom that was read beside fillers that used the given shares.
+// The step of the task learns from it too.
+func (m *sensitivity) learn(b *baseline, at clock.Millis, headroom float64, shares map[string]float64) {
 	for image := range shares {
 		m.position(image)
 	}
 	n := len(m.weights)
 	x := make([]float64, n)
-	x[0] = 1
-	predicted := m.weights[0]
+	taken := 0.0
 	for image, share := range shares {
 		i := m.index[image]
 		x[i] = share
-		predicted += m.weights[i] * share
+		taken += m.weights[i] * share
 		m.evidence[i] += share
+		m.covariance[i][i] = math.Min(m.covariance[i][i]+weightDrift, priorVariance)
 	}
 	px := make([]float64, n)
-	denominator := forgetting * noise
+	spread := 0.0
 	for i := range n {
 		for j := range n {
 			px[i] += m.covariance[i][j] * x[j]
 		}
-		denominator += x[i] * px[i]
+		spread += x[i] * px[i]
+	}
+	noise := readingNoise * headroom
+	noise *= noise
+	expected, variance := b.expect(at)
+	miss := headroom + taken - expected
+	sum := noise + variance + spread
+	if excess := miss * miss / (sum * outlier * outlier); excess > 1 {
+		sum *= excess
 	}
-	miss := math.Log(math.Min(tail, tailCap)) - predicted
 	for i := range n {
-		m.weights[i] += px[i] / denominator * miss
+		m.weights[i] -= px[i] / sum * miss
 		for j := range n {
-			m.covariance[i][j] = math.Min((m.covariance[i][j]-px[i]*px[j]/denominator)/forgetting, maxVariance)
+			m.covariance[i][j] -= px[i] * px[j] / sum
 		}
 	}
+	b.learn(at, headroom+taken, noise+spread)
 }
 
-// weight returns the rise of the logarithm of the tail for a filler image that used a
-// whole worker; 0 while too little was seen of it.
+// weight returns the fall of the headroom for a filler image that used a whole worker.
 func (m *sensitivity) weight(image string) float64 {
 	i, ok := m.index[image]
 	if !ok || m.evidence[i] < evidenceNeeded {
-		return 0
+		return harmlessWeight
 	}
 	return math.Max(m.weights[i], 0)
 }
@@ -133,14 +136,14 @@
 	return m.weight(image)
 }
 
-// harmful reports whether fillers of an image raise the tail markedly.
+// harmful reports whether fillers of an image lower the headroom markedly.
 func (m *sensitivity) harmful(image string) bool { return m.weight(image) >= harmfulWeight }
 
-// predict returns the logarithm of the tail beside fillers.
-func (m *sensitivity) predict(shares map[string]float64) float64 {
-	tail := m.weights[0]
+// fall returns by how much fillers of the given shares lower the headroom.
+func (m *sensitivity) fall(shares map[string]float64) float64 {
+	sum := 0.0
 	for image, share := range shares {
-		tail += m.weight(image) * share
+		sum += m.weight(image) * share
 	}
-	return tail
+	return sum
 }
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -68,9 +68,13 @@
 		load int64
 		// tail is the reported tail latency of a task that serves.
 		tail clock.Millis
-		// excess is how far the tail has lately been above what is explained by the
-		// image and the fillers beside it, as a logarithm.
-		excess float64
+		// learntAt is when the tail was last learnt from.
+		learntAt clock.Millis
+		// use is the processor use of a filler at full speed, as a share of what it is
+		// declared to use; 0 before it was seen.
+		use float64
+		// pacedAt is when the pace of a filler was last changed.
+		pacedAt clock.Millis
 		// over is since when the tail has been over the objective; 0 when it is not.
 		over clock.Millis
 	}
@@ -110,8 +114,8 @@
 	return TaskName{Job: t.occurrence.job.spec.ID, Occurrence: t.occurrence.number, Step: t.step, Index: t.index}
 }
 
-// mixed notes on the worker that a filler has come, gone, or changed its speed.
-func (t *task) mixed(now clock.Millis) {
+// left notes on the worker that a filler has gone.
+func (t *task) left(now clock.Millis) {
 	if t.worker != nil && t.spec().Filler {
 		t.worker.mixedAt, t.worker.grouped = now, false
 	}
--- a/scheduler/upkeep.go
+++ b/scheduler/upkeep.go
@@ -345,7 +345,7 @@
 	}
 	late := now-d.since >= d.patience
 	held := false
-	for t := range w.tasks {
+	for _, t := range w.tasks {
 		step := t.spec()
 		if step.MaxUnavailable > 0 && t.state != pending {
 			held = true
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -33,9 +33,10 @@
 		info WorkerInfo
 		// listed is whether the registry has the worker.
 		listed bool
-		tasks  map[*task]struct{}
-		// cpu, memory and gpu are promised to runs; fillers count in fillerCPU only, by
-		// their pace.
+		// tasks are those with a run here, the longest first.
+		tasks []*task
+		// cpu, memory and gpu are promised to runs; fillers count in fillerCPU only, also
+		// those that are slowed: a run that stands still is to go on soon.
 		cpu, memory, gpu int64
 		fillerCPU        int64
 		// serving counts the tasks with a latency objective, servingCPU what they are
@@ -75,7 +76,7 @@
 		groups  []servingGroup
 		grouped bool
 		overdue bool
-		// mixedAt is when the fillers at work, or their pace, last changed.
+		// mixedAt is when a filler last left.
 		mixedAt clock.Millis
 		// due is whether the worker's machine is to go down for its upkeep, and upkeep
 		// whether that is under way, so that nothing may start here.
@@ -97,19 +98,20 @@
 func (w *worker) hasLabel(l string) bool { return l == "" || slices.Contains(w.info.Labels, l) }
 
 func (w *worker) add(t *task) {
-	if _, ok := w.tasks[t]; ok {
+	if slices.Contains(w.tasks, t) {
 		return
 	}
-	w.tasks[t] = struct{}{}
+	w.tasks = append(w.tasks, t)
 	w.grouped = false
 	w.charge(t, 1)
 }
 
 func (w *worker) remove(t *task) {
-	if _, ok := w.tasks[t]; !ok {
+	i := slices.Index(w.tasks, t)
+	if i < 0 {
 		return
 	}
-	delete(w.tasks, t)
+	w.tasks = slices.Delete(w.tasks, i, i+1)
 	w.grouped = false
 	w.charge(t, -1)
 }
@@ -119,7 +121,7 @@
 	w.memory += sign * s.Memory
 	w.gpu += sign * s.GPU
 	if s.Filler {
-		w.fillerCPU += sign * t.pacedCPU()
+		w.fillerCPU += sign * s.CPU
 	} else {
 		w.cpu += sign * s.CPU
 	}
