--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -38,8 +38,10 @@
 		cancel   context.CancelFunc
 		group    sync.WaitGroup
 		sessions map[string]*session
-		// firstLooks holds a place for each first look on its way.
-		firstLooks chan struct{}
+		// awaiting are the sessions that wait for their first look, in order; firstLooks
+		// counts those on their way.
+		awaiting   []*session
+		firstLooks int
 		// writing is the batch on its way to the store.
 		writing *scheduler.Batch
 		// flushed is when the last batch was sent; armed is whether a flush is timed.
@@ -116,7 +118,7 @@
 	c := &Conductor{
 		store: s, fleet: f, sched: sched, epoch: t.Epoch, confirmed: t.Confirmed, decode: decode, lease: lease,
 		now: clock.System, emit: func(logger.Event, ...logger.Field) {}, measures: noMeasures(),
-		events: make(chan func(), eventBacklog), sessions: map[string]*session{}, deposits: map[string]recorder.Item{}, firstLooks: make(chan struct{}, firstLooksAtOnce), batches: make(chan *scheduler.Batch, 1),
+		events: make(chan func(), eventBacklog), sessions: map[string]*session{}, deposits: map[string]recorder.Item{}, batches: make(chan *scheduler.Batch, 1),
 	}
 	for _, o := range opts {
 		o(c)
--- a/conductor/session.go
+++ b/conductor/session.go
@@ -107,30 +107,41 @@
 
 func (c *Conductor) startLooking(s *session, inherited bool) {
 	s.looking = true
+	if inherited {
+		c.awaiting = append(c.awaiting, s)
+		c.startFirstLooks()
+		return
+	}
 	c.group.Add(1)
 	go func() {
 		defer c.group.Done()
-		if !inherited || c.firstLook(s) {
-			c.look(s)
-		}
+		c.look(s)
 	}()
 }
 
-// firstLook asks a worker for the first time in a term, and reports whether to go on.
-// After a takeover all workers are due at once; only some are asked at a time, those
-// with runs first.
-func (c *Conductor) firstLook(s *session) bool {
-	select {
-	case c.firstLooks <- struct{}{}:
-	case <-c.ctx.Done():
-		return false
-	}
-	defer func() { <-c.firstLooks }()
-	q, busy, _ := c.question(s)
-	if busy {
-		c.lookOnce(q)
+// startFirstLooks asks workers for the first time in a term. After a takeover all of
+// them are due at once; only some are asked at a time, those with runs first.
+func (c *Conductor) startFirstLooks() {
+	for c.firstLooks < firstLooksAtOnce && len(c.awaiting) > 0 {
+		s := c.awaiting[0]
+		c.awaiting = c.awaiting[1:]
+		c.firstLooks++
+		c.group.Add(1)
+		go func() {
+			defer c.group.Done()
+			q, busy, _ := c.question(s)
+			if busy {
+				c.lookOnce(q)
+			}
+			c.do(func() {
+				c.firstLooks--
+				c.startFirstLooks()
+			})
+			if busy {
+				c.look(s)
+			}
+		}()
 	}
-	return busy
 }
 
 // look asks a worker again and again while it is busy.
