scheduler: fillers that a leader or a neighbour left slow go on

Cause: found by reading. A new leader took every filler for one at full speed and so never undid what the former one had set; and fillers whose serving neighbours had ended were no longer looked at. Both stayed slow until they ended or, at 0, until they counted as stalled. TestPaceOfFillers failed in both cases on the former code.

--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -264,7 +264,7 @@
 	w.remove(t)
 	t.state, t.worker, t.placed, t.pace = placed, w, now, 100
 	t.percent, t.progressed, t.stalled, t.confirmed, t.stopping, t.settling = 0, now, false, 0, false, 0
-	t.sending, t.unclear, t.recorded, t.waiting, t.slowSince = 0, false, false, 0, 0
+	t.sending, t.unclear, t.recorded, t.waiting, t.slowSince, t.paceOpen = 0, false, false, 0, 0, false
 	w.add(t)
 	s.explore(t.spec(), w)
 	if w.failures >= failureQuarantine {
--- a/scheduler/protecting.go
+++ b/scheduler/protecting.go
@@ -46,7 +46,7 @@
 func (s *Scheduler) protect() {
 	now := s.now()
 	for _, w := range s.ordered() {
-		if w.serving == 0 || len(w.tasks) == w.serving || now-w.pacedAt < paceEvery {
+		if len(w.tasks) == w.serving || now-w.pacedAt < paceEvery {
 			continue
 		}
 		w.pacedAt = now
@@ -123,10 +123,10 @@
 }
 
 func (s *Scheduler) pace(t *task, p int) {
-	if p == t.pace {
+	if p == t.pace && !t.paceOpen {
 		return
 	}
-	t.pace = p
+	t.pace, t.paceOpen = p, false
 	t.worker.grouped = false
 	t.pacedAt = s.now()
 	s.immediate = append(s.immediate, s.order(Pace, t))
--- a/scheduler/record.go
+++ b/scheduler/record.go
@@ -155,6 +155,7 @@
 	}
 	// The former leader may have sent the order without an answer.
 	t.state, t.worker, t.pace, t.recorded, t.unclear = placed, w, 100, true, true
+	t.paceOpen = t.spec().Filler
 	w.leaseEnd, w.inherits = inherited, true
 	w.add(t)
 }
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -56,6 +56,8 @@
 		settling clock.Millis
 		// pace is the share of its speed that a filler is allowed, in percent.
 		pace int
+		// paceOpen is whether a former leader may have set another pace.
+		paceOpen bool
 		// avoid is the worker of the last failed run.
 		avoid string
 		// waiting is since when the task could have started; 0 while it has a worker.
