scheduler: the period of the users' load is passed on with the models

A new leader had to find it anew, in which time paces followed the usual one. TestModelsOfAFormerLeader covers the record.

--- a/scheduler/baseline.go
+++ b/scheduler/baseline.go
@@ -53,6 +53,8 @@
 	// misfitMemory is the weight of a misfit after the next reading: about half a minute
 	// of readings of a large deployment.
 	misfitMemory = 0.99999
+	// inheritedPreference is what the misfits of the period of a former leader are less.
+	inheritedPreference = 100.0
 	// outlier is the error, in deviations, from which a reading counts less.
 	outlier = 2.5
 	// gaugeAge is how old a gauge is when it is reported: it covers half a second, and
@@ -78,6 +80,14 @@
 	return c
 }
 
+// prefer takes a period that fitted a former leader's readings for the best until the
+// readings of some seconds say otherwise.
+func (c *calendar) prefer(period int) {
+	if period >= 0 && period < len(c.misfits) {
+		c.misfits[period] -= inheritedPreference
+	}
+}
+
 // best returns the index of the period that fits best.
 func (c *calendar) best() int {
 	best := 0
--- a/scheduler/modelrecord.go
+++ b/scheduler/modelrecord.go
@@ -9,6 +9,13 @@
 )
 
 type (
+	// modelsRecord is what is stored of all that was learnt.
+	modelsRecord struct {
+		Images map[string]modelRecord `json:"images"`
+		// Period is the index in periods of the one that fits best.
+		Period int `json:"period"`
+	}
+
 	// modelRecord is what is stored of a sensitivity.
 	modelRecord struct {
 		Weights  map[string]float64 `json:"weights"`
@@ -29,13 +36,13 @@
 
 // encodeModels returns the stored form of all models.
 func (s *Scheduler) encodeModels() ([]byte, error) {
-	out := map[string]modelRecord{}
+	out := modelsRecord{Images: map[string]modelRecord{}, Period: s.calendar.best()}
 	for image, m := range s.images {
 		r := modelRecord{Weights: map[string]float64{}, Evidence: map[string]float64{}}
 		for filler, i := range m.index {
 			r.Weights[filler], r.Evidence[filler] = m.weights[i], m.evidence[i]
 		}
-		out[image] = r
+		out.Images[image] = r
 	}
 	b, err := json.Marshal(out)
 	return b, errors.Wrap(err, "scheduler.encodeModels")
@@ -43,11 +50,12 @@
 
 // loadModels takes over the models of a former leader.
 func (s *Scheduler) loadModels(b []byte) error {
-	var in map[string]modelRecord
+	var in modelsRecord
 	if err := json.Unmarshal(b, &in); err != nil {
 		return errors.Wrap(err, "scheduler.loadModels")
 	}
-	for image, r := range in {
+	s.calendar.prefer(in.Period)
+	for image, r := range in.Images {
 		m := s.sensitivityOf(image)
 		for filler, w := range r.Weights {
 			i := m.position(filler)
