runner: settings are read again on SIGHUP

Cause: the signal was logged and nothing else, so an operator could not tell what had changed, and changed bounds counted from the next start. Now the names are in the line, bounds of work hold from the next term, faults are logged and the former settings hold on.

--- a/cmd/galenawharf-host/main.go
+++ b/cmd/galenawharf-host/main.go
@@ -63,7 +63,12 @@
 	for {
 		select {
 		case <-reload:
-			log.Emit(logger.Reloaded)
+			s, err := platform.ReadSettings(path)
+			if err != nil {
+				log.Emit(logger.ReloadRefused, logger.Err(err))
+				continue
+			}
+			r.Reload(s)
 		case <-stop:
 			r.Leave(context.Background())
 			return 0
--- a/logger/events.go
+++ b/logger/events.go
@@ -79,7 +79,8 @@
 	StoreBack      = Event{6041, log.InfoLevel, "store answers again"}
 	RecordInvalid  = Event{6042, log.ErrorLevel, "stored record can't be used"}
 	EntryInvalid   = Event{6043, log.DebugLevel, "entry of the registry or the operator can't be used"}
-	Reloaded       = Event{6049, log.InfoLevel, "settings may have changed"}
+	Reloaded       = Event{6049, log.InfoLevel, "settings were read again"}
+	ReloadRefused  = Event{6048, log.ErrorLevel, "settings can't be used"}
 	WaveSeen       = Event{6060, log.InfoLevel, "wave of upkeep begins"}
 	UpkeepAnswered = Event{6061, log.InfoLevel, "order for a machine's upkeep was answered"}
 	WaveOver       = Event{6062, log.InfoLevel, "wave of upkeep is over"}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -29,7 +29,7 @@
 type (
 	// Runner is the daemon of one host.
 	Runner struct {
-		settings *platform.Settings
+		settings atomic.Pointer[platform.Settings]
 		log      *logger.Logger
 		metrics  *measurer.Metrics
 		now      func() clock.Millis
@@ -95,7 +95,7 @@
 // New starts the daemon.
 func New(s *platform.Settings, l *logger.Logger) (*Runner, error) {
 	r := &Runner{
-		settings: s, log: l, metrics: measurer.New(s.Host(), s.DataCentre()), now: clock.NewSteady(), operator: map[string][]byte{},
+		log: l, metrics: measurer.New(s.Host(), s.DataCentre()), now: clock.NewSteady(), operator: map[string][]byte{},
 		store:   platform.NewStore(s.Store(), platform.NewClient(storeConnections)).Seam(),
 		workers: platform.NewWorkers(s.Descriptors()),
 		cloud:   platform.NewClient(cloudConnections),
@@ -109,6 +109,7 @@
 		"enter_" + stateLeaving: func(context.Context, *fsm.Event) { l.Emit(logger.Leaving) },
 		"enter_" + stateStopped: func(context.Context, *fsm.Event) { l.Emit(logger.Stopped) },
 	})
+	r.settings.Store(s)
 	r.evacuated.Store(&[]string{})
 	r.waves.Store(&[]scheduler.Wave{})
 	deposits := depositor.New(r.store, r.now, func() clock.Millis { return clock.Millis(r.storeRead.Load()) })
@@ -153,10 +154,11 @@
 
 // serve opens the servers.
 func (r *Runner) serve() error {
+	settings := r.settings.Load()
 	for address, h := range map[string]http.Handler{
-		r.settings.Callers(): r.ingress,
-		r.settings.Peers():   r.peers(),
-		r.settings.Ready():   http.HandlerFunc(r.ready),
+		settings.Callers(): r.ingress,
+		settings.Peers():   r.peers(),
+		settings.Ready():   http.HandlerFunc(r.ready),
 	} {
 		l, err := net.Listen("tcp", address)
 		if err != nil {
@@ -176,7 +178,7 @@
 // advised reports whether the steps of any queue need a policy's advice.
 func (r *Runner) advised() bool {
 	c := r.ingress.Config()
-	return r.settings.Advice() != "" && c != nil && c.Advised()
+	return r.settings.Load().Advice() != "" && c != nil && c.Advised()
 }
 
 // ready answers the balancer: this host takes callers while it knows the
@@ -223,18 +225,19 @@
 
 // lead conducts for one term.
 func (r *Runner) lead(ctx context.Context, t elector.Term) {
-	lease := min(r.settings.Lease(), leaseLimit)
+	settings := r.settings.Load()
+	lease := min(settings.Lease(), leaseLimit)
 	s := scheduler.New(
 		scheduler.WithClocks(r.now, clock.System), scheduler.WithEvents(r.log.Emit),
-		scheduler.WithLease(lease), scheduler.WithRetention(r.settings.Retention()),
+		scheduler.WithLease(lease), scheduler.WithRetention(settings.Retention()),
 		scheduler.WithBegun(func(d clock.Millis) { r.metrics.Record(measurer.FirstStartTime, d.Duration()) }),
-		scheduler.WithHarmLimit(r.settings.HarmLimit()), scheduler.WithRemoteFactor(r.settings.RemoteFactor()),
-		scheduler.WithUpkeepLength(r.settings.UpkeepLength()),
+		scheduler.WithHarmLimit(settings.HarmLimit()), scheduler.WithRemoteFactor(settings.RemoteFactor()),
+		scheduler.WithUpkeepLength(settings.UpkeepLength()),
 	)
 	s.SetEvacuated(*r.evacuated.Load())
 	var cloud conductor.Cloud
-	if r.settings.Cloud() != "" {
-		cloud = platform.NewCloud(r.settings.Cloud(), r.settings.Host(), r.store, r.cloud).Seam()
+	if settings.Cloud() != "" {
+		cloud = platform.NewCloud(settings.Cloud(), settings.Host(), r.store, r.cloud).Seam()
 	}
 	c, err := conductor.New(ctx, conductor.Term{Epoch: t.Epoch, FormerIsOver: t.FormerIsOver, Confirmed: t.Confirmed},
 		r.store, r.workers.Fleet(), s, lease, platform.DecodeWorker,
@@ -253,6 +256,12 @@
 	r.metrics.Set(measurer.Leading, 0)
 }
 
+// Reload takes over changed settings: the bounds of work hold from the next term that
+// this daemon leads, the grace period from now on, addresses from the next start.
+func (r *Runner) Reload(s *platform.Settings) {
+	r.log.Emit(logger.Reloaded, logger.Text("changed", r.settings.Swap(s).Changed(s)))
+}
+
 // Leave ends the daemon without breaking off a request: callers are sent elsewhere,
 // another daemon leads, and requests on their way are answered.
 func (r *Runner) Leave(ctx context.Context) {
@@ -262,7 +271,7 @@
 	r.leaving.Store(true)
 	r.elector.Close()
 	recorder.Sleep(ctx, rotationDelay)
-	c, cancel := context.WithTimeout(ctx, (r.settings.Grace() - rotationDelay - stopReserve).Duration())
+	c, cancel := context.WithTimeout(ctx, (r.settings.Load().Grace() - rotationDelay - stopReserve).Duration())
 	defer cancel()
 	for _, s := range r.servers {
 		if err := s.Shutdown(c); err != nil {
