--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -50,7 +50,44 @@
 // stored.
 func (s *Scheduler) Place() {
 	now := s.now()
-	s.consultations = nil
+	s.consultations, s.crowded = nil, false
+	ds := s.demands(now)
+	if len(ds) == 0 {
+		return
+	}
+	// Rooms that are kept for long-running tasks are kept from those that would take
+	// them, not from fillers.
+	workers := s.usable(now)
+	unkept := workers
+	s.racks = racksOf(workers)
+	var full misfits
+	for _, d := range ds {
+		if full.covers(&d.occurrence.job.spec, d.step) {
+			continue
+		}
+		ws, filler := unkept, d.occurrence.job.spec.Steps[d.step].Filler
+		if filler {
+			ws = workers
+		}
+		left := s.placeDemand(d, ws, now)
+		if !filler {
+			unkept = left
+		}
+		if d.tasks[len(d.tasks)-1].state != pending {
+			continue
+		}
+		s.crowded = s.crowded || filler
+		if len(left) == len(ws) {
+			full.note(&d.occurrence.job.spec, d.step)
+		}
+		if d.occurrence.job.spec.Queue.Advice != nil {
+			s.noteConsultation(d, left, now)
+		}
+	}
+}
+
+// demands returns what waits for workers, the most urgent first.
+func (s *Scheduler) demands(now clock.Millis) []demand {
 	var ds []demand
 	for j := range s.active {
 		var r *rank
@@ -69,33 +106,11 @@
 			}
 		}
 	}
-	if len(ds) == 0 {
-		s.crowded = false
-		return
-	}
 	slices.SortFunc(ds, func(a, b demand) int {
 		return cmp.Or(a.rank.compare(b.rank), cmp.Compare(a.due, b.due),
 			cmp.Compare(a.occurrence.job.spec.ID, b.occurrence.job.spec.ID), cmp.Compare(a.step, b.step))
 	})
-	workers := s.usable(now)
-	s.racks = racksOf(workers)
-	var full misfits
-	s.crowded = false
-	for _, d := range ds {
-		if full.covers(&d.occurrence.job.spec, d.step) {
-			continue
-		}
-		before := len(workers)
-		workers = s.placeDemand(d, workers, now)
-		left := d.tasks[len(d.tasks)-1]
-		if left.state == pending && len(workers) == before {
-			full.note(&d.occurrence.job.spec, d.step)
-		}
-		s.crowded = s.crowded || left.state == pending && left.spec().Filler
-		if left.state == pending && d.occurrence.job.spec.Queue.Advice != nil {
-			s.noteConsultation(d, workers, now)
-		}
-	}
+	return ds
 }
 
 func (s *Scheduler) demandOf(o *occurrence, i int, now clock.Millis) (demand, bool) {
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -379,3 +379,17 @@
 	must.True(t, ok)
 	must.Eq(t, 0, s.Acked, must.Sprint("ends of the new life are acknowledged before they were listed"))
 }
+
+// TestKeptRoomServesFillers checks that room kept for a long-running task is still used
+// by fillers, which do not take it.
+func TestKeptRoomServesFillers(t *testing.T) {
+	b := newBench(1)
+	b.submit(t, "short", Step{Count: 1, CPU: 4000})
+	must.SliceLen(t, 1, b.store())
+	b.submit(t, "lasting", Step{Count: 1, CPU: 8000, LongRunning: true})
+	b.submit(t, "other", Step{Count: 1, CPU: 1000})
+	b.submit(t, "filler", Step{Count: 1, CPU: 1000, Filler: true, Image: "f"})
+	orders := b.store()
+	must.SliceLen(t, 1, orders)
+	must.Eq(t, "filler", orders[0].Task.Job)
+}
--- a/scheduler/session.go
+++ b/scheduler/session.go
@@ -53,7 +53,7 @@
 		Busy:    len(w.tasks) > 0 || w.seen > w.acked || w.inherits || w.silent != 0 && w.listed || w.acked > w.told,
 		Gauged:  w.serving > 0 && w.fillerCPU > 0,
 		Blocked: w.seen > w.acked, Silent: w.silent != 0,
-		Idle:    len(w.tasks) == 0, Inherited: w.inherits,
+		Idle: len(w.tasks) == 0, Inherited: w.inherits,
 	}
 }
 
