scheduler, conductor: a deposited job is known from the start

The leader showed no job before its own record was stored, dropped deposited ones each time it refused for an outage of the store, and called jobs unknown although it could not read the deposits. Ruled out: a deposed leader (unconfirmed claims were refused already).

Now the leader adopts deposited jobs: shown as queued at once, never dropped, their deposit dropped after their own record is stored. While the deposits can't be read (1.5 s) an unknown job is answered with a refusal instead.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -49,9 +49,9 @@
 		armed   bool
 		// advisers are the daemons that wait for a consultation, the longest first.
 		advisers []*adviser
-		// deposits are those whose jobs are not stored yet, by id; collected are those
-		// to drop.
-		deposits  map[string]recorder.Item
+		// depositsRead is when the deposits were last read.
+		depositsRead clock.Millis
+		// collected are the deposits whose jobs are stored, to be dropped.
 		collected []recorder.Item
 		batches   chan *scheduler.Batch
 	}
@@ -118,7 +118,7 @@
 	c := &Conductor{
 		store: s, fleet: f, sched: sched, epoch: t.Epoch, confirmed: t.Confirmed, decode: decode, lease: lease,
 		now: clock.System, emit: func(logger.Event, ...logger.Field) {}, measures: noMeasures(),
-		events: make(chan func(), eventBacklog), sessions: map[string]*session{}, deposits: map[string]recorder.Item{}, batches: make(chan *scheduler.Batch, 1),
+		events: make(chan func(), eventBacklog), sessions: map[string]*session{}, batches: make(chan *scheduler.Batch, 1),
 	}
 	for _, o := range opts {
 		o(c)
@@ -230,6 +230,7 @@
 		}
 	}
 	// Jobs that were deposited while nobody led are known before anybody can ask for them.
+	c.depositsRead = c.now()
 	for k, v := range deposits.items {
 		c.deposited(recorder.Item{Key: k, Value: v})
 	}
--- a/conductor/deposits.go
+++ b/conductor/deposits.go
@@ -10,8 +10,7 @@
 const (
 	// depositWait is how long the store holds a read of the deposits without news.
 	depositWait = clock.Second
-	// collectEvery is how often deposits that were collected are dropped, and those
-	// that the store was away for are tried again.
+	// collectEvery is how often deposits that were collected are dropped.
 	collectEvery = 500 * clock.Millis(1)
 )
 
@@ -22,18 +21,15 @@
 	}
 	s, err := depositor.Decode(i)
 	if err == nil {
-		c.deposits[i.Key] = i
-		err = c.sched.Submit(s, func(refused error) {
+		err = c.sched.Adopt(s, func(refused error) {
 			if refused == nil {
 				c.collected = append(c.collected, recorder.Item{Key: i.Key})
-				delete(c.deposits, i.Key)
 			}
 		})
 	}
 	if err != nil {
 		// Nobody can run it, and hosts deposit only what they have checked.
 		c.emit(logger.RecordInvalid, logger.String("key", i.Key), logger.Err(err))
-		delete(c.deposits, i.Key)
 		c.collected = append(c.collected, recorder.Item{Key: i.Key})
 	}
 }
@@ -56,21 +52,13 @@
 				}
 			})
 		},
-		Read:   func(clock.Millis) {},
+		Read:   func(clock.Millis) { c.do(func() { c.depositsRead = c.now() }) },
 		Failed: func(error) {},
 	})
 	defer f.Close()
 	for recorder.Sleep(c.ctx, collectEvery) {
 		var done []recorder.Item
-		if !c.ask(func() {
-			done, c.collected = c.collected, nil
-			for k, i := range c.deposits {
-				if !c.sched.Knows(k) {
-					// The store was away and the job was dropped.
-					c.deposited(i)
-				}
-			}
-		}) {
+		if !c.ask(func() { done, c.collected = c.collected, nil }) {
 			return
 		}
 		if len(done) == 0 {
--- a/conductor/deposits_test.go
+++ b/conductor/deposits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/shoenig/test/must"
 
 	"galenawharf.example/galenawharf/clock"
+	"galenawharf.example/galenawharf/conductor"
 	"galenawharf.example/galenawharf/depositor"
 	"galenawharf.example/galenawharf/imitator"
 	"galenawharf.example/galenawharf/scheduler"
@@ -59,3 +61,51 @@
 		must.SliceEmpty(t, page.Items, must.Sprint("deposits are left"))
 	})
 }
+
+// TestDepositedJobIsKnown checks what callers are told of a job that was deposited,
+// while the leader can't store its own records and while it can't read the deposits.
+func TestDepositedJobIsKnown(t *testing.T) {
+	tests := map[string]struct {
+		call, topic string
+		want        error
+	}{
+		"appends fail":               {call: "append", topic: "jobs"},
+		"the deposits are not heard": {call: "read", topic: depositor.Topic, want: conductor.ErrUnread},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var away atomic.Bool
+				l := imitator.NewKeyedLog(4, func(client, call, topic string) imitator.StoreFault {
+					if away.Load() && client == "a" && call == c.call && topic == c.topic {
+						return imitator.StoreSilent
+					}
+					return imitator.StoreFine
+				})
+				p := imitator.NewPool(1, 4, func(scheduler.TaskName, int) (clock.Millis, scheduler.Ending) { return 300, scheduler.EndDone }, nil)
+				p.Register(l)
+				a := startDaemon("a", l, p, nil)
+				defer a.elector.Close()
+				lead := leader(a)
+				// A submission is on its way when the store stops to answer.
+				away.Store(true)
+				time.Sleep(2 * time.Second)
+				spec := scheduler.Spec{ID: fmt.Sprintf("%016x", 1), Queue: scheduler.Queue{Name: "q", Service: "pool", MaxAttempts: 3}, Steps: []scheduler.Step{{Count: 1, CPU: 1000}}}
+				must.NoError(t, depositor.New(l.Client("entry"), clock.System, clock.System).Deposit(t.Context(), spec))
+				for range 30 {
+					time.Sleep(100 * time.Millisecond)
+					_, err := lead.Phase(spec.ID, "q")
+					if err != nil {
+						must.ErrorIs(t, err, c.want)
+					}
+					must.NotEq(t, scheduler.ErrUnknown, err)
+				}
+				away.Store(false)
+				time.Sleep(10 * time.Second)
+				phase, err := lead.Phase(spec.ID, "q")
+				must.NoError(t, err)
+				must.Eq(t, scheduler.Completed, phase)
+			})
+		})
+	}
+}
--- a/conductor/desk.go
+++ b/conductor/desk.go
@@ -16,6 +16,9 @@
 	// confirmLimit is how old the last renewal of the claim may be for a job to be
 	// called unknown; another daemon claims after 1.5 s and accepts jobs after that.
 	confirmLimit = 1500 * clock.Millis(1)
+	// depositLimit is how old the last reading of the deposits may be for a job to be
+	// called unknown: a second of waiting for news, and the answer of a slow store.
+	depositLimit = 1500 * clock.Millis(1)
 	// storeLimit is how long a caller waits for a change to be stored. After that the
 	// fate of the change is open, and the caller had better ask again.
 	storeLimit = clock.Second
@@ -27,6 +30,9 @@
 	ErrStoreAway = errors.New("the store does not answer")
 	// ErrUnconfirmed says that this daemon has not renewed its claim lately.
 	ErrUnconfirmed = errors.New("another daemon may lead")
+	// ErrUnread says that jobs may have been accepted through the store that this daemon
+	// has not heard of.
+	ErrUnread = errors.New("the deposited jobs could not be read lately")
 	// ErrUnclear says that a change was not stored in time; it may be stored yet.
 	ErrUnclear = errors.New("the change is not stored yet")
 )
@@ -43,14 +49,29 @@
 	})
 }
 
-// Cancel ends a job and returns when that is stored. The error is
-// scheduler.ErrUnknown, or as with Submit.
+// Cancel ends a job and returns when that is stored. The error is as with Phase for a
+// job that is not known, else as with Submit.
 func (c *Conductor) Cancel(ctx context.Context, id string) error {
-	err := c.await(ctx, func(stored func(error)) error { return c.sched.Cancel(id, stored) })
-	if errors.Is(err, scheduler.ErrUnknown) && c.unconfirmed() {
+	return c.await(ctx, func(stored func(error)) error {
+		err := c.sched.Cancel(id, stored)
+		if errors.Is(err, scheduler.ErrUnknown) {
+			return c.unknown()
+		}
+		return err
+	})
+}
+
+// unknown returns the error for a job that this daemon does not know. It runs on the
+// owning goroutine.
+func (c *Conductor) unknown() error {
+	switch {
+	case c.unconfirmed():
 		return ErrUnconfirmed
+	case c.now()-c.depositsRead > depositLimit:
+		return ErrUnread
+	default:
+		return scheduler.ErrUnknown
 	}
-	return err
 }
 
 // storeAway reports whether appends have failed for a while.
@@ -91,16 +112,17 @@
 }
 
 // Phase returns the phase of a job. The error is scheduler.ErrUnknown, ErrOver, or
-// ErrUnconfirmed for an unknown job while another daemon may lead already.
+// ErrUnconfirmed or ErrUnread for an unknown job of which another daemon may know.
 func (c *Conductor) Phase(id, queue string) (scheduler.Phase, error) {
 	var p scheduler.Phase
 	var err error
-	if !c.ask(func() { p, err = c.sched.Phase(id, queue) }) {
+	if !c.ask(func() {
+		if p, err = c.sched.Phase(id, queue); errors.Is(err, scheduler.ErrUnknown) {
+			err = c.unknown()
+		}
+	}) {
 		return "", ErrOver
 	}
-	if errors.Is(err, scheduler.ErrUnknown) && c.unconfirmed() {
-		return "", ErrUnconfirmed
-	}
 	return p, err
 }
 
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -138,7 +138,7 @@
 		r := refusal(err.Error())
 		r.StoreAway = true
 		return r
-	case errors.Is(err, conductor.ErrUnconfirmed):
+	case errors.Is(err, conductor.ErrUnconfirmed), errors.Is(err, conductor.ErrUnread):
 		return refusal(err.Error())
 	case errors.Is(err, conductor.ErrOver) && v != Submit:
 		return refusal(err.Error())
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -37,6 +37,9 @@
 		sent bool
 		// stored is the phase as the store has it; callers are shown no other.
 		stored Phase
+		// deposited is whether the job was accepted through the store, where it lies until
+		// its own record is stored.
+		deposited bool
 		// occurrences by number; a later one is absent until it is due.
 		occurrences map[int]*occurrence
 		doneSet     map[int]bool
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -141,24 +141,55 @@
 		if j.spec.Queue.Name != spec.Queue.Name {
 			return ErrConflict
 		}
-		if j.stored != "" {
+		if j.stored != "" || j.deposited {
 			stored(nil)
 		} else {
 			s.replies = append(s.replies, reply{j, stored})
 		}
 		return nil
 	}
+	j, err := s.accept(spec)
+	if err != nil {
+		return err
+	}
+	s.replies = append(s.replies, reply{j, stored})
+	return nil
+}
+
+// Adopt takes in a job that was accepted through the store. It is known at once. stored
+// is called when the job's own record is stored. The error is ErrConflict or ErrInvalid.
+func (s *Scheduler) Adopt(spec Spec, stored func(error)) error {
+	j := s.jobs[spec.ID]
+	switch {
+	case j == nil:
+		var err error
+		if j, err = s.accept(spec); err != nil {
+			return err
+		}
+	case j.spec.Queue.Name != spec.Queue.Name:
+		return ErrConflict
+	}
+	j.deposited = true
+	if j.stored != "" {
+		stored(nil)
+	} else {
+		s.replies = append(s.replies, reply{j, stored})
+	}
+	return nil
+}
+
+// accept takes in a job that is not known yet. The error is ErrInvalid.
+func (s *Scheduler) accept(spec Spec) (*job, error) {
 	if err := spec.Validate(); err != nil {
-		return errors.Wrap(ErrInvalid, err.Error())
+		return nil, errors.Wrap(ErrInvalid, err.Error())
 	}
 	j := &job{spec: spec, phase: Queued, accepted: s.wall(), occurrences: map[int]*occurrence{}}
 	s.jobs[spec.ID] = j
 	s.active[j] = struct{}{}
 	s.touch(j)
 	s.noteWork(j)
-	s.replies = append(s.replies, reply{j, stored})
 	s.openDue(j)
-	return nil
+	return j, nil
 }
 
 // Cancel ends a job. stored is called with nil when that is stored. The error is
@@ -187,10 +218,14 @@
 // Phase returns the stored phase of a job. The error is ErrUnknown.
 func (s *Scheduler) Phase(id, queue string) (Phase, error) {
 	j := s.jobs[id]
-	if j == nil || j.spec.Queue.Name != queue || j.stored == "" {
+	switch {
+	case j == nil || j.spec.Queue.Name != queue || j.stored == "" && !j.deposited:
 		return "", ErrUnknown
+	case j.stored == "":
+		return Queued, nil
+	default:
+		return j.stored, nil
 	}
-	return j.stored, nil
 }
 
 // Pending returns how many stored jobs of a queue have not begun.
@@ -267,11 +302,11 @@
 }
 
 // Refuse drops the jobs that were never sent to the store and tells their callers the
-// error: they have not run and will not.
+// error: they have not run and will not. Jobs that were accepted through the store stay.
 func (s *Scheduler) Refuse(err error) {
 	kept := s.replies[:0]
 	for _, r := range s.replies {
-		if r.job.sent || r.job.stored != "" {
+		if r.job.sent || r.job.stored != "" || r.job.deposited {
 			kept = append(kept, r)
 			continue
 		}
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -393,3 +393,27 @@
 	must.SliceLen(t, 1, orders)
 	must.Eq(t, "filler", orders[0].Task.Job)
 }
+
+// TestAdoptedJobIsKnown checks that a job that was accepted through the store is shown
+// from the start, outlasts an outage of the store, and counts as stored with its own
+// record only.
+func TestAdoptedJobIsKnown(t *testing.T) {
+	b := newBench(1)
+	spec := Spec{ID: "job", Queue: Queue{Name: "q", Service: benchService, MaxAttempts: 1}, Steps: []Step{{Count: 1, CPU: 100}}}
+	adopted, again, direct := 0, 0, 0
+	must.NoError(t, b.Adopt(spec, func(error) { adopted++ }))
+	must.NoError(t, b.Adopt(spec, func(error) { again++ }))
+	must.NoError(t, b.Submit(spec, func(err error) {
+		must.NoError(t, err)
+		direct++
+	}))
+	must.Eq(t, 1, direct)
+	b.Refuse(ErrUnknown)
+	phase, err := b.Phase("job", "q")
+	must.NoError(t, err)
+	must.Eq(t, Queued, phase)
+	must.Eq(t, 0, adopted+again)
+	must.SliceLen(t, 1, b.store())
+	must.Eq(t, 2, adopted+again)
+	must.ErrorIs(t, b.Adopt(Spec{ID: "job", Queue: Queue{Name: "other"}}, nil), ErrConflict)
+}
