--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -214,7 +214,7 @@
 	if deposits.err != nil {
 		return deposits.err
 	}
-	until := c.now() + c.lease + c.lease/20 + orderLimit
+	until := scheduler.LeaseBound(c.now(), c.lease) + orderLimit
 	if !t.FormerIsOver {
 		until += authorityLimit
 	}
--- a/scheduler/interference.go
+++ b/scheduler/interference.go
@@ -8,18 +8,6 @@
 	"galenawharf.example/galenawharf/clock"
 )
 
-// servingGroup is the serving tasks of one step on a worker.
-type servingGroup struct {
-	model    *sensitivity
-	baseline *baseline
-	tasks    int
-	// fall is by how much the fillers on the worker lower their headroom.
-	fall float64
-	// ahead is the headroom without fillers that is expected from at on.
-	ahead float64
-	at    clock.Millis
-}
-
 const (
 	// settleTime is how long no filler may have left a worker before its gauges are
 	// learnt from: the half second that they cover.
@@ -152,7 +140,7 @@
 		}
 	}
 	w.grouped = false
-	if w.serving == 0 || now-w.mixedAt < settleTime {
+	if w.serving == 0 || now-w.fillerLeftAt < settleTime {
 		return
 	}
 	shares := w.measuredShares()
--- a/scheduler/protecting.go
+++ b/scheduler/protecting.go
@@ -45,19 +45,20 @@
 // lets them go again after.
 func (s *Scheduler) protect() {
 	now := s.now()
+	usable := s.usable(now)
 	for _, w := range s.ordered() {
 		if len(w.tasks) == w.serving || now-w.pacedAt < paceEvery {
 			continue
 		}
 		w.pacedAt = now
-		s.protectOn(w, now)
+		s.protectOn(w, usable, now)
 	}
 }
 
 // protectOn sets the pace of the fillers of one worker: what the models allow, less
 // while a serving task is over its objective. After long they stand still. While fillers
 // wait for room, slowing those that disturb little would cost more jobs than it saves.
-func (s *Scheduler) protectOn(w *worker, now clock.Millis) {
+func (s *Scheduler) protectOn(w *worker, usable []*worker, now clock.Millis) {
 	over := clock.Millis(0)
 	for _, t := range w.tasks {
 		if t.over != 0 && t.state == running {
@@ -80,7 +81,7 @@
 			p = min(p, t.pace+paceRise)
 		}
 		s.pace(t, steady(t.pace, p))
-		s.relocate(t, w, now)
+		s.relocate(t, w, usable, now)
 	}
 }
 
@@ -94,7 +95,7 @@
 
 // relocate stops a filler that has been slow for a while if another worker would let
 // it work at full speed. It starts there from its checkpoint.
-func (s *Scheduler) relocate(t *task, w *worker, now clock.Millis) {
+func (s *Scheduler) relocate(t *task, w *worker, usable []*worker, now clock.Millis) {
 	switch {
 	case t.pace > relocatePace:
 		t.slowSince = 0
@@ -105,7 +106,7 @@
 	case now-t.slowSince < relocateAfter || !t.spec().Checkpointing:
 		return
 	}
-	for _, o := range s.usable(now) {
+	for _, o := range usable {
 		if o != w && !t.denied(o) && o.info.Service == w.info.Service && o.hasLabel(t.spec().Label) && o.fits(t.spec()) && s.disturbance(t.spec(), o) <= disturbanceLimit {
 			s.emit(logger.RunRelocated, logger.String("task", t.name().String()), logger.String("worker", w.info.ID), logger.Int("pace", int64(t.pace)))
 			s.stop(t)
--- a/scheduler/reporting.go
+++ b/scheduler/reporting.go
@@ -87,7 +87,7 @@
 func (s *Scheduler) reborn(w *worker, i WorkerInfo) *worker {
 	now := s.now()
 	s.emit(logger.WorkerReborn, logger.String("worker", i.ID), logger.Int("born", i.Born), logger.Int("runs", int64(len(w.tasks))))
-	n := &worker{info: i, listed: w.listed, inherits: len(w.tasks) > 0, leaseEnd: leaseBound(now, s.leaseLength)}
+	n := &worker{info: i, listed: w.listed, inherits: len(w.tasks) > 0, leaseEnd: LeaseBound(now, s.leaseLength)}
 	n.clockOffset = i.Clock - now
 	s.workers[i.ID] = n
 	for _, t := range slices.Clone(w.tasks) {
@@ -354,11 +354,13 @@
 		// its runs must end soon, so that they can be started elsewhere.
 		return 0, false
 	}
-	w.leaseEnd = max(w.leaseEnd, leaseBound(now, s.leaseLength))
+	w.leaseEnd = max(w.leaseEnd, LeaseBound(now, s.leaseLength))
 	return now + w.clockOffset + s.leaseLength, true
 }
 
-func leaseBound(now, lease clock.Millis) clock.Millis {
+// LeaseBound returns when a lease surely is over that is extended at a time, by our
+// clock.
+func LeaseBound(now, lease clock.Millis) clock.Millis {
 	return now + lease + clock.Millis(float64(lease)*clockDrift) + leaseMargin
 }
 
--- a/scheduler/sensitivity.go
+++ b/scheduler/sensitivity.go
@@ -99,10 +99,7 @@
 	noise := readingNoise * headroom
 	noise *= noise
 	miss := headroom + taken - b.expect(at)
-	sum := noise + b.variance(at) + spread
-	if excess := miss * miss / (sum * outlier * outlier); excess > 1 {
-		sum *= excess
-	}
+	sum := discount(miss, noise+b.variance(at)+spread)
 	for i := range n {
 		m.weights[i] -= px[i] / sum * miss
 		for j := range n {
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -119,7 +119,7 @@
 // left notes on the worker that a filler has gone.
 func (t *task) left(now clock.Millis) {
 	if t.worker != nil && t.spec().Filler {
-		t.worker.mixedAt, t.worker.grouped = now, false
+		t.worker.fillerLeftAt, t.worker.grouped = now, false
 	}
 }
 
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -71,13 +71,13 @@
 		clockKnown  bool
 		// pacedAt is when the fillers of the worker were last paced.
 		pacedAt clock.Millis
-		// groups are the serving tasks by image, and overdue is whether one is over its
+		// groups are the serving tasks by step, and overdue is whether one is over its
 		// objective; both are valid while grouped is set.
 		groups  []servingGroup
 		grouped bool
 		overdue bool
-		// mixedAt is when a filler last left.
-		mixedAt clock.Millis
+		// fillerLeftAt is when a filler last left.
+		fillerLeftAt clock.Millis
 		// due is whether the worker's machine is to go down for its upkeep, and upkeep
 		// whether that is under way, so that nothing may start here.
 		due, upkeep bool
