forwarder: a cancel without an answer is not said to be refused

Cause: found by reading. A cancel that the leader did not answer, or whose term ended under it, was answered with a refusal, though the job may have been cancelled. Only questions change nothing and may be refused. Calls to peers are made by one function, and the time to come back has one field.

--- a/forwarder/consultations.go
+++ b/forwarder/consultations.go
@@ -1,7 +1,6 @@
 package forwarder
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -47,26 +46,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, (consultWait + exchangeMargin).Duration())
 	defer cancel()
-	b, err := json.Marshal(exchange{Verdict: v})
-	if err != nil {
-		return nil, errors.Wrap(err, "forwarder.Consult")
-	}
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+consultationsPath, bytes.NewReader(b))
-	if err != nil {
-		return nil, errors.Wrap(err, "forwarder.Consult")
-	}
-	resp, err := f.client.Do(r)
-	if err != nil {
-		return nil, errors.Wrap(err, "forwarder.Consult")
-	}
-	// The body was read; closing it can only fail for a connection that is gone.
-	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode != http.StatusOK {
-		return nil, errors.Wrapf(ErrNoLeader, "forwarder.Consult: status %d", resp.StatusCode)
-	}
 	var e exchange
-	if err := json.NewDecoder(resp.Body).Decode(&e); err != nil {
+	switch status, err := f.call(ctx, address+consultationsPath, exchange{Verdict: v}, &e); {
+	case err != nil:
 		return nil, errors.Wrap(err, "forwarder.Consult")
+	case status != http.StatusOK:
+		return nil, errors.Wrapf(ErrNoLeader, "forwarder.Consult: status %d", status)
 	}
 	return e.Consultation, nil
 }
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -140,7 +140,7 @@
 		return r
 	case errors.Is(err, conductor.ErrUnconfirmed), errors.Is(err, conductor.ErrUnread):
 		return refusal(err.Error())
-	case errors.Is(err, conductor.ErrOver) && v != Submit:
+	case errors.Is(err, conductor.ErrOver) && v.reads():
 		return refusal(err.Error())
 	case errors.Is(err, scheduler.ErrInvalid), errors.Is(err, scheduler.ErrConflict):
 		return Reply{Outcome: Invalid, Error: err.Error()}
@@ -151,37 +151,50 @@
 
 // forward sends a request to the leader.
 func (f *Forwarder) forward(ctx context.Context, address string, q Request) Reply {
-	b, err := json.Marshal(q)
-	if err != nil {
-		return Reply{Outcome: Invalid, Error: err.Error()}
-	}
 	limited, cancel := context.WithTimeout(ctx, forwardLimit.Duration())
 	defer cancel()
-	r, err := http.NewRequestWithContext(limited, http.MethodPost, "http://"+address+path, bytes.NewReader(b))
+	var a Reply
+	status, err := f.call(limited, address+path, q, &a)
+	switch {
+	case err == nil && status == http.StatusOK:
+		f.reach.found()
+		return a
+	case err == nil:
+		f.reach.found()
+		return Reply{Outcome: Unclear, Error: "the leader answered " + http.StatusText(status)}
+	case ctx.Err() == nil:
+		f.reach.lost(address)
+	}
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" || q.Verb.reads() {
+		return refusal("the leader does not answer: " + err.Error())
+	}
+	return unclear(err)
+}
+
+// call sends a document to a peer, once, and returns the status; an answer of 200 is
+// read into answer.
+func (f *Forwarder) call(ctx context.Context, url string, document, answer any) (int, error) {
+	b, err := json.Marshal(document)
 	if err != nil {
-		return Reply{Outcome: Invalid, Error: err.Error()}
+		return 0, errors.Wrap(err, "forwarder.call")
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+url, bytes.NewReader(b))
+	if err != nil {
+		return 0, errors.Wrap(err, "forwarder.call")
 	}
+	// Without it the library does not send a request twice by itself.
 	r.GetBody = nil
 	resp, err := f.client.Do(r)
 	if err != nil {
-		if ctx.Err() == nil {
-			f.reach.lost(address)
-		}
-		var op *net.OpError
-		if errors.As(err, &op) && op.Op == "dial" || q.Verb != Submit {
-			return refusal("the leader does not answer: " + err.Error())
-		}
-		return unclear(err)
+		return 0, errors.Wrap(err, "forwarder.call")
 	}
-	f.reach.found()
 	// The body was read; closing it can only fail for a connection that is gone.
 	defer func() { _ = resp.Body.Close() }()
-	var a Reply
-	if err := json.NewDecoder(resp.Body).Decode(&a); err != nil || resp.StatusCode != http.StatusOK {
-		return Reply{Outcome: Unclear, Error: "the leader answered " + resp.Status}
+	if resp.StatusCode != http.StatusOK {
+		return resp.StatusCode, nil
 	}
-	a.RetryAfter = clock.Millis(a.RetryMS)
-	return a
+	return resp.StatusCode, errors.Wrap(json.NewDecoder(resp.Body).Decode(answer), "forwarder.call")
 }
 
 // ServeHTTP answers a peer.
@@ -206,7 +219,6 @@
 		n := f.elector().Newest()
 		a = Reply{Outcome: NotLeading, Leader: &n}
 	}
-	a.RetryMS = int64(a.RetryAfter)
 	b, err := json.Marshal(a)
 	if err != nil {
 		w.WriteHeader(http.StatusInternalServerError)
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -25,6 +25,7 @@
 		"not stored in time":       {err: conductor.ErrUnclear, verb: Submit, want: Unclear},
 		"cancel not stored":        {err: conductor.ErrUnclear, verb: Cancel, want: Unclear},
 		"term over, submission":    {err: conductor.ErrOver, verb: Submit, want: Unclear},
+		"term over, cancel":        {err: conductor.ErrOver, verb: Cancel, want: Unclear},
 		"term over, question":      {err: conductor.ErrOver, verb: Phase, want: Refused},
 		"anything else is no fate": {err: errors.New("x"), verb: Submit, want: Unclear},
 	}
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -27,8 +27,7 @@
 		Phase   scheduler.Phase `json:"phase,omitempty"`
 		Pending int             `json:"pending,omitempty"`
 		// RetryAfter goes with Refused.
-		RetryAfter clock.Millis `json:"-"`
-		RetryMS    int64        `json:"retry-after-ms,omitempty"`
+		RetryAfter clock.Millis `json:"retry-after,omitempty"`
 		Error      string       `json:"error,omitempty"`
 		// StoreAway is whether the leader refused because the store does not answer it.
 		StoreAway bool `json:"store-away,omitempty"`
@@ -66,3 +65,7 @@
 	// their own returns.
 	RetrySoon = clock.Second
 )
+
+// reads reports whether a request changes nothing, so that it may be refused although
+// it was carried out.
+func (v Verb) reads() bool { return v == Phase || v == Pending }
