conductor, elector: the end of a term and a failed claim say why

Cause: found by reading. A leader that was refused by a worker ended its term without a line, one that the store told of another leader logged "store does not answer", as did a failed takeover, and a claim that could not be stored logged nothing. TermEnded (GE6006) has the reason and the worker, ClaimFailed (GE6007) the error; trace shows the first. States of waves that can't be read are logged instead of passed over. The path of the balancer's question moves to platform/.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -33,10 +33,12 @@
 		measures  Measures
 		cloud     Cloud
 
-		events   chan func()
-		ctx      context.Context
-		cancel   context.CancelFunc
-		group    sync.WaitGroup
+		events chan func()
+		ctx    context.Context
+		cancel context.CancelFunc
+		group  sync.WaitGroup
+		// ending is done when this daemon has learnt that it may not go on leading.
+		ending   sync.Once
 		sessions map[string]*session
 		// awaiting are the sessions that wait for their first look, in order; firstLooks
 		// counts those on their way.
@@ -160,6 +162,16 @@
 	c.group.Wait()
 }
 
+// end ends the term because this daemon may not go on leading.
+func (c *Conductor) end(why string, details ...logger.Field) {
+	c.ending.Do(func() {
+		if c.ctx.Err() == nil {
+			c.emit(logger.TermEnded, append(details, logger.Int("epoch", c.epoch), logger.String("reason", why))...)
+		}
+	})
+	c.cancel()
+}
+
 // load takes over the records of the former leader.
 func (c *Conductor) load(t Term) error {
 	// The other topics are read meanwhile: a slow store takes a quarter of a second for
--- a/conductor/loop.go
+++ b/conductor/loop.go
@@ -6,8 +6,6 @@
 	"strings"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"galenawharf.example/galenawharf/clock"
 	"galenawharf.example/galenawharf/logger"
 	"galenawharf.example/galenawharf/recorder"
@@ -101,7 +99,6 @@
 		select {
 		case b := <-c.batches:
 			if !c.keep(b) {
-				c.cancel()
 				return
 			}
 			c.do(func() {
@@ -119,17 +116,15 @@
 	chunkBytes = 1 << 20
 )
 
-// keep stores one batch and reports whether this daemon still leads. Only the
-// records of one job have to be stored together, so a large batch may be split.
+// keep stores one batch, or ends the term and reports false. Only the records of one
+// job have to be stored together, so a large batch may be split.
 func (c *Conductor) keep(b *scheduler.Batch) bool {
 	for chunk := range chunks(b.Records) {
 		sent := c.now()
 		err := c.writer.Append(c.ctx, chunk)
 		c.measures.Append(c.now() - sent)
 		if err != nil {
-			if errors.Is(err, recorder.ErrDeposed) {
-				c.emit(logger.StoreLost, logger.Err(err))
-			}
+			c.end(err.Error())
 			return false
 		}
 	}
@@ -225,7 +220,7 @@
 
 func (c *Conductor) answered(o scheduler.Order, out scheduler.Outcome) {
 	if out == scheduler.Fenced {
-		c.cancel()
+		c.end("a worker knows a newer leader", logger.String("worker", o.Worker))
 		return
 	}
 	if out != scheduler.Done {
--- a/conductor/session.go
+++ b/conductor/session.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"galenawharf.example/galenawharf/clock"
+	"galenawharf.example/galenawharf/logger"
 	"galenawharf.example/galenawharf/recorder"
 	"galenawharf.example/galenawharf/scheduler"
 )
@@ -227,7 +228,7 @@
 			c.sched.Told(q.Worker, q.Born, q.Acked)
 			c.sched.Report(r)
 		case scheduler.Fenced:
-			c.cancel()
+			c.end("a worker knows a newer leader", logger.String("worker", q.Worker))
 		case scheduler.OtherLife:
 			c.sched.Replaced(q.Worker, q.Born, r.Born)
 		default:
--- a/conductor/upkeep.go
+++ b/conductor/upkeep.go
@@ -17,7 +17,7 @@
 		// Upkeep orders one machine into its upkeep, under an epoch.
 		Upkeep func(ctx context.Context, u scheduler.Upkeep, epoch int64) scheduler.UpkeepOutcome
 		// Publish tells the operator the state of a wave, Published returns what the
-		// operator was told of all waves.
+		// operator was told of all waves, an empty state for what can't be read.
 		Publish   func(ctx context.Context, wave string, s scheduler.WaveState) error
 		Published func(context.Context) (map[string]scheduler.WaveState, error)
 	}
@@ -72,6 +72,11 @@
 	}
 	return c.ask(func() {
 		for id, s := range states {
+			if s == "" {
+				// The wave is gone through again; machines that are done answer so.
+				c.emit(logger.RecordInvalid, logger.String("wave", id))
+				continue
+			}
 			c.sched.Published(id, s)
 		}
 	})
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -222,6 +222,7 @@
 	defer cancel()
 	items, end, err := recorder.Load(ctx, e.store, topic)
 	if err != nil {
+		e.emit(logger.ClaimFailed, logger.Err(err))
 		return Term{}, false
 	}
 	var old Claim
@@ -240,6 +241,10 @@
 	c := Claim{Epoch: old.Epoch + 1, Host: e.host, Address: e.address, Life: e.life}
 	w := recorder.NewWriter(e.store, topic, end, e.owned, recorder.WithClock(e.now))
 	if err := w.Append(ctx, []recorder.Item{{Key: Key, Value: c.Encode()}}); err != nil {
+		if !errors.Is(err, recorder.ErrDeposed) {
+			// Another daemon that was faster is logged when its claim is read.
+			e.emit(logger.ClaimFailed, logger.Err(err))
+		}
 		return Term{}, false
 	}
 	e.mu.Lock()
--- a/logger/events.go
+++ b/logger/events.go
@@ -54,6 +54,8 @@
 	LeaderChanged  = Event{6003, log.InfoLevel, "another daemon leads"}
 	ConfigInForce  = Event{6004, log.InfoLevel, "configuration is in force"}
 	Evacuated      = Event{6005, log.InfoLevel, "evacuated data centres changed"}
+	TermEnded      = Event{6006, log.WarnLevel, "this daemon may not go on leading"}
+	ClaimFailed    = Event{6007, log.WarnLevel, "claim to lead could not be made"}
 	JobAccepted    = Event{6010, log.InfoLevel, "job accepted"}
 	JobRefused     = Event{6011, log.WarnLevel, "request refused"}
 	JobDeposited   = Event{6014, log.InfoLevel, "job stored for a leader that can't be reached"}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -85,7 +85,6 @@
 	rotationDelay = 2200 * clock.Millis(1)
 	// stopReserve is left of the grace period for the end of the process.
 	stopReserve = 800 * clock.Millis(1)
-	readyPath   = "/galenawharf/readyz"
 	// leaseLimit bounds the lease: long enough for a takeover (two seconds) and the
 	// first reports after it, short enough that the tasks of a lost worker soon start
 	// elsewhere.
@@ -186,7 +185,7 @@
 func (r *Runner) ready(w http.ResponseWriter, q *http.Request) {
 	leader, _ := r.elector.Leader()
 	switch {
-	case q.URL.Path != readyPath:
+	case q.URL.Path != platform.ReadyPath:
 		w.WriteHeader(http.StatusNotFound)
 	case r.leaving.Load() || r.ingress.Config() == nil || leader == "" || !r.forward.Reachable(q.Context(), r.storeRead.Load() == 0):
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -243,7 +242,7 @@
 		r.store, r.workers.Fleet(), s, lease, platform.DecodeWorker,
 		conductor.WithClock(r.now), conductor.WithMeasures(r.measures()), conductor.WithEvents(r.log.Emit), conductor.WithCloud(cloud))
 	if err != nil {
-		r.log.Emit(logger.StoreLost, logger.Err(err))
+		r.log.Emit(logger.TermEnded, logger.Int("epoch", t.Epoch), logger.String("reason", err.Error()))
 		return
 	}
 	r.forward.SetLocal(c)
--- a/tracer/tracer.go
+++ b/tracer/tracer.go
@@ -134,7 +134,7 @@
 // shared reports whether an event touches all requests.
 func shared(event string) bool {
 	return slices.ContainsFunc([]logger.Event{
-		logger.Started, logger.Leaving, logger.Stopped, logger.LeaderElected, logger.LeaderDeposed, logger.LeaderChanged,
+		logger.Started, logger.Leaving, logger.Stopped, logger.LeaderElected, logger.LeaderDeposed, logger.LeaderChanged, logger.TermEnded,
 		logger.Evacuated, logger.StoreLost, logger.StoreBack, logger.LinesLeftOut,
 	}, func(e logger.Event) bool { return e.String() == event })
 }
