scheduler: log why a run is given up, and ended runs that a report lacks

A run that is given up without its end (its worker is gone, its lease has expired) was not logged, nor the life of the worker.

--- a/logger/events.go
+++ b/logger/events.go
@@ -77,6 +77,9 @@
 	WorkerBack     = Event{6031, log.InfoLevel, "worker answers again"}
 	WorkerLost     = Event{6032, log.WarnLevel, "lease of a worker that does not answer expired"}
 	WorkerReborn   = Event{6033, log.InfoLevel, "worker was restarted"}
+	WorkerGone     = Event{6034, log.InfoLevel, "worker process is gone"}
+	EndsMissing    = Event{6035, log.ErrorLevel, "report lacks ended runs that were not acknowledged"}
+	RunAbandoned   = Event{6036, log.InfoLevel, "run was given up before its end was reported"}
 	StoreLost      = Event{6040, log.WarnLevel, "store does not answer"}
 	StoreBack      = Event{6041, log.InfoLevel, "store answers again"}
 	RecordInvalid  = Event{6042, log.ErrorLevel, "stored record is invalid"}
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -207,7 +207,7 @@
 	w.leaseEnd = max(w.leaseEnd, LeaseBound(now, s.leaseLength))
 	s.markDirty(t.job())
 	s.orders = append(s.orders, s.newOrder(Start, t))
-	s.emit(logger.RunPlaced, logger.String("task", t.name().String()), logger.Int("attempt", int64(t.attempt)), logger.String("worker", w.info.ID))
+	s.emit(logger.RunPlaced, logger.String("task", t.name().String()), logger.Int("attempt", int64(t.attempt)), logger.String("worker", w.info.ID), logger.Int("born", w.info.Born))
 }
 
 // chooseWorker returns the best worker for a task, or nil if the task has to wait.
--- a/scheduler/reporting.go
+++ b/scheduler/reporting.go
@@ -60,12 +60,21 @@
 
 // dropWorker removes a worker process that is gone, and with it all of its runs; their
 // tasks may start again.
-func (s *Scheduler) dropWorker(w *worker) {
+func (s *Scheduler) dropWorker(w *worker, reason string) {
+	s.emit(logger.WorkerGone, logger.String("worker", w.info.ID), logger.Int("born", w.info.Born), logger.String("reason", reason), logger.Int("runs", int64(len(w.tasks))))
+	s.abandonRuns(w, reason)
+	delete(s.workers, w.info.ID)
+}
+
+// abandonRuns releases the tasks of a worker whose runs have ended without a report.
+func (s *Scheduler) abandonRuns(w *worker, reason string) {
 	for _, t := range slices.Clone(w.tasks) {
+		s.emit(logger.RunAbandoned, logger.String("task", t.name().String()), logger.Int("attempt", int64(t.attempt)), logger.String("worker", w.info.ID),
+			logger.Int("born", w.info.Born), logger.String("reason", reason), logger.Text("unclear", t.unclear), logger.Int("unanswered", int64(t.ordersInFlight)),
+			logger.Int("lease-left-ms", int64(w.leaseEnd-s.now())))
 		s.markDirty(t.job())
 		s.release(t)
 	}
-	delete(s.workers, w.info.ID)
 }
 
 // WorkerReplaced must be called when another process answers at the address of the worker
@@ -79,7 +88,7 @@
 	if born == 0 {
 		// Orders name the worker, so the other worker rejects orders that are still in
 		// flight.
-		s.dropWorker(w)
+		s.dropWorker(w, "another worker answers at its address")
 		return
 	}
 	i := w.info
@@ -93,8 +102,9 @@
 // process had not confirmed are ordered to stop.
 func (s *Scheduler) replaceRestarted(w *worker, i WorkerInfo) *worker {
 	now := s.now()
-	s.emit(logger.WorkerReborn, logger.String("worker", i.ID), logger.Int("born", i.Born), logger.Int("runs", int64(len(w.tasks))))
-	n := &worker{info: i, registered: w.registered, unreconciled: len(w.tasks) > 0, leaseEnd: LeaseBound(now, s.leaseLength)}
+	s.emit(logger.WorkerReborn, logger.String("worker", i.ID), logger.Int("born", i.Born), logger.Int("former-born", w.info.Born),
+		logger.Int("former-acked", w.storedEnd), logger.Int("runs", int64(len(w.tasks))))
+	n := &worker{info: i, firstEndKnown: true, registered: w.registered, unreconciled: len(w.tasks) > 0, leaseEnd: LeaseBound(now, s.leaseLength)}
 	n.clockOffset = i.Clock - now
 	s.workers[i.ID] = n
 	for _, t := range slices.Clone(w.tasks) {
@@ -120,6 +130,10 @@
 	}
 	s.markResponsive(w, r)
 	listed := make(map[*task]struct{}, len(r.Active)+len(r.Ended))
+	if len(r.Ended) > 0 && w.firstEndKnown && r.Ended[0].Number > w.lastEnd+1 {
+		s.emit(logger.EndsMissing, logger.String("worker", w.info.ID), logger.Int("born", w.info.Born),
+			logger.Int("last", w.lastEnd), logger.Int("next", r.Ended[0].Number), logger.Int("acked", w.ackedEnd))
+	}
 	for _, e := range r.Ended {
 		t := s.findTask(e.Task)
 		if t != nil && e.Number > w.lastEnd && t.completedByAbandonedRun(w, e) {
@@ -233,7 +247,8 @@
 	switch {
 	case t.unresolvedSince != 0 && sent > t.unresolvedSince,
 		t.state == running && sent > t.confirmedAt:
-		s.emit(logger.RunMissing, logger.String("task", t.name().String()), logger.Int("attempt", int64(t.attempt)))
+		s.emit(logger.RunMissing, logger.String("task", t.name().String()), logger.Int("attempt", int64(t.attempt)), logger.String("worker", t.worker.info.ID),
+			logger.Int("born", t.worker.info.Born), logger.Text("unclear", t.unclear), logger.Int("unanswered", int64(t.ordersInFlight)))
 		s.markDirty(t.job())
 		s.release(t)
 	case t.state == placed && t.recorded && t.unresolvedSince == 0 && t.ordersInFlight < maxOrdersInFlight && s.now()-t.placedAt > resendDelay:
@@ -388,7 +403,7 @@
 		if w.info.Draining && !w.registered && w.connRefused {
 			// The worker was draining and has left the registry, and nothing listens at
 			// its address.
-			s.dropWorker(w)
+			s.dropWorker(w, "it has drained and refuses connections")
 			continue
 		}
 		if (w.silentSince == 0 && w.registered) || now < w.leaseEnd {
@@ -399,10 +414,7 @@
 				s.emit(logger.WorkerLost, logger.String("worker", w.info.ID), logger.Int("runs", int64(len(w.tasks))))
 			}
 			w.leaseExpired, w.unreconciled = true, false
-			for _, t := range slices.Clone(w.tasks) {
-				s.markDirty(t.job())
-				s.release(t)
-			}
+			s.abandonRuns(w, "its lease has expired")
 		}
 		if !w.registered && len(w.tasks) == 0 {
 			delete(s.workers, id)
--- a/scheduler/upkeep.go
+++ b/scheduler/upkeep.go
@@ -218,7 +218,7 @@
 			default:
 				// The worker's process is gone, and all of its runs with it.
 				if o := s.workers[d.worker]; o != nil && o.upkeepStarted {
-					s.dropWorker(o)
+					s.dropWorker(o, "its machine is down for upkeep")
 				}
 			}
 		}
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -62,6 +62,9 @@
 		// lastEnd is the highest number of an ended run that was reported, storedEnd the
 		// highest one whose result is stored.
 		lastEnd, storedEnd int64
+		// firstEndKnown is whether all ends since the start of the process were reported
+		// in this term, so that a gap in their numbers is an error.
+		firstEndKnown bool
 		// failures is the failure score: it grows with each failed run and shrinks with
 		// each completed one.
 		failures float64
