scheduler: a new leader keeps runs whose record is newer than the registry

What callers could see: a task that runs starts a second time right after a takeover. Cause: Load dropped a run whose record named another process than the registry's entry, also when the entry was the older one. Workers report a restart to the leader before their entry changes. Change: the later of the two starts is the worker's process. The clock of that process is unknown until it reports, so its lease is not extended before. Evidence: TestTakeoverWithLaggingRegistry, row "registry lags", failed before: the task was placed again while its run was active. The other rows passed before and after.

--- a/scheduler/record.go
+++ b/scheduler/record.go
@@ -150,8 +150,16 @@
 		w = &worker{info: WorkerInfo{ID: r.Worker, Born: r.Born}}
 		s.workers[r.Worker] = w
 	}
-	if w.info.Born != r.Born {
+	switch {
+	case w.info.Born > r.Born:
+		// The process of the run is gone.
 		return
+	case w.info.Born < r.Born:
+		// The registry lags behind: the worker itself has reported the later start.
+		s.abandonRuns(w, "it has restarted")
+		w.info.Born = r.Born
+		// The clock of the later process is unknown; it reads at least 0.
+		w.clockOffset = -s.now()
 	}
 	// The former leader may have sent the order without getting an answer.
 	t.state, t.worker, t.pace, t.recorded, t.unclear = placed, w, 100, true, true
