conductor: a start that waited is sent only if its run is still wanted

Cause: at most two orders to a worker are in flight, others wait. A start that had waited got a new deadline and was sent also if the scheduler had given up its run meanwhile, so that the task could run there beside its newer run. Change: an order that waited is checked against the scheduler before it is sent. Evidence: TestQueuedStartOfAbandonedRun, where a worker answers two orders after its lease has expired, failed before: four starts of runs that had been given up were sent.

--- a/conductor/loop.go
+++ b/conductor/loop.go
@@ -212,7 +212,7 @@
 		if !s.acquire(c.ctx) {
 			return
 		}
-		if o.Kind == scheduler.Start && c.now()-queued > orderQueueLimit && !c.renewDeadline(&o) {
+		if waited := c.now() - queued; o.Kind == scheduler.Start && waited > 0 && !c.refreshOrder(&o, waited) {
 			s.release()
 			c.post(func() { c.orderAnswered(o, scheduler.NotSent) })
 			return
@@ -244,12 +244,16 @@
 	}
 }
 
-// renewDeadline updates the lease deadline of an order that was queued for a while. It
-// returns false if the order must not be sent any more.
-func (c *Conductor) renewDeadline(o *scheduler.Order) bool {
-	var d clock.Millis
-	var ok bool
-	if !c.call(func() { d, ok = c.leaseDeadline(o.Worker) }) || !ok {
+// refreshOrder updates the lease deadline of an order to start a run that has waited for
+// earlier orders. It returns false if the order must not be sent any more: the scheduler
+// has given up the run, or the lease must not be extended.
+func (c *Conductor) refreshOrder(o *scheduler.Order, waited clock.Millis) bool {
+	d, ok := o.Deadline, false
+	if !c.call(func() {
+		if ok = c.sched.IsCurrent(*o); ok && waited > orderQueueLimit {
+			d, ok = c.leaseDeadline(o.Worker)
+		}
+	}) || !ok {
 		return false
 	}
 	o.Deadline = d
--- a/scheduler/reporting.go
+++ b/scheduler/reporting.go
@@ -276,6 +276,13 @@
 	}
 }
 
+// IsCurrent reports whether the run of an order is still the newest one of its task, and
+// assigned to the worker process that the order is for.
+func (s *Scheduler) IsCurrent(o Order) bool {
+	t := s.findTask(o.Task.String())
+	return t != nil && t.hasRun() && t.attempt == o.Attempt && t.worker.info.ID == o.Worker && t.worker.info.Born == o.Born
+}
+
 // OrderAnswered applies the outcome of an order.
 func (s *Scheduler) OrderAnswered(o Order, out Outcome) {
 	t := s.findTask(o.Task.String())
