scheduler: a worker whose lease expired confirms the stop of unanswered starts first

Cause: when the lease of a silent worker expires its tasks start elsewhere. Change: runs that were given up before the worker had confirmed their start are stopped there first. Until that is confirmed the worker gets no lease and no new run. Evidence: TestUnansweredStartBlocksLeaseAfterExpiry failed before in three rows: no stop was sent and the lease was extended at once.

--- /dev/null
+++ b/scheduler/doubtful_test.go
@@ -0,0 +1,52 @@
+package scheduler
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// TestUnansweredStartBlocksLeaseAfterExpiry lets the lease of a worker expire while the
+// order to start a run there may still be carried out, and lets the worker answer again.
+func TestUnansweredStartBlocksLeaseAfterExpiry(t *testing.T) {
+	tests := map[string]struct {
+		start, stop Outcome
+		// wantStop is whether the run has to be stopped, wantLease whether the worker
+		// gets a lease after the outcome of the stop.
+		wantStop, wantLease bool
+	}{
+		"start unanswered, stop confirmed":  {start: Unclear, stop: Done, wantStop: true, wantLease: true},
+		"start unanswered, stop unanswered": {start: Unclear, stop: Unclear, wantStop: true},
+		"start unanswered, stop not sent":   {start: Unclear, stop: NotSent, wantStop: true},
+		"start confirmed":                   {start: Done, wantLease: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := newHarness(1)
+			b.submit(t, "job", Step{Count: 1, CPU: 100})
+			o := b.placeAndStore()[0]
+			b.OrderAnswered(o, tt.start)
+			b.CallFailed("w0", 1, false)
+			b.clock.Advance(2 * defaultLease)
+			b.Sweep()
+			b.UpdateWorker(testWorker(1))
+			again := b.placeAndStore()
+			must.Len(t, 1, again)
+			must.Eq(t, "w1", again[0].Worker)
+			b.report("w0", nil)
+			stops := b.TakeImmediateOrders()
+			must.Eq(t, tt.wantStop, len(stops) == 1)
+			if tt.wantStop {
+				must.Eq(t, Stop, stops[0].Kind)
+				must.Eq(t, 1, stops[0].Attempt)
+				_, ok := b.Lease("w0")
+				must.False(t, ok, must.Sprint("the worker gets a lease while the former start may be carried out"))
+				b.OrderAnswered(stops[0], tt.stop)
+				b.report("w0", nil)
+			}
+			_, ok := b.Lease("w0")
+			must.Eq(t, tt.wantLease, ok)
+			must.Eq(t, tt.wantStop && !tt.wantLease, len(b.TakeImmediateOrders()) == 1, must.Sprint("the stop is sent again"))
+		})
+	}
+}
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -90,3 +90,8 @@
 	// Rejected: the worker rejected the order as malformed.
 	Rejected
 )
+
+// confirms reports whether the worker has answered the order, so that it is settled there.
+func (o Outcome) confirms() bool {
+	return o != Unclear && o != NotSent && o != ConnectionRefused && o != Unavailable
+}
--- a/scheduler/reporting.go
+++ b/scheduler/reporting.go
@@ -129,6 +129,7 @@
 		return
 	}
 	s.markResponsive(w, r)
+	s.stopDoubtful(w)
 	listed := make(map[*task]struct{}, len(r.Active)+len(r.Ended))
 	if len(r.Ended) > 0 && w.firstEndKnown && r.Ended[0].Number > w.lastEnd+1 {
 		s.emit(logger.EndsMissing, logger.String("worker", w.info.ID), logger.Int("born", w.info.Born),
@@ -299,6 +300,9 @@
 	default:
 		w.silentSince, w.leaseExpired, w.connRefused = 0, false, false
 	}
+	if o.Kind == Stop {
+		w.stopAnswered(o, out.confirms())
+	}
 	if t == nil || t.worker != w || t.attempt != o.Attempt {
 		return
 	}
@@ -306,7 +310,7 @@
 	case Start:
 		s.applyStartOutcome(w, t, out)
 	case Stop:
-		if out == Unclear || out == NotSent || out == ConnectionRefused || out == Unavailable {
+		if !out.confirms() {
 			return
 		}
 		// The next report shows whether the run has ended; a run that never started is
@@ -387,6 +391,9 @@
 		return 0, false
 	}
 	now := s.now()
+	if len(w.doubtful) > 0 {
+		return 0, false
+	}
 	if w.silentSince != 0 {
 		// The current lease lasts for a few more calls. If these fail too, the runs have
 		// to end soon so that their tasks can start elsewhere.
@@ -421,6 +428,9 @@
 				s.emit(logger.WorkerLost, logger.String("worker", w.info.ID), logger.Int("runs", int64(len(w.tasks))))
 			}
 			w.leaseExpired, w.unreconciled = true, false
+			for _, t := range w.tasks {
+				w.markDoubtful(t)
+			}
 			s.abandonRuns(w, "its lease has expired")
 		}
 		if !w.registered && len(w.tasks) == 0 {
--- a/scheduler/session.go
+++ b/scheduler/session.go
@@ -12,8 +12,8 @@
 		// Idle is whether the worker has no runs.
 		Idle bool
 		// Busy is whether the worker has to be polled: it has runs, may have runs of a
-		// former leader, has ended runs that are not stored or acknowledged yet, or does
-		// not answer.
+		// former leader or runs that were given up, has ended runs that are not stored or
+		// acknowledged yet, or does not answer.
 		Busy bool
 		// Inherited is whether the worker may have runs that were assigned by a former
 		// leader or to its former process, and has not reported since.
@@ -54,7 +54,7 @@
 func (w *worker) session(id string) Session {
 	return Session{
 		Worker: id, Address: w.info.Address, Born: w.info.Born, Acked: w.storedEnd,
-		Busy:               len(w.tasks) > 0 || w.lastEnd > w.storedEnd || w.unreconciled || w.silentSince != 0 && w.registered || w.storedEnd > w.ackedEnd,
+		Busy:               len(w.tasks) > 0 || w.lastEnd > w.storedEnd || w.unreconciled || len(w.doubtful) > 0 || w.silentSince != 0 && w.registered || w.storedEnd > w.ackedEnd,
 		ServingWithFillers: w.serving > 0 && w.fillerCPU > 0,
 		Blocked:            w.lastEnd > w.storedEnd, Silent: w.silentSince != 0,
 		Idle: len(w.tasks) == 0, Inherited: w.unreconciled,
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -93,6 +93,10 @@
 		// upkeepStarted is whether it is being drained or is down, so that nothing may
 		// start here.
 		upkeepDue, upkeepStarted bool
+		// doubtful are the runs that were given up with the lease although an order to
+		// start them may still be carried out. Until the worker has confirmed that they
+		// are stopped it gets no new lease and no new runs.
+		doubtful []doubtfulRun
 		// ackedEnd is the highest number of an ended run whose acknowledgement has
 		// reached the worker.
 		ackedEnd int64
