scheduler: count a lease from the least time that a worker's clock can show

Callers could see a task run twice: a worker that had been idle for T got a run and fell silent at once, and its task started elsewhere up to 0.02 T before the lease of the first run was over.

Cause: the offset of a worker's clock was read at its last report and then taken as constant. Idle workers are not polled, and their registry entries no longer refreshed it. A worker's clock may run 2% slow, and LeaseBound allows for 2% of the lease and 200 ms only, so from ten seconds of idleness on it was too short. Where the worker shortens a lease to the same length, counted from the arrival of the call, this also takes a start that is carried out late.

Why the fix works: a reading is now kept with the time at which it was received, and grows by 98% of the time since then. That is the least that the clock can show, so the worker reaches the end of the lease within lease / 0.98 after the call was made, whenever it arrives. A registry entry is a lower bound as well and is used if it is the higher one, so an idle worker's first lease is shorter by the age of its entry at most.

--- a/scheduler/reporting.go
+++ b/scheduler/reporting.go
@@ -40,8 +40,8 @@
 		w = &worker{}
 		s.workers[i.ID] = w
 	}
-	if !w.clockReported {
-		w.clockOffset = i.Clock - s.now()
+	if now := s.now(); i.Clock >= w.leastClock(now) {
+		w.clockReading, w.clockReadAt = i.Clock, now
 	}
 	w.info, w.registered = i, true
 	if i.Draining {
@@ -95,7 +95,7 @@
 	now := s.now()
 	s.emit(logger.WorkerReborn, logger.String("worker", i.ID), logger.Int("born", i.Born), logger.Int("runs", int64(len(w.tasks))))
 	n := &worker{info: i, registered: w.registered, unreconciled: len(w.tasks) > 0, leaseEnd: LeaseBound(now, s.leaseLength)}
-	n.clockOffset = i.Clock - now
+	n.clockReading, n.clockReadAt = i.Clock, now
 	s.workers[i.ID] = n
 	for _, t := range slices.Clone(w.tasks) {
 		w.removeTask(t)
@@ -152,13 +152,13 @@
 }
 
 // markResponsive resets the marks of a worker that does not answer, and updates the
-// offset of its clock.
+// reading of its clock.
 func (s *Scheduler) markResponsive(w *worker, r Report) {
 	if w.leaseExpired || w.silentSince != 0 {
 		s.emit(logger.WorkerBack, logger.String("worker", w.info.ID))
 	}
 	w.leaseExpired, w.connRefused, w.silentSince = false, false, 0
-	w.clockOffset, w.clockReported = r.Clock-s.now(), true
+	w.clockReading, w.clockReadAt = r.Clock, s.now()
 }
 
 // completedByAbandonedRun reports whether the end of an abandoned run shows that the task
@@ -359,6 +359,8 @@
 
 // Lease extends the lease of a worker for a call that is about to be sent, and returns
 // its new end on the worker's clock. It returns false if the lease must not be extended.
+// The end is counted from the least time that the worker's clock can show, so that a
+// worker that was idle for long does not hold the lease for longer than LeaseBound.
 func (s *Scheduler) Lease(id string) (clock.Millis, bool) {
 	w := s.workers[id]
 	if w == nil {
@@ -371,7 +373,7 @@
 		return 0, false
 	}
 	w.leaseEnd = max(w.leaseEnd, LeaseBound(now, s.leaseLength))
-	return now + w.clockOffset + s.leaseLength, true
+	return w.leastClock(now) + s.leaseLength, true
 }
 
 // LeaseBound returns the time, on this host's clock, after which a lease that is extended
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -73,10 +73,10 @@
 		probedAt clock.Millis
 		// blockedUntil is the end of the backoff after a refused or failed start.
 		blockedUntil clock.Millis
-		// clockOffset is the worker's clock minus ours; clockReported is whether it is
-		// from the worker's own report and not from the registry.
-		clockOffset   clock.Millis
-		clockReported bool
+		// clockReading is a reading of the worker's clock that was received at clockReadAt;
+		// clockReadAt is 0 if there was none.
+		clockReading clock.Millis
+		clockReadAt  clock.Millis
 		// pacedAt is when the paces of the worker's fillers were last adjusted.
 		pacedAt clock.Millis
 		// groups caches the result of servingGroups, overObjective whether a serving task
@@ -107,6 +107,14 @@
 
 func (w *worker) hasLabel(l string) bool { return l == "" || slices.Contains(w.info.Labels, l) }
 
+// leastClock returns the least time that the worker's clock can show at now.
+func (w *worker) leastClock(now clock.Millis) clock.Millis {
+	if w.clockReadAt == 0 {
+		return 0
+	}
+	return w.clockReading + clock.Millis(float64(now-w.clockReadAt)*(1-maxClockDrift))
+}
+
 func (w *worker) addTask(t *task) {
 	if slices.Contains(w.tasks, t) {
 		return
