scheduler: don't take the clock of a worker's former process for the new one's

Callers could see a task run twice after a worker had restarted: the first polls of the new process carried an end of the lease on the clock of the old one, an hour away for a worker that was up for an hour. The new process then holds its runs for as long as it allows, counted from the arrival of the poll; a poll that is carried out late extends the lease past the time at which the leader gives its tasks to others.

Cause: WorkerReplaced takes the registry's entry of the old process over, clock included, and the clock of a process starts anew.

Evidence: the new test failed before: expected 1970-01-01T01:00:06.000Z <= 1970-01-01T00:00:06.000Z

Why the fix works: a clock can't show less than 0, so until the first report the lease ends at most one length after the start of the new clock.

--- a/scheduler/lease_test.go
+++ b/scheduler/lease_test.go
@@ -67,3 +67,19 @@
 		})
 	}
 }
+
+// TestLeaseOfRestartedWorkerUsesItsOwnClock guards against a lease without an end: the clock starts anew.
+func TestLeaseOfRestartedWorkerUsesItsOwnClock(t *testing.T) {
+	b := newHarness(0)
+	w := testWorker(0)
+	w.Clock = clock.Hour
+	b.UpdateWorker(w)
+	b.WorkerReplaced("w0", 1, 2)
+	deadline, ok := b.Lease("w0")
+	must.True(t, ok)
+	must.LessEq(t, defaultLease, deadline)
+	b.Report(Report{Worker: "w0", Born: 2, Clock: clock.Second, Sent: b.clock.Now()})
+	deadline, ok = b.Lease("w0")
+	must.True(t, ok)
+	must.Eq(t, clock.Second+defaultLease, deadline)
+}
--- a/scheduler/reporting.go
+++ b/scheduler/reporting.go
@@ -83,7 +83,8 @@
 		return
 	}
 	i := w.info
-	i.Born = born
+	// The clock of the new process starts anew; its first report shows it.
+	i.Born, i.Clock = born, 0
 	s.replaceRestarted(w, i)
 }
 
