scheduler: a full list of ends does not show that a run is gone

Cause: the report was read as complete.

Why the fix works: ends are listed in order, and those of a full list are stored and acknowledged, so the next reports list the others. Until one has room left, no run counts as missing from it.

--- a/scheduler/reporting.go
+++ b/scheduler/reporting.go
@@ -24,6 +24,9 @@
 	// refusalBackoff is how long a worker gets no new runs after it refused one or could
 	// not be reached: the time of two reports.
 	refusalBackoff = 300 * clock.Millis(1)
+	// maxListedEnds is the most ended runs that a report lists; from the platform's
+	// description of its workers.
+	maxListedEnds = 500
 )
 
 // UpdateWorker applies the registry's entry of a worker.
@@ -144,9 +147,12 @@
 	}
 	s.updateModels(w)
 	w.groupsValid = false
-	for _, t := range slices.Clone(w.tasks) {
-		if _, ok := listed[t]; !ok {
-			s.reconcileMissing(t, r.Sent)
+	// A full list does not show that a run is gone: its end may be among those that follow.
+	if len(r.Ended) < maxListedEnds {
+		for _, t := range slices.Clone(w.tasks) {
+			if _, ok := listed[t]; !ok {
+				s.reconcileMissing(t, r.Sent)
+			}
 		}
 	}
 	w.unreconciled = false
