scheduler: a test that fails: a restart after a takeover shortens the leases

For the lead, who edits replaceRestarted; no fix here.

Cause: replaceRestarted sets the end of the lease to that of a lease extended now. After a takeover it was later, as the former leader may go on extending leases for leaseGrantLimit, and its polls and orders name only the worker's ID, so those of the new process too.

--- a/scheduler/takeover_test.go
+++ b/scheduler/takeover_test.go
@@ -85,3 +85,17 @@
 	must.SliceEmpty(t, b.placeAndStore(), must.Sprint("the task was started elsewhere"))
 	must.SliceEmpty(t, b.TakeImmediateOrders(), must.Sprint("the live run was stopped"))
 }
+
+// TestRestartAfterTakeoverKeepsLeaseEnd guards against a double start: the former leader may extend the new process's lease too.
+func TestRestartAfterTakeoverKeepsLeaseEnd(t *testing.T) {
+	r, _ := recordOfRun(t, "job", 1)
+	b, until := takeOver(t, registryOf(1), r)
+	b.UpdateWorker(registryOf(2)[0])
+	b.CallFailed("w0", 2, false)
+	b.clock.Advance(until - 1 - b.clock.Now())
+	b.Sweep()
+	must.SliceEmpty(t, b.placeAndStore(), must.Sprint("the task was started elsewhere before the leases of the former leader were over"))
+	b.clock.Advance(1)
+	b.Sweep()
+	must.SliceLen(t, 1, b.placeAndStore())
+}
