recorder: an append found stored counts from its first attempt

Cause: an append whose answer was lost is sent again; the conflict shows that an earlier attempt was stored, and the time of the latest attempt was taken for that of the success. Another leader may have taken over between the two. The former one then counted leaseGrantLimit from a time after the takeover and sent the starts of that batch, up to seconds after the new leader held all its leases for over: it counts from its own takeover.

Why the fix works: the first attempt was sent before the append was stored, and the append was stored before that of another writer. Where an attempt is answered, its own time counts as before.

--- a/recorder/writer.go
+++ b/recorder/writer.go
@@ -20,7 +20,8 @@
 		sleep func(context.Context, clock.Millis) bool
 		// end is the offset at which the next append must land.
 		end int64
-		// lastSuccess is the time at which the last successful append was sent, in ms.
+		// lastSuccess is a time, in ms, after which the last successful append was stored,
+		// so that no other writer had taken over before it.
 		lastSuccess atomic.Int64
 		// failingSince is when appends began to fail, in ms, 0 while they succeed.
 		failingSince atomic.Int64
@@ -74,7 +75,8 @@
 func (w *Writer) End() int64 { return w.end }
 
 // LastSuccess returns the time at which the last successful append was sent, 0 if there
-// was none.
+// was none. If it was sent several times, and it is not known which of them was stored,
+// it is the first of these.
 func (w *Writer) LastSuccess() clock.Millis { return clock.Millis(w.lastSuccess.Load()) }
 
 // FailingSince returns since when appends have failed, 0 while they succeed.
@@ -84,11 +86,14 @@
 // outcome is known. The error is ErrDeposed, or that of the context; after the latter the
 // items may or may not be stored.
 func (w *Writer) Append(ctx context.Context, items []Item) error {
-	backoff := minBackoff
+	backoff, firstSent := minBackoff, w.now()
 	for {
 		sent := w.now()
+		stored := sent
 		end, err := w.tryAppend(ctx, w.timeout, items)
 		if errors.Is(err, ErrOffsetConflict) {
+			// An earlier attempt was stored, and another writer may have appended since.
+			stored = firstSent
 			end, err = w.resolveConflict(ctx, w.timeout, items)
 		}
 		switch {
@@ -97,7 +102,7 @@
 			if w.now()-sent < w.timeout/fastAnswerDivisor {
 				w.timeout = max(w.timeout/2, minTimeout)
 			}
-			w.lastSuccess.Store(int64(sent))
+			w.lastSuccess.Store(int64(stored))
 			w.failingSince.Store(0)
 			return nil
 		case errors.Is(err, ErrDeposed):
