elector: a record of an earlier term is not the claim of a new one

Cause: a daemon that had led before claims again, and a resignation or renewal of its former term, which was never answered, is stored just before the claim. The claim's condition fails, and ownItem took the record for the claim, as it is of the same process. The daemon then leads without a claim in the store; a resigned one invites another daemon to claim the same epoch.

Why the fix works: a record counts as the claim, or a renewal of it, only if it has the epoch that was claimed.

--- a/elector/elector.go
+++ b/elector/elector.go
@@ -247,7 +247,7 @@
 		return Term{}, false
 	}
 	c := Claim{Epoch: previous.Epoch + 1, Host: e.host, Address: e.address, Instance: e.instance}
-	w := recorder.NewWriter(e.store, topic, end, e.ownItem, recorder.WithClock(e.now))
+	w := recorder.NewWriter(e.store, topic, end, e.ownClaim(c.Epoch), recorder.WithClock(e.now))
 	if err := w.Append(ctx, []recorder.Item{{Key: Key, Value: c.Encode()}}); err != nil {
 		if !errors.Is(err, recorder.ErrDeposed) {
 			// A claim that lost to another daemon is not logged here, but when the other
@@ -262,9 +262,13 @@
 	return Term{Epoch: c.Epoch, PredecessorStopped: stopped, writer: w}, true
 }
 
-func (e *Elector) ownItem(i recorder.Item) bool {
-	c, err := Decode(i.Value)
-	return err == nil && c.Instance == e.instance
+// ownClaim returns a function that reports whether an item is from this daemon's term
+// with the given epoch. An item of an earlier term may be stored late.
+func (e *Elector) ownClaim(epoch int64) func(recorder.Item) bool {
+	return func(i recorder.Item) bool {
+		c, err := Decode(i.Value)
+		return err == nil && c.Instance == e.instance && c.Epoch == epoch
+	}
 }
 
 // renew renews the claim until the context ends or another daemon claims.
