elector: a quick second change of leader doesn't show that the first one stopped

Cause: PredecessorStopped spoke of the newest claim only.

Evidence: the new test failed before in 2 of 7 cases, first cut off, second resigned or killed: expected false, got true.

Why the fix works: a claim says whether an earlier leader isn't known to have stopped, its renewals and its resignation too, and the next claims inherit it.

--- a/elector/claim_test.go
+++ b/elector/claim_test.go
@@ -42,3 +42,53 @@
 		must.Len(t, 2, l.Items(topic))
 	})
 }
+
+// TestHandoverAfterUnknownEnd guards against taking the leases of a leader that was only cut off for over.
+func TestHandoverAfterUnknownEnd(t *testing.T) {
+	tests := map[string]struct {
+		// first is the claim before the handover.
+		first Claim
+		// crash is whether the second leader's process is replaced instead of resigning.
+		crash bool
+		want  bool
+	}{
+		"first resigned":                     {first: Claim{Epoch: 4, Host: "z", Instance: "z", Resigned: true}, want: true},
+		"first cut off":                      {first: Claim{Epoch: 4, Host: "z", Instance: "z"}},
+		"first resigned, second was killed":  {first: Claim{Epoch: 4, Host: "z", Instance: "z", Resigned: true}, crash: true, want: true},
+		"first cut off, second was killed":   {first: Claim{Epoch: 4, Host: "z", Instance: "z"}, crash: true},
+		"first of all":                       {want: true},
+		"first of all, second was killed":    {crash: true, want: true},
+		"earlier process, second was killed": {first: Claim{Epoch: 4, Host: "a", Instance: "z"}, crash: true, want: true},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l := imitator.NewKeyedLog(4, nil)
+				if tc.first.Epoch > 0 {
+					l.Put(topic, recorder.Item{Key: Key, Value: tc.first.Encode()})
+				}
+				newElector := func(instance string) *Elector {
+					e := &Elector{
+						monitor: NewMonitor("a", instance, claimTimeout), store: l.Client(instance), now: clock.System, emit: func(logger.Event, ...logger.Field) {},
+						host: "a", instance: instance, ctx: t.Context(),
+					}
+					e.monitor.Observe(tc.first, e.now())
+					time.Sleep(claimTimeout.Duration())
+					return e
+				}
+				second := newElector("a1")
+				term, ok := second.claim()
+				must.True(t, ok)
+				ctx, cancel := context.WithTimeout(t.Context(), (3 * renewInterval).Duration())
+				defer cancel()
+				second.renew(ctx, term)
+				if !tc.crash {
+					second.resign(term)
+				}
+				third, ok := newElector("a2").claim()
+				must.True(t, ok)
+				must.Eq(t, tc.want, third.PredecessorStopped)
+			})
+		})
+	}
+}
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -17,7 +17,7 @@
 	// of the daemon's claim.
 	Term struct {
 		Epoch int64
-		// PredecessorStopped is whether the previous leader is known to have stopped.
+		// PredecessorStopped is whether all previous leaders are known to have stopped.
 		PredecessorStopped bool
 		writer             *recorder.Writer
 	}
@@ -246,7 +246,7 @@
 	if !due {
 		return Term{}, false
 	}
-	c := Claim{Epoch: previous.Epoch + 1, Host: e.host, Address: e.address, Instance: e.instance}
+	c := Claim{Epoch: previous.Epoch + 1, Host: e.host, Address: e.address, Instance: e.instance, Unsettled: !stopped}
 	w := recorder.NewWriter(e.store, topic, end, e.ownClaim(c.Epoch), recorder.WithClock(e.now))
 	if err := w.Append(ctx, []recorder.Item{{Key: Key, Value: c.Encode()}}); err != nil {
 		if !errors.Is(err, recorder.ErrDeposed) {
@@ -273,7 +273,7 @@
 
 // renew renews the claim until the context ends or another daemon claims.
 func (e *Elector) renew(ctx context.Context, t Term) {
-	c := Claim{Epoch: t.Epoch, Host: e.host, Address: e.address, Instance: e.instance}
+	c := Claim{Epoch: t.Epoch, Host: e.host, Address: e.address, Instance: e.instance, Unsettled: !t.PredecessorStopped}
 	for recorder.Sleep(ctx, renewInterval) {
 		c.Renewal++
 		if err := t.writer.Append(ctx, []recorder.Item{{Key: Key, Value: c.Encode()}}); errors.Is(err, recorder.ErrDeposed) {
@@ -287,7 +287,7 @@
 func (e *Elector) resign(t Term) {
 	ctx, cancel := context.WithTimeout(context.Background(), renewInterval.Duration())
 	defer cancel()
-	c := Claim{Epoch: t.Epoch, Host: e.host, Address: e.address, Instance: e.instance, Resigned: true}
+	c := Claim{Epoch: t.Epoch, Host: e.host, Address: e.address, Instance: e.instance, Resigned: true, Unsettled: !t.PredecessorStopped}
 	if err := t.writer.Append(ctx, []recorder.Item{{Key: Key, Value: c.Encode()}}); err != nil && !errors.Is(err, recorder.ErrDeposed) {
 		e.emit(logger.OrderUnclear, logger.String("order", "resign"), logger.Err(err))
 	}
--- a/elector/monitor.go
+++ b/elector/monitor.go
@@ -64,8 +64,11 @@
 // NeverClaimed reports whether the topic has been read and holds no claim.
 func (w *Monitor) NeverClaimed() bool { return w.loaded && w.newest.Epoch == 0 }
 
-// PredecessorStopped reports whether the process of the newest claim is known to have
-// ended or resigned.
+// PredecessorStopped reports whether the process of the newest claim, and those of all
+// claims before it, are known to have ended or resigned.
 func (w *Monitor) PredecessorStopped() bool {
+	if w.newest.Unsettled {
+		return false
+	}
 	return w.newest.Epoch == 0 || w.newest.Resigned || w.newest.Host == w.host && w.newest.Instance != w.instance
 }
