scheduler: don't send the start of a run that was released before it was stored

Callers could see a task run twice: the store takes seconds to store a run, its worker is lost meanwhile and the task is released; the worker, or its next process, comes back before the record is stored. The start of the first run was then sent to it, and in the next batch that of the second elsewhere.

Cause: batchStored sends all orders of a batch, whatever became of their runs. With the store away that is the time of the outage.

Why the fix works: Stored keeps only the orders whose run is still placed on the same process and isn't being stopped. An order that isn't sent no longer counts as unanswered, so stops go on being repeated.

--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -201,7 +201,8 @@
 
 // Stored must be called when a batch has been stored. It makes the phases in the batch
 // visible to callers, allows its ended runs to be acknowledged, and notifies the callers
-// that wait for it.
+// that wait for it. It removes the orders of runs that were released or stopped while the
+// batch was stored.
 func (s *Scheduler) Stored(b *Batch) {
 	for j, p := range b.phases {
 		if j.storedPhase == "" {
@@ -210,11 +211,7 @@
 		}
 		j.storedPhase = p
 	}
-	for _, o := range b.Orders {
-		if t := s.findTask(o.Task.String()); t != nil && t.attempt == o.Attempt && t.state == placed {
-			t.recorded, t.placedAt = true, s.now()
-		}
-	}
+	b.Orders = slices.DeleteFunc(b.Orders, func(o Order) bool { return !s.markRecorded(o) })
 	for _, r := range b.replies {
 		r.notify(nil)
 	}
@@ -226,6 +223,23 @@
 	}
 }
 
+// markRecorded marks the run of an order to start as recorded. It reports whether the
+// order is still to be sent.
+func (s *Scheduler) markRecorded(o Order) bool {
+	t := s.findTask(o.Task.String())
+	if t == nil || t.attempt != o.Attempt {
+		return false
+	}
+	if t.state == placed {
+		t.recorded, t.placedAt = true, s.now()
+		if !t.stopping && t.worker.info.ID == o.Worker && t.worker.info.Born == o.Born {
+			return true
+		}
+	}
+	t.ordersInFlight = max(t.ordersInFlight-1, 0)
+	return false
+}
+
 // markDirty adds the record of a job to the next batch.
 func (s *Scheduler) markDirty(j *job) { s.dirty[j] = struct{}{} }
 
