--- a/scheduler/doubtful_test.go
+++ b/scheduler/doubtful_test.go
@@ -50,3 +50,25 @@
 		})
 	}
 }
+
+// TestRestartKeepsUnansweredStarts restarts a worker whose stop of such a run was not answered.
+func TestRestartKeepsUnansweredStarts(t *testing.T) {
+	b := newHarness(1)
+	b.submit(t, "job", Step{Count: 1, CPU: 100})
+	b.OrderAnswered(b.placeAndStore()[0], Unclear)
+	b.CallFailed("w0", 1, false)
+	b.clock.Advance(2 * defaultLease)
+	b.Sweep()
+	b.report("w0", nil)
+	must.SliceLen(t, 1, b.TakeImmediateOrders())
+	w := testWorker(0)
+	w.Born = 2
+	b.UpdateWorker(w)
+	b.Report(Report{Worker: "w0", Born: 2, Clock: b.clock.Now(), Sent: b.clock.Now()})
+	stops := b.TakeImmediateOrders()
+	must.SliceLen(t, 1, stops)
+	must.Eq(t, 2, stops[0].Born)
+	b.OrderAnswered(stops[0], Done)
+	_, ok := b.Lease("w0")
+	must.True(t, ok)
+}
--- a/scheduler/reporting.go
+++ b/scheduler/reporting.go
@@ -24,6 +24,9 @@
 	// refusalBackoff is how long a worker gets no new runs after it refused one or could
 	// not be reached: the time of two reports.
 	refusalBackoff = 300 * clock.Millis(1)
+	// maxListedEnds is the most ended runs that a report lists; from the platform's
+	// description of its workers.
+	maxListedEnds = 500
 )
 
 // UpdateWorker applies the registry's entry of a worker.
@@ -40,8 +43,8 @@
 		w = &worker{}
 		s.workers[i.ID] = w
 	}
-	if !w.clockReported {
-		w.clockOffset = i.Clock - s.now()
+	if now := s.now(); i.Clock >= w.leastClock(now) {
+		w.clockReading, w.clockReadAt = i.Clock, now
 	}
 	w.info, w.registered = i, true
 	if i.Draining {
@@ -92,7 +95,8 @@
 		return
 	}
 	i := w.info
-	i.Born = born
+	// The clock of the new process starts anew; its first report shows it.
+	i.Born, i.Clock = born, 0
 	s.replaceRestarted(w, i)
 }
 
@@ -104,8 +108,11 @@
 	now := s.now()
 	s.emit(logger.WorkerReborn, logger.String("worker", i.ID), logger.Int("born", i.Born), logger.Int("former-born", w.info.Born),
 		logger.Int("former-acked", w.storedEnd), logger.Int("runs", int64(len(w.tasks))))
-	n := &worker{info: i, firstEndKnown: true, registered: w.registered, unreconciled: len(w.tasks) > 0, leaseEnd: LeaseBound(now, s.leaseLength)}
-	n.clockOffset = i.Clock - now
+	n := &worker{info: i, firstEndKnown: true, registered: w.registered, unreconciled: len(w.tasks) > 0, leaseEnd: max(w.leaseEnd, LeaseBound(now, s.leaseLength)), doubtful: w.doubtful}
+	n.clockReading, n.clockReadAt = i.Clock, now
+	for i := range n.doubtful {
+		n.doubtful[i].stopInFlight = false
+	}
 	s.workers[i.ID] = n
 	for _, t := range slices.Clone(w.tasks) {
 		w.removeTask(t)
@@ -158,22 +165,25 @@
 	}
 	s.updateModels(w)
 	w.groupsValid = false
-	for _, t := range slices.Clone(w.tasks) {
-		if _, ok := listed[t]; !ok {
-			s.reconcileMissing(t, r.Sent)
+	// A full list does not show that a run is gone: its end may be among those that follow.
+	if len(r.Ended) < maxListedEnds {
+		for _, t := range slices.Clone(w.tasks) {
+			if _, ok := listed[t]; !ok {
+				s.reconcileMissing(t, r.Sent)
+			}
 		}
 	}
 	w.unreconciled = false
 }
 
 // markResponsive resets the marks of a worker that does not answer, and updates the
-// offset of its clock.
+// reading of its clock.
 func (s *Scheduler) markResponsive(w *worker, r Report) {
 	if w.leaseExpired || w.silentSince != 0 {
 		s.emit(logger.WorkerBack, logger.String("worker", w.info.ID))
 	}
 	w.leaseExpired, w.connRefused, w.silentSince = false, false, 0
-	w.clockOffset, w.clockReported = r.Clock-s.now(), true
+	w.clockReading, w.clockReadAt = r.Clock, s.now()
 }
 
 // completedByAbandonedRun reports whether the end of an abandoned run shows that the task
@@ -385,6 +395,8 @@
 
 // Lease extends the lease of a worker for a call that is about to be sent, and returns
 // its new end on the worker's clock. It returns false if the lease must not be extended.
+// The end is counted from the least time that the worker's clock can show, so that a
+// worker that was idle for long does not hold the lease for longer than LeaseBound.
 func (s *Scheduler) Lease(id string) (clock.Millis, bool) {
 	w := s.workers[id]
 	if w == nil {
@@ -400,7 +412,7 @@
 		return 0, false
 	}
 	w.leaseEnd = max(w.leaseEnd, LeaseBound(now, s.leaseLength))
-	return now + w.clockOffset + s.leaseLength, true
+	return w.leastClock(now) + s.leaseLength, true
 }
 
 // LeaseBound returns the time, on this host's clock, after which a lease that is extended
