scheduler: a draining worker that refuses connections may only be cut off

Cause: a worker that was draining, had left the registry and whose address refused the connection was taken for gone, and its tasks started elsewhere at once. A network cut with resets looks the same: the entry expires after three heartbeats, every connection is refused, and the runs go on until the lease expires. Change: before the lease has expired only the platform's list of machines shows that a worker has left: its machine is not up, is gone or runs another worker. The machines are listed while a worker seems to have left. Waiting for the lease alone would hold the tasks for 11 s after a takeover, the reason for the former rule. TestWorkerLoss: the row "left after draining" asked for the fault; it is replaced by three rows with a list that shows that the worker has left, which ask the same, and by rows for a cut and for an unknown list.

--- a/conductor/upkeep.go
+++ b/conductor/upkeep.go
@@ -26,7 +26,7 @@
 
 const (
 	// waveInterval is the period at which the machines are listed while a wave is in
-	// progress. The platform allows 60 such calls a second for all daemons together.
+	// progress or a worker seems to have left. The platform allows 60 such calls a second for all daemons together.
 	waveInterval = 100 * clock.Millis(1)
 	// cloudTimeout bounds the calls of one round, of which the listing of the machines
 	// may be slow.
@@ -42,21 +42,22 @@
 	c.post(func() { c.sched.SetWaves(ws) })
 }
 
-// runWaves carries out maintenance waves until the term is over.
+// runWaves carries out maintenance waves until the term is over. It lists the machines also
+// while a worker seems to have left.
 func (c *Conductor) runWaves() {
 	if c.cloud.List == nil {
 		return
 	}
 	restored := false
 	for recorder.Sleep(c.ctx, waveInterval) {
-		active := false
+		active, departing := false, false
 		switch {
-		case !c.call(func() { active = c.sched.WaveInProgress() }):
+		case !c.call(func() { active, departing = c.sched.WaveInProgress(), c.sched.HasDeparting() }):
 			return
-		case !active:
+		case !active && !departing:
 			continue
 		}
-		if !restored {
+		if active && !restored {
 			restored = c.restorePublished()
 			continue
 		}
--- a/scheduler/draining.go
+++ b/scheduler/draining.go
@@ -51,3 +51,33 @@
 		return now+left > w.leavesAt
 	}
 }
+
+// seemsDeparted reports whether a worker that was draining has left the registry, nothing
+// listens at its address, and it still has runs. A network partition looks the same.
+func (w *worker) seemsDeparted() bool {
+	return w.info.Draining && !w.registered && w.connRefused && len(w.tasks) > 0
+}
+
+// HasDeparting reports whether a worker seems to have left, which a list of the machines
+// can confirm before its lease expires.
+func (s *Scheduler) HasDeparting() bool {
+	for _, w := range s.workers {
+		if w.seemsDeparted() {
+			return true
+		}
+	}
+	return false
+}
+
+// removeDeparted removes the workers that seem to have left and have no running machine.
+func (s *Scheduler) removeDeparted(ms []Machine) {
+	up := map[string]bool{}
+	for _, m := range ms {
+		up[m.Worker] = up[m.Worker] || m.Up
+	}
+	for id, w := range s.workers {
+		if w.seemsDeparted() && !up[id] {
+			s.dropWorker(w, "it has drained and its machine does not run it")
+		}
+	}
+}
--- a/scheduler/reporting.go
+++ b/scheduler/reporting.go
@@ -422,16 +422,10 @@
 }
 
 // expireLeases abandons the runs of workers whose lease has expired, and removes workers
-// that have left.
+// that have left the registry.
 func (s *Scheduler) expireLeases() {
 	now := s.now()
 	for id, w := range s.workers {
-		if w.info.Draining && !w.registered && w.connRefused {
-			// The worker was draining and has left the registry, and nothing listens at
-			// its address.
-			s.dropWorker(w, "it has drained and refuses connections")
-			continue
-		}
 		if (w.silentSince == 0 && w.registered) || now < w.leaseEnd {
 			continue
 		}
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -133,14 +133,22 @@
 		// registered is whether the worker is still in the registry, connRefused whether
 		// its address refused the connection.
 		draining, registered, connRefused bool
+		// listed is whether the platform's machines are listed, machines what is listed.
+		listed   bool
+		machines []Machine
 		// restarts is whether the task starts elsewhere before the lease expires.
 		restarts bool
 	}{
-		"left after draining":           {draining: true, connRefused: true, restarts: true},
-		"draining, still registered":    {draining: true, registered: true, connRefused: true},
-		"draining, but partitioned":     {draining: true},
-		"crashed or partitioned":        {connRefused: true},
-		"partitioned, still registered": {registered: true},
+		"left after draining, machine removed":  {draining: true, connRefused: true, listed: true, restarts: true},
+		"left after draining, machine is down":  {draining: true, connRefused: true, listed: true, machines: []Machine{{ID: "m0", Worker: "w0"}}, restarts: true},
+		"left after draining, next worker":      {draining: true, connRefused: true, listed: true, machines: []Machine{{ID: "m0", Worker: "w9", Up: true}}, restarts: true},
+		"draining, cut off with resets":         {draining: true, connRefused: true, listed: true, machines: []Machine{{ID: "m0", Worker: "w0", Up: true}}},
+		"draining, cut off, machines unknown":   {draining: true, connRefused: true},
+		"draining, still registered":            {draining: true, registered: true, connRefused: true, listed: true},
+		"draining, but partitioned":             {draining: true, listed: true},
+		"crashed or partitioned":                {connRefused: true},
+		"crashed or partitioned, machines list": {connRefused: true, listed: true},
+		"partitioned, still registered":         {registered: true, listed: true},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -156,6 +164,9 @@
 				b.RemoveWorker("w0")
 			}
 			b.CallFailed("w0", 1, tc.connRefused)
+			if tc.listed {
+				b.ApplyMachineList(tc.machines, b.clock.Now())
+			}
 			b.Sweep()
 			must.Eq(t, tc.restarts, len(b.placeAndStore()) == 1)
 			// In every other case the task restarts when the lease has expired.
