elector: former leaders count as stopped 30 s after a takeover

The mark that a former leader is not known to have stopped was inherited by all later claims: after one cut, each change of leader held unheard workers 4 s longer for good. Rows "handover later" and "later crash" of TestHandoverAfterUnknownEnd failed before.

--- a/elector/claim_test.go
+++ b/elector/claim_test.go
@@ -50,7 +50,9 @@
 		first Claim
 		// crash is whether the second leader's process is replaced instead of resigning.
 		crash bool
-		want  bool
+		// led is how long the second leader leads.
+		led  clock.Millis
+		want bool
 	}{
 		"first resigned":                     {first: Claim{Epoch: 4, Host: "z", Instance: "z", Resigned: true}, want: true},
 		"first cut off":                      {first: Claim{Epoch: 4, Host: "z", Instance: "z"}},
@@ -58,6 +60,8 @@
 		"first cut off, second was killed":   {first: Claim{Epoch: 4, Host: "z", Instance: "z"}, crash: true},
 		"first of all":                       {want: true},
 		"first of all, second was killed":    {crash: true, want: true},
+		"first cut off, handover later":      {first: Claim{Epoch: 4, Host: "z", Instance: "z"}, led: settleTime, want: true},
+		"first cut off, later crash":         {first: Claim{Epoch: 4, Host: "z", Instance: "z"}, led: settleTime, crash: true, want: true},
 		"earlier process, second was killed": {first: Claim{Epoch: 4, Host: "a", Instance: "z"}, crash: true, want: true},
 	}
 	for name, tc := range tests {
@@ -79,7 +83,7 @@
 				second := newElector("a1")
 				term, ok := second.claim()
 				must.True(t, ok)
-				ctx, cancel := context.WithTimeout(t.Context(), (3 * renewInterval).Duration())
+				ctx, cancel := context.WithTimeout(t.Context(), (tc.led + 3*renewInterval).Duration())
 				defer cancel()
 				second.renew(ctx, term)
 				if !tc.crash {
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -19,6 +19,7 @@
 		Epoch int64
 		// PredecessorStopped is whether all previous leaders are known to have stopped.
 		PredecessorStopped bool
+		claimedAt          clock.Millis
 		writer             *recorder.Writer
 	}
 
@@ -69,6 +70,10 @@
 	// start within 300 ms of each other, so all of them run by then and the strongest
 	// host claims first.
 	bootstrapDelay = 400 * clock.Millis(1)
+	// settleTime is how long after a claim a former leader that is not known to have
+	// stopped may still send orders: the time of a takeover from a slow store, and a few
+	// seconds until that leader stops on its own.
+	settleTime = 30 * clock.Second
 	// checkInterval is the period at which the elector checks whether a claim is due.
 	checkInterval = 100 * clock.Millis(1)
 	// readWait is how long the store may hold a read until there is a new claim (long
@@ -259,7 +264,7 @@
 	e.mu.Lock()
 	e.newestClaim = c
 	e.mu.Unlock()
-	return Term{Epoch: c.Epoch, PredecessorStopped: stopped, writer: w}, true
+	return Term{Epoch: c.Epoch, PredecessorStopped: stopped, claimedAt: e.now(), writer: w}, true
 }
 
 // ownClaim returns a function that reports whether an item is from this daemon's term
@@ -271,11 +276,21 @@
 	}
 }
 
+// claimOf returns the claim of a term as it stands now.
+func (e *Elector) claimOf(t Term) Claim {
+	return Claim{
+		Epoch: t.Epoch, Host: e.host, Address: e.address, Instance: e.instance,
+		Unsettled: !t.PredecessorStopped && e.now()-t.claimedAt < settleTime,
+	}
+}
+
 // renew renews the claim until the context ends or another daemon claims.
 func (e *Elector) renew(ctx context.Context, t Term) {
-	c := Claim{Epoch: t.Epoch, Host: e.host, Address: e.address, Instance: e.instance, Unsettled: !t.PredecessorStopped}
+	renewal := int64(0)
 	for recorder.Sleep(ctx, renewInterval) {
-		c.Renewal++
+		c := e.claimOf(t)
+		renewal++
+		c.Renewal = renewal
 		if err := t.writer.Append(ctx, []recorder.Item{{Key: Key, Value: c.Encode()}}); errors.Is(err, recorder.ErrDeposed) {
 			return
 		}
@@ -287,7 +302,8 @@
 func (e *Elector) resign(t Term) {
 	ctx, cancel := context.WithTimeout(context.Background(), renewInterval.Duration())
 	defer cancel()
-	c := Claim{Epoch: t.Epoch, Host: e.host, Address: e.address, Instance: e.instance, Resigned: true, Unsettled: !t.PredecessorStopped}
+	c := e.claimOf(t)
+	c.Resigned = true
 	if err := t.writer.Append(ctx, []recorder.Item{{Key: Key, Value: c.Encode()}}); err != nil && !errors.Is(err, recorder.ErrDeposed) {
 		e.emit(logger.OrderUnclear, logger.String("order", "resign"), logger.Err(err))
 	}
