imitation: a connection belongs to one process of a worker

Cause: the stand-in served all processes of a worker on the same connections and filled in the current one when it handled a request, so a request that had reached a killed process was carried out by the next one. A real process closes its connections. Restart is Kill and Boot; between them the worker is down, and its registry entry is not written. An entry takes born and clock of one process. Pool.Fleet is as strict as before: an order there is carried out by whichever process is current. Violations name worker, born and attempt of both runs, and of an acknowledgement the number of the end, the number in the poll, and whether an answer had listed the end. The acknowledgement of an end that was never listed is a violation of its own; polls that acknowledge more than was listed are counted.

--- a/imitator/pool.go
+++ b/imitator/pool.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"strings"
 	"sync"
 	"time"
 
@@ -17,43 +16,22 @@
 type (
 	// Pool is a fake of the platform's workers. It records violations of at-most-once
 	// execution: a task that runs twice at the same time, or again after its end was
-	// acknowledged. A start order for a worker without a free slot is refused.
+	// acknowledged, and an end that is acknowledged before any answer listed it. A start order for a worker without a free slot is refused.
 	Pool struct {
 		mu      sync.Mutex
 		workers map[string]*poolWorker
-		// running is the number of current runs of each task that was ever started.
-		// ackedDone is the set of tasks whose successful end was acknowledged.
-		running    map[string]int
-		ackedDone  map[string]bool
-		violations []string
-		starts     int
-		orderFault func(o scheduler.Order) OrderFault
-		runTime    func(scheduler.TaskName, int) (clock.Millis, scheduler.Ending)
+		ledger  *ledger
+		// restarts is the number of processes that replaced a killed one, staleAcks that of
+		// polls which acknowledged more ends than their worker had listed.
+		restarts, staleAcks int
+		orderFault          func(o scheduler.Order) OrderFault
+		runTime             func(scheduler.TaskName, int) (clock.Millis, scheduler.Ending)
 		// policy checks the tickets of start orders; nil if tasks need no ticket.
 		policy *Policy
 	}
 
 	// OrderFault is the fault injected into one order.
 	OrderFault int
-
-	poolWorker struct {
-		info           scheduler.WorkerInfo
-		bootedAt       clock.Millis
-		highestEpoch   int64
-		leaseUntil     clock.Millis
-		runs           map[string]*poolRun
-		highestAttempt map[string]int
-		endedRuns      []scheduler.EndedRun
-		runEnded       chan struct{}
-		lastEndNumber  int64
-		partitioned    bool
-		slots          int
-	}
-
-	poolRun struct {
-		order scheduler.Order
-		timer *time.Timer
-	}
 )
 
 // Faults of orders to workers.
@@ -72,7 +50,7 @@
 // each. runTime returns the duration of an attempt to run a task and how it ends.
 // orderFault returns the fault to inject into an order; if it is nil, none is injected.
 func NewPool(workers, slots int, runTime func(scheduler.TaskName, int) (clock.Millis, scheduler.Ending), orderFault func(scheduler.Order) OrderFault) *Pool {
-	p := &Pool{workers: map[string]*poolWorker{}, running: map[string]int{}, ackedDone: map[string]bool{}, runTime: runTime, orderFault: orderFault}
+	p := &Pool{workers: map[string]*poolWorker{}, ledger: newLedger(), runTime: runTime, orderFault: orderFault}
 	if orderFault == nil {
 		p.orderFault = func(scheduler.Order) OrderFault { return OrderFine }
 	}
@@ -87,7 +65,9 @@
 func (p *Pool) SetPolicy(y *Policy) { p.policy = y }
 
 func (p *Pool) startWorker(id string, slots int, born int64) {
+	ctx, cancel := context.WithCancel(context.Background())
 	p.workers[id] = &poolWorker{
+		ctx: ctx, cancel: cancel,
 		info:     scheduler.WorkerInfo{ID: id, Address: id, Service: "pool", DataCentre: "a", CPU: int64(slots) * 1000, Memory: int64(slots) * 1000, Born: born},
 		bootedAt: clock.System(), runs: map[string]*poolRun{}, highestAttempt: map[string]int{}, runEnded: make(chan struct{}), slots: slots,
 	}
@@ -102,7 +82,7 @@
 		i.Clock = w.clock()
 		b, err := json.Marshal(i)
 		if err != nil {
-			p.violations = append(p.violations, err.Error())
+			p.ledger.violate("%v", err)
 			continue
 		}
 		l.Put("servers", recorder.Item{Key: id, Value: b})
@@ -118,15 +98,35 @@
 
 // Restart kills a worker with all its runs and starts a new instance under its name.
 func (p *Pool) Restart(id string) {
+	p.Kill(id)
+	p.Boot(id)
+}
+
+// Kill kills a worker with all its runs. Until Boot, calls to it time out.
+func (p *Pool) Kill(id string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	w := p.workers[id]
+	if w.dead() {
+		return
+	}
 	for name, r := range w.runs {
 		r.timer.Stop()
-		p.running[name]--
+		p.ledger.end(name, w.taskRun(r))
 	}
+	clear(w.runs)
+	w.cancel()
 	close(w.runEnded)
-	p.startWorker(id, w.slots, w.info.Born+1)
+}
+
+// Boot starts a new instance of a worker that was killed, under the same name.
+func (p *Pool) Boot(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if w := p.workers[id]; w.dead() {
+		p.restarts++
+		p.startWorker(id, w.slots, w.info.Born+1)
+	}
 }
 
 // SetPartitioned sets whether a worker is partitioned from all daemons: its calls time out, while
@@ -141,27 +141,48 @@
 func (p *Pool) Violations() []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.violations
+	return p.ledger.violations
 }
 
 // Starts returns the number of runs that were started.
 func (p *Pool) Starts() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.starts
+	return p.ledger.starts
+}
+
+// AckedEnds returns the number of ends that were acknowledged.
+func (p *Pool) AckedEnds() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.ledger.ackedEnds
+}
+
+// StaleAcks returns the number of polls that acknowledged more ends than their worker had
+// listed, as one meant for a former process does.
+func (p *Pool) StaleAcks() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.staleAcks
+}
+
+// Restarts returns the number of processes that replaced a killed one.
+func (p *Pool) Restarts() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.restarts
 }
 
 // Fleet returns a client of the workers for a conductor.
 func (p *Pool) Fleet() conductor.Fleet { return conductor.Fleet{Send: p.send, Poll: p.poll} }
 
-func (w *poolWorker) clock() clock.Millis { return clock.System() - w.bootedAt }
-
 func (p *Pool) send(ctx context.Context, o scheduler.Order, epoch int64) scheduler.Outcome {
 	if !recorder.Sleep(ctx, 1) {
 		return scheduler.Unclear
 	}
 	p.mu.Lock()
-	unreachable := p.workers[o.Worker] == nil || p.workers[o.Worker].partitioned
+	w := p.workers[o.Worker]
+	unreachable := w == nil || w.partitioned || w.dead()
 	f := p.orderFault(o)
 	p.mu.Unlock()
 	switch {
@@ -169,11 +190,11 @@
 		<-ctx.Done()
 		return scheduler.Unclear
 	case f == OrderLate:
-		time.AfterFunc(lateDelay.Duration(), func() { p.execute(o, epoch) })
+		time.AfterFunc(lateDelay.Duration(), func() { p.executeNow(o, epoch) })
 		<-ctx.Done()
 		return scheduler.Unclear
 	}
-	out := p.execute(o, epoch)
+	out := p.executeNow(o, epoch)
 	if f == OrderUnanswered {
 		<-ctx.Done()
 		return scheduler.Unclear
@@ -181,10 +202,17 @@
 	return out
 }
 
-func (p *Pool) execute(o scheduler.Order, epoch int64) scheduler.Outcome {
+// executeNow carries out an order by the worker's current process, whichever it was sent to.
+func (p *Pool) executeNow(o scheduler.Order, epoch int64) scheduler.Outcome {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	w := p.workers[o.Worker]
+	return p.execute(p.workers[o.Worker], o, epoch)
+}
+
+func (p *Pool) execute(w *poolWorker, o scheduler.Order, epoch int64) scheduler.Outcome {
+	if w.dead() {
+		return scheduler.Unclear
+	}
 	p.expireLease(w)
 	if epoch < w.highestEpoch {
 		return scheduler.Fenced
@@ -219,29 +247,21 @@
 	}
 	w.extend(o.Deadline)
 	w.highestAttempt[name] = o.Attempt
-	p.starts++
-	if p.running[name]++; p.running[name] > 1 {
-		p.violations = append(p.violations, fmt.Sprintf("%s runs twice, now on %s", name, w.info.ID))
-	}
-	if p.ackedDone[name] {
-		p.violations = append(p.violations, fmt.Sprintf("%s runs again after its end was acknowledged", name))
-	}
 	d, ending := p.runTime(o.Task, o.Attempt)
-	w.runs[name] = &poolRun{order: o, timer: time.AfterFunc(d.Duration(), func() {
+	r := &poolRun{order: o, started: clock.System()}
+	w.runs[name] = r
+	p.ledger.start(name, w.taskRun(r))
+	r.timer = time.AfterFunc(d.Duration(), func() {
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		p.expireLease(w)
-		if r := w.runs[name]; r != nil && r.order.Attempt == o.Attempt && p.workers[w.info.ID] == w {
+		if w.runs[name] == r {
 			p.endRun(w, name, ending)
 		}
-	})}
+	})
 	return scheduler.Done
 }
 
-func (w *poolWorker) extend(deadline clock.Millis) {
-	w.leaseUntil = max(w.leaseUntil, w.bootedAt+deadline)
-}
-
 // expireLease ends the runs of a worker whose lease has expired.
 func (p *Pool) expireLease(w *poolWorker) {
 	if clock.System() < w.leaseUntil {
@@ -256,9 +276,10 @@
 	r := w.runs[name]
 	r.timer.Stop()
 	delete(w.runs, name)
-	p.running[name]--
+	run := w.taskRun(r)
+	p.ledger.end(name, run)
 	w.lastEndNumber++
-	w.endedRuns = append(w.endedRuns, scheduler.EndedRun{Number: w.lastEndNumber, Task: name, Attempt: r.order.Attempt, How: ending})
+	w.endedRuns = append(w.endedRuns, poolEnd{run: run, EndedRun: scheduler.EndedRun{Number: w.lastEndNumber, Task: name, Attempt: r.order.Attempt, How: ending}})
 	close(w.runEnded)
 	w.runEnded = make(chan struct{})
 }
@@ -269,11 +290,17 @@
 	}
 	p.mu.Lock()
 	w := p.workers[q.Worker]
-	if w.partitioned {
-		p.mu.Unlock()
+	unreachable := w.partitioned || w.dead()
+	p.mu.Unlock()
+	if unreachable {
 		<-ctx.Done()
 		return scheduler.Report{}, scheduler.Unclear
 	}
+	return p.pollWorker(ctx, w, q, epoch)
+}
+
+func (p *Pool) pollWorker(ctx context.Context, w *poolWorker, q conductor.PollRequest, epoch int64) (scheduler.Report, scheduler.Outcome) {
+	p.mu.Lock()
 	if out := p.renew(w, q, epoch); out != scheduler.Done {
 		p.mu.Unlock()
 		return scheduler.Report{Born: w.info.Born}, out
@@ -292,11 +319,15 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.workers[q.Worker] != w {
+	if w.dead() {
 		return scheduler.Report{}, scheduler.Unclear
 	}
 	p.expireLease(w)
-	r := scheduler.Report{Born: w.info.Born, Clock: w.clock(), Ended: append([]scheduler.EndedRun(nil), w.endedRuns...)}
+	r := scheduler.Report{Born: w.info.Born, Clock: w.clock()}
+	for _, e := range w.endedRuns {
+		r.Ended = append(r.Ended, e.EndedRun)
+	}
+	w.listedEnd = w.lastEndNumber
 	for name, run := range w.runs {
 		r.Active = append(r.Active, scheduler.ActiveRun{Task: name, Attempt: run.order.Attempt, Percent: int(clock.System() % 100)})
 	}
@@ -308,6 +339,8 @@
 // than the highest one seen.
 func (p *Pool) renew(w *poolWorker, q conductor.PollRequest, epoch int64) scheduler.Outcome {
 	switch {
+	case w.dead():
+		return scheduler.Unclear
 	case w.info.Born != q.Born:
 		return scheduler.WorkerRestarted
 	case epoch < w.highestEpoch:
@@ -315,13 +348,16 @@
 	}
 	p.expireLease(w)
 	w.highestEpoch = epoch
+	if q.Acked > w.listedEnd {
+		p.staleAcks++
+	}
 	unacked := w.endedRuns[:0]
 	for _, e := range w.endedRuns {
 		if e.Number > q.Acked {
 			unacked = append(unacked, e)
-		} else if e.How == scheduler.EndDone {
-			p.ackedDone[e.Task] = true
+			continue
 		}
+		p.ledger.acknowledge(e.Task, acknowledgement{run: e.run, number: e.Number, acked: q.Acked, listed: e.Number <= w.listedEnd, at: clock.System()}, e.How == scheduler.EndDone)
 	}
 	w.endedRuns = unacked
 	if q.Deadline > 0 {
@@ -330,25 +366,14 @@
 	return scheduler.Done
 }
 
-// Born returns the instance number of a worker, which each restart increments.
-func (p *Pool) Born(id string) int64 {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.workers[id].info.Born
-}
-
-// Clock returns the reading of a worker's own clock: the time since it was started.
-func (p *Pool) Clock(id string) clock.Millis {
+// Info returns the registry entry of a worker, and whether the worker is up.
+func (p *Pool) Info(id string) (scheduler.WorkerInfo, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.workers[id].clock()
-}
-
-// Info returns the registry entry of a worker.
-func (p *Pool) Info(id string) scheduler.WorkerInfo {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.workers[id].info
+	w := p.workers[id]
+	i := w.info
+	i.Clock = w.clock()
+	return i, !w.dead()
 }
 
 // Started reports whether any task of a job was ever started. Names of tasks begin with
@@ -356,12 +381,7 @@
 func (p *Pool) Started(job string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for name := range p.running {
-		if strings.HasPrefix(name, job+".") {
-			return true
-		}
-	}
-	return false
+	return p.ledger.started(job)
 }
 
 // Busy returns the workers with at least one run, in no particular order.
--- /dev/null
+++ b/imitator/poolworker.go
@@ -0,0 +1,54 @@
+package imitator
+
+import (
+	"context"
+	"time"
+
+	"galenawharf.example/galenawharf/clock"
+	"galenawharf.example/galenawharf/scheduler"
+)
+
+type (
+	// poolWorker is one process of a worker.
+	poolWorker struct {
+		info scheduler.WorkerInfo
+		// ctx is cancelled when the process is killed.
+		ctx            context.Context
+		cancel         context.CancelFunc
+		bootedAt       clock.Millis
+		highestEpoch   int64
+		leaseUntil     clock.Millis
+		runs           map[string]*poolRun
+		highestAttempt map[string]int
+		endedRuns      []poolEnd
+		runEnded       chan struct{}
+		lastEndNumber  int64
+		// listedEnd is the highest number of an end in an answer.
+		listedEnd   int64
+		partitioned bool
+		slots       int
+	}
+
+	poolRun struct {
+		order   scheduler.Order
+		timer   *time.Timer
+		started clock.Millis
+	}
+
+	poolEnd struct {
+		scheduler.EndedRun
+		run taskRun
+	}
+)
+
+func (w *poolWorker) dead() bool { return w.ctx.Err() != nil }
+
+func (w *poolWorker) taskRun(r *poolRun) taskRun {
+	return taskRun{worker: w.info.ID, born: w.info.Born, attempt: r.order.Attempt, started: r.started}
+}
+
+func (w *poolWorker) clock() clock.Millis { return clock.System() - w.bootedAt }
+
+func (w *poolWorker) extend(deadline clock.Millis) {
+	w.leaseUntil = max(w.leaseUntil, w.bootedAt+deadline)
+}
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -118,12 +118,12 @@
 }
 
 // serve starts an HTTP server on loopback and returns its address.
-func (k *Soak) serve(h http.Handler) (string, error) {
+func (k *Soak) serve(s *http.Server) (string, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return "", errors.Wrap(err, "soaker.Soak.serve")
 	}
-	s := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
+	s.ReadHeaderTimeout = time.Minute
 	k.servers = append(k.servers, s)
 	k.group.Add(1)
 	go func() {
@@ -142,7 +142,7 @@
 	for i := range k.settings.Workers {
 		id := fmt.Sprintf("w%d", i)
 		w := imitation.NewWorker(k.pool, id)
-		address, err := k.serve(w)
+		address, err := k.serve(&http.Server{Handler: w, ConnContext: w.ConnContext})
 		if err != nil {
 			return err
 		}
@@ -160,7 +160,9 @@
 		defer t.Stop()
 		for {
 			for id, w := range workers {
-				k.log.Put("servers", w.Entry(addresses[id]))
+				if i, up := w.Entry(addresses[id]); up {
+					k.log.Put("servers", i)
+				}
 			}
 			select {
 			case <-t.C:
@@ -175,7 +177,7 @@
 // startHosts starts the store and the daemons. Each daemon reaches the store through a proxy
 // of its own.
 func (k *Soak) startHosts() error {
-	store, err := k.serve(imitation.NewStore(k.log))
+	store, err := k.serve(&http.Server{Handler: imitation.NewStore(k.log)})
 	if err != nil {
 		return err
 	}
