soaker: restarts in series, after network faults and with time down; late orders

Cause: a worker was restarted at once and by itself, in one of 17 faults; a seed could have none, and connections to a worker were never refused. Change: faults come in cycles of six kinds in random order, one of them a restart. A restart may leave the worker down for up to 1.5 s, with connections refused, be one of two or three within 2 s, and follow a network fault of the same worker or begin shortly before its end. Another kind carries out a worker's orders 2 to 6 s late, by the same process only. A link that drops what is sent hides the end of a connection as well. faults.log beside the logs of the daemons has each fault with its times. The summary prints the counts; the number that it called faults was that of violations. A daemon that ends is started again after 100 ms, not at once. The same seed plays other faults than before.

--- a/cmd/galenawharf-soak/main.go
+++ b/cmd/galenawharf-soak/main.go
@@ -43,7 +43,7 @@
 			fmt.Fprintln(os.Stderr, err)
 			return 1
 		}
-		fmt.Printf("seed %d: %d accepted, %d refused, %d runs, %d faults\n", seed, r.Accepted, r.Refused, r.Runs, len(r.Violations))
+		fmt.Printf("seed %d: %s; %d violations\n", seed, r.Counts, len(r.Violations))
 		for _, v := range r.Violations {
 			fmt.Println("  " + v)
 		}
--- a/soaker/callers.go
+++ b/soaker/callers.go
@@ -45,8 +45,6 @@
 	pollInterval       = 500 * clock.Millis(1)
 )
 
-func workerName(i int) string { return fmt.Sprintf("w%d", i) }
-
 func newCallers(seed uint64, addresses []string) *callers {
 	c := &callers{addresses: addresses, client: &http.Client{Timeout: callTimeout.Duration()}, random: rand.New(rand.NewPCG(seed, 3)), jobs: map[string]*jobState{}}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
@@ -171,7 +169,3 @@
 	slices.Sort(ids)
 	return ids
 }
-
-func (c *callers) counts() (accepted, refused int) {
-	return len(c.accepted()), len(c.refused())
-}
--- a/soaker/host.go
+++ b/soaker/host.go
@@ -7,9 +7,11 @@
 	"path/filepath"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/pkg/errors"
 
+	"galenawharf.example/galenawharf/clock"
 	"galenawharf.example/galenawharf/platform"
 )
 
@@ -24,10 +26,16 @@
 		mu       sync.Mutex
 		process  *os.Process
 		stopping bool
-		done     chan struct{}
+		// killed counts the signals that ended a process, ownExits the processes that ended
+		// by themselves with an error.
+		killed, ownExits int
+		done             chan struct{}
 	}
 )
 
+// restartDelay is the time from the end of a process to the start of the next.
+const restartDelay = 100 * clock.Millis(1)
+
 // start writes the settings to a file and starts the process, whose output is appended to a
 // log file.
 func (h *host) start(settings string) error {
@@ -61,8 +69,14 @@
 			if err != nil {
 				return
 			}
-			// The exit status does not matter, since the soak test kills processes itself.
+			// A process that was killed by a signal has the exit code -1.
 			_ = c.Wait()
+			h.mu.Lock()
+			if c.ProcessState.ExitCode() > 0 {
+				h.ownExits++
+			}
+			h.mu.Unlock()
+			time.Sleep(restartDelay.Duration())
 		}
 	}()
 	return errors.Wrap(<-started, "soaker.host.start")
@@ -72,12 +86,19 @@
 func (h *host) signal(s syscall.Signal) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.process != nil {
-		// It fails if the process has just ended, which is fine.
-		_ = h.process.Signal(s)
+	// It fails if the process has just ended, which is fine.
+	if h.process != nil && h.process.Signal(s) == nil && !h.stopping && (s == syscall.SIGKILL || s == syscall.SIGTERM) {
+		h.killed++
 	}
 }
 
+// ends returns how many processes were killed and how many ended by themselves.
+func (h *host) ends() (killed, ownExits int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.killed, h.ownExits
+}
+
 // stop kills the process and does not restart it. It sends SIGCONT first, in case the
 // process is suspended by SIGSTOP.
 func (h *host) stop() {
--- a/soaker/proxy.go
+++ b/soaker/proxy.go
@@ -6,20 +6,19 @@
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"galenawharf.example/galenawharf/clock"
 )
 
 type (
 	// proxy forwards connections over loopback and injects network faults into them.
 	proxy struct {
-		listener net.Listener
-		target   string
-		mu       sync.Mutex
-		fault    linkFault
-		conns    map[net.Conn]struct{}
-		group    sync.WaitGroup
+		port   *port
+		target string
+		mu     sync.Mutex
+		fault  linkFault
+		conns  map[net.Conn]struct{}
+		group  sync.WaitGroup
+		closed chan struct{}
 	}
 
 	// linkFault is the network fault that a proxy injects into all its connections. The zero
@@ -28,7 +27,7 @@
 		// delay is the wait before each chunk is forwarded.
 		delay clock.Millis
 		// dropResponses drops what the target sends, dropRequests what the client sends.
-		// The connections stay open.
+		// The connections stay open, and the other end does not see that one is closed.
 		dropResponses, dropRequests bool
 		// refuseConns resets new connections.
 		refuseConns bool
@@ -38,33 +37,41 @@
 const (
 	copyBufferBytes = 32 << 10
 	dialTimeout     = clock.Second
+	// linkCheckInterval is how often the end of a fault is looked for.
+	linkCheckInterval = 20 * clock.Millis(1)
 )
 
 func newProxy(target string) (*proxy, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	t, err := newPort()
+	if err != nil {
+		return nil, err
+	}
+	p := &proxy{port: t, target: target, conns: map[net.Conn]struct{}{}, closed: make(chan struct{})}
+	return p, p.accept()
+}
+
+func (p *proxy) address() string { return p.port.address }
+
+// accept accepts connections until refuse is called.
+func (p *proxy) accept() error {
+	l, err := p.port.listen()
 	if err != nil {
-		return nil, errors.Wrap(err, "soaker.newProxy")
+		return err
 	}
-	p := &proxy{listener: l, target: target, conns: map[net.Conn]struct{}{}}
-	p.group.Add(1)
-	go func() {
-		defer p.group.Done()
+	p.group.Go(func() {
 		for {
 			c, err := l.Accept()
 			if err != nil {
 				return
 			}
-			p.group.Add(1)
-			go func() {
-				defer p.group.Done()
-				p.handle(c)
-			}()
+			p.group.Go(func() { p.handle(c) })
 		}
-	}()
-	return p, nil
+	})
+	return nil
 }
 
-func (p *proxy) address() string { return p.listener.Addr().String() }
+// refuse makes the proxy refuse connections until accept is called. Open ones stay open.
+func (p *proxy) refuse() { p.port.stopListening() }
 
 func (p *proxy) setFault(h linkFault) {
 	p.mu.Lock()
@@ -107,12 +114,11 @@
 		{c, t, func(h linkFault) bool { return h.dropRequests }},
 		{t, c, func(h linkFault) bool { return h.dropResponses }},
 	} {
-		p.group.Add(1)
-		go func() {
-			defer p.group.Done()
+		p.group.Go(func() {
 			p.forward(direction.from, direction.to, direction.drops)
+			p.awaitLink(direction.drops)
 			ended <- struct{}{}
-		}()
+		})
 	}
 	<-ended
 }
@@ -138,6 +144,17 @@
 	}
 }
 
+// awaitLink waits while the current fault drops what is sent in a direction.
+func (p *proxy) awaitLink(drops func(linkFault) bool) {
+	for drops(p.currentFault()) {
+		select {
+		case <-p.closed:
+			return
+		case <-time.After(linkCheckInterval.Duration()):
+		}
+	}
+}
+
 func (p *proxy) track(cs ...net.Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -166,8 +183,8 @@
 }
 
 func (p *proxy) close() {
-	// An error does not matter, since the listener is not used again.
-	_ = p.listener.Close()
+	close(p.closed)
+	p.port.close()
 	p.reset()
 	p.group.Wait()
 }
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -40,23 +40,25 @@
 
 	// Soak is a deployment in a soak test.
 	Soak struct {
-		settings      Settings
-		random        *rand.Rand
-		log           *imitator.KeyedLog
-		pool          *imitator.Pool
-		hosts         []*host
-		storeProxies  []*proxy
-		workerProxies []*proxy
-		servers       []*http.Server
-		done          chan struct{}
-		group         sync.WaitGroup
-		callers       *callers
-	}
-
-	// Result is the outcome of a soak test: the numbers of jobs accepted and refused, and
-	// of runs that workers started.
+		settings     Settings
+		random       *rand.Rand
+		log          *imitator.KeyedLog
+		pool         *imitator.Pool
+		hosts        []*host
+		storeProxies []*proxy
+		workers      []*worker
+		servers      []*http.Server
+		done         chan struct{}
+		group        sync.WaitGroup
+		callers      *callers
+		faults       int
+		// failed gets an error that keeps a fault from ending.
+		failed chan error
+	}
+
+	// Result is the outcome of a soak test.
 	Result struct {
-		Accepted, Refused, Runs int
+		Counts Counts
 		// Violations has a message for each violation of a guarantee to callers.
 		Violations []string
 	}
@@ -77,7 +79,8 @@
 	operatorConfig = `{"version":3,"routes":[{"name":"r","host":"soak.example","prefix":"/jobs/","service":"pool","max_attempts":12,"slack_factor":2,"target_latency_ms":500}],"limits":{"max_body_bytes":65536}}`
 )
 
-// Run runs one soak test. It returns an error only if the deployment can't be started.
+// Run runs one soak test. It returns an error only if the deployment can't be started or the
+// test can't go on.
 func Run(s Settings) (Result, error) {
 	k, err := start(s)
 	if err != nil {
@@ -85,12 +88,16 @@
 	}
 	defer k.close()
 	k.callers.start()
-	k.injectFaults()
-	return k.result(), nil
+	r := Result{}
+	if err := k.injectFaults(); err != nil {
+		return Result{}, err
+	}
+	k.finish(&r)
+	return r, nil
 }
 
 func start(s Settings) (*Soak, error) {
-	k := &Soak{settings: s, random: rand.New(rand.NewPCG(s.Seed, 1)), done: make(chan struct{})}
+	k := &Soak{settings: s, random: rand.New(rand.NewPCG(s.Seed, 1)), done: make(chan struct{}), failed: make(chan error, 1)}
 	k.log = imitator.NewKeyedLog(storeLatency, nil)
 	runRandom := rand.New(rand.NewPCG(s.Seed, 2))
 	k.pool = imitator.NewPool(s.Workers, workerSlots, func(scheduler.TaskName, int) (clock.Millis, scheduler.Ending) {
@@ -137,21 +144,10 @@
 // startWorkers starts the workers, each behind a proxy, and writes their entries to the
 // registry, the topic "servers" of the store, at each heartbeat.
 func (k *Soak) startWorkers() error {
-	workers := map[string]*imitation.Worker{}
-	addresses := map[string]string{}
 	for i := range k.settings.Workers {
-		id := fmt.Sprintf("w%d", i)
-		w := imitation.NewWorker(k.pool, id)
-		address, err := k.serve(&http.Server{Handler: w, ConnContext: w.ConnContext})
-		if err != nil {
-			return err
-		}
-		p, err := newProxy(address)
-		if err != nil {
+		if err := k.startWorker(i); err != nil {
 			return err
 		}
-		k.workerProxies = append(k.workerProxies, p)
-		workers[id], addresses[id] = w, p.address()
 	}
 	k.group.Add(1)
 	go func() {
@@ -159,8 +155,8 @@
 		t := time.NewTicker(heartbeatInterval.Duration())
 		defer t.Stop()
 		for {
-			for id, w := range workers {
-				if i, up := w.Entry(addresses[id]); up {
+			for _, w := range k.workers {
+				if i, up := w.handler.Entry(w.proxy.address()); up {
 					k.log.Put("servers", i)
 				}
 			}
@@ -224,18 +220,27 @@
 	}, "\n")
 }
 
-// result waits for the accepted jobs to complete and returns the violations found.
-func (k *Soak) result() Result {
-	r := Result{Violations: k.callers.finish(k.settings.SettleTimeout)}
-	r.Accepted, r.Refused = k.callers.counts()
-	r.Runs = k.pool.Starts()
-	r.Violations = append(r.Violations, k.pool.Violations()...)
+// finish waits for the accepted jobs to complete and adds the counts and the violations found
+// to r.
+func (k *Soak) finish(r *Result) {
+	pending := k.callers.finish(k.settings.SettleTimeout)
+	r.Violations = append(append(r.Violations, pending...), k.pool.Violations()...)
 	for _, id := range k.callers.refused() {
 		if k.pool.Started(id) {
 			r.Violations = append(r.Violations, id+" ran although every answer refused it")
 		}
 	}
-	return r
+	c := &r.Counts
+	c.Accepted, c.Refused, c.Faults = len(k.callers.accepted()), len(k.callers.refused()), k.faults
+	c.Completed = c.Accepted - len(pending)
+	c.Runs, c.AckedEnds, c.StaleAcks, c.Restarts = k.pool.Starts(), k.pool.AckedEnds(), k.pool.StaleAcks(), k.pool.Restarts()
+	for _, w := range k.workers {
+		c.LateOrders += w.handler.LateOrders()
+	}
+	for _, h := range k.hosts {
+		killed, ownExits := h.ends()
+		c.Killed, c.OwnExits = c.Killed+killed, c.OwnExits+ownExits
+	}
 }
 
 // close stops everything that the soak test has started.
@@ -244,7 +249,10 @@
 	for _, h := range k.hosts {
 		h.stop()
 	}
-	for _, p := range append(k.storeProxies, k.workerProxies...) {
+	for _, w := range k.workers {
+		w.proxy.close()
+	}
+	for _, p := range k.storeProxies {
 		p.close()
 	}
 	for _, s := range k.servers {
