soaker: floors of jobs, runs, ends and faults

Cause: the soak passed with daemons that serve nothing: 0 jobs accepted, exit 0. Change: a seed first waits for an accepted job, at most 15 s, then submits jobs for 3 s without a fault. It fails if no job was accepted or a count is below a floor that follows from the settings: a tenth of the jobs that the callers could submit in the part without faults, two runs a completed job, two ends acknowledged for each job of the floor, one fault for each longest gap between two, and a worker restart and a daemon killed for each longest cycle of faults, 9.6 s; with one cycle also one late order. A daemon that ends by itself with an error fails the seed.

--- a/cmd/galenawharf-soak/main.go
+++ b/cmd/galenawharf-soak/main.go
@@ -1,6 +1,6 @@
 // Command galenawharf-soak runs soak tests: it starts daemons as separate processes, injects
 // random faults, and checks that the guarantees to callers hold. It exits with status 1 if
-// any seed violates one.
+// any seed violates one, or has too few jobs, ends or faults to have tested anything.
 package main
 
 import (
@@ -14,6 +14,9 @@
 	"galenawharf.example/galenawharf/soaker"
 )
 
+// calmDuration is how long jobs are submitted before the first fault.
+const calmDuration = 3 * clock.Second
+
 func main() { os.Exit(run()) }
 
 func run() int {
@@ -37,7 +40,7 @@
 		}
 		r, err := soaker.Run(soaker.Settings{
 			Binary: binary, Dir: dir, Seed: seed, Hosts: hosts, Workers: workers,
-			FaultDuration: clock.Millis(seconds) * clock.Second, SettleTimeout: clock.Minute,
+			CalmDuration: calmDuration, FaultDuration: clock.Millis(seconds) * clock.Second, SettleTimeout: clock.Minute,
 		})
 		if err != nil {
 			fmt.Fprintln(os.Stderr, err)
--- a/soaker/callers.go
+++ b/soaker/callers.go
@@ -42,7 +42,9 @@
 	maxAttempts        = 6
 	retryDelay         = 300 * clock.Millis(1)
 	maxSubmitGapMillis = 300
-	pollInterval       = 500 * clock.Millis(1)
+	// startTimeout is how long the first acceptance of a job may take without any fault.
+	startTimeout = 15 * clock.Second
+	pollInterval = 500 * clock.Millis(1)
 )
 
 func newCallers(seed uint64, addresses []string) *callers {
@@ -65,6 +67,18 @@
 	}
 }
 
+// awaitAcceptance waits until a job was accepted, and reports whether one was in time.
+func (c *callers) awaitAcceptance() bool {
+	deadline := time.Now().Add(startTimeout.Duration())
+	for len(c.accepted()) == 0 {
+		if !time.Now().Before(deadline) {
+			return false
+		}
+		time.Sleep(retryDelay.Duration())
+	}
+	return true
+}
+
 // intN returns a random number below n. It is safe for concurrent use.
 func (c *callers) intN(n int) int {
 	c.mu.Lock()
--- a/soaker/counts.go
+++ b/soaker/counts.go
@@ -5,8 +5,9 @@
 type (
 	// Counts are the numbers of what happened in a soak test.
 	Counts struct {
-		// Accepted, Refused and Completed are jobs.
-		Accepted, Refused, Completed int
+		// Accepted, Refused and Completed are jobs; CalmAccepted are those accepted before
+		// the first fault.
+		Accepted, CalmAccepted, Refused, Completed int
 		// Runs were started by workers; AckedEnds are the ends that were acknowledged to
 		// them, and StaleAcks the polls that acknowledged more than a worker had listed.
 		Runs, AckedEnds, StaleAcks int
@@ -17,9 +18,46 @@
 		Killed, OwnExits int
 		Faults           int
 	}
+
+	floor struct {
+		what       string
+		count, min int
+	}
 )
 
+// minTasks is the smallest number of tasks of a job.
+const minTasks = 2
+
 func (c Counts) String() string {
-	return fmt.Sprintf("%d jobs accepted %d refused, %d completed; %d runs started, %d ends acknowledged, %d polls with a stale number; %d worker restarts, %d late orders; %d daemons killed, %d ended by themselves; %d faults",
-		c.Accepted, c.Refused, c.Completed, c.Runs, c.AckedEnds, c.StaleAcks, c.Restarts, c.LateOrders, c.Killed, c.OwnExits, c.Faults)
+	return fmt.Sprintf("%d jobs accepted (%d before the faults), %d refused, %d completed; %d runs started, %d ends acknowledged, %d polls with a stale number; %d worker restarts, %d late orders; %d daemons killed, %d ended by themselves; %d faults",
+		c.Accepted, c.CalmAccepted, c.Refused, c.Completed, c.Runs, c.AckedEnds, c.StaleAcks, c.Restarts, c.LateOrders, c.Killed, c.OwnExits, c.Faults)
+}
+
+// belowFloors returns a violation for each count that is too low for the soak test to have
+// tested anything. The floors follow from the settings.
+func (c Counts) belowFloors(s Settings) []string {
+	jobs := s.minJobs()
+	cycles := int(s.FaultDuration / maxCycle)
+	var violations []string
+	for _, f := range []floor{
+		{"jobs accepted before the faults", c.CalmAccepted, jobs},
+		{"jobs completed", c.Completed, jobs},
+		{"runs started", c.Runs, minTasks * max(jobs, c.Completed)},
+		{"ends acknowledged", c.AckedEnds, minTasks * jobs},
+		{"faults injected", c.Faults, int(s.FaultDuration / maxGap)},
+		{"worker restarts", c.Restarts, cycles},
+		{"late orders", c.LateOrders, min(1, cycles)},
+		{"daemons killed", c.Killed, cycles},
+	} {
+		if f.count < f.min {
+			violations = append(violations, fmt.Sprintf("below the floor: %s: %d, at least %d expected", f.what, f.count, f.min))
+		}
+	}
+	return violations
+}
+
+// minJobs is a tenth of the jobs that the callers could submit in CalmDuration if each was
+// accepted at once.
+func (s Settings) minJobs() int {
+	return callerCount * int(s.CalmDuration) / (maxSubmitGapMillis / 2) / 10
 }
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -33,9 +33,10 @@
 		Seed uint64
 		// Hosts and Workers are the numbers of daemons and of workers.
 		Hosts, Workers int
-		// FaultDuration is how long faults are injected, SettleTimeout how long accepted
-		// jobs may take to complete after that.
-		FaultDuration, SettleTimeout clock.Millis
+		// CalmDuration is how long jobs are submitted before the first fault, FaultDuration
+		// how long faults are injected, SettleTimeout how long accepted jobs may take to
+		// complete after that.
+		CalmDuration, FaultDuration, SettleTimeout clock.Millis
 	}
 
 	// Soak is a deployment in a soak test.
@@ -59,7 +60,8 @@
 	// Result is the outcome of a soak test.
 	Result struct {
 		Counts Counts
-		// Violations has a message for each violation of a guarantee to callers.
+		// Violations has a message for each violation of a guarantee to callers, and for
+		// each count below its floor.
 		Violations []string
 	}
 )
@@ -89,6 +91,13 @@
 	defer k.close()
 	k.callers.start()
 	r := Result{}
+	if !k.callers.awaitAcceptance() {
+		r.Violations = append(r.Violations, fmt.Sprintf("no job was accepted within %d ms, without a fault", startTimeout))
+		k.finish(&r)
+		return r, nil
+	}
+	time.Sleep(s.CalmDuration.Duration())
+	r.Counts.CalmAccepted = len(k.callers.accepted())
 	if err := k.injectFaults(); err != nil {
 		return Result{}, err
 	}
@@ -241,6 +250,10 @@
 		killed, ownExits := h.ends()
 		c.Killed, c.OwnExits = c.Killed+killed, c.OwnExits+ownExits
 	}
+	if c.OwnExits > 0 {
+		r.Violations = append(r.Violations, fmt.Sprintf("%d daemons ended by themselves", c.OwnExits))
+	}
+	r.Violations = append(r.Violations, c.belowFloors(k.settings)...)
 }
 
 // close stops everything that the soak test has started.
