imitator: leases of the pool as the protocol says

Cause: PROTOCOL.md: a longer lease is shortened to hold_max_ms, and the deadline of a start that is refused as old or without room counts too. The stand-in did neither: a deadline computed on the clock of a former process held for as long as that process had run. Change: Pool.SetMaxLease, which the soak sets to hold_max_ms; both refusals extend the lease.

--- a/imitator/pool.go
+++ b/imitator/pool.go
@@ -28,6 +28,8 @@
 		runTime             func(scheduler.TaskName, int) (clock.Millis, scheduler.Ending)
 		// policy checks the tickets of start orders; nil if tasks need no ticket.
 		policy *Policy
+		// maxLease limits leases; 0 if they are unlimited.
+		maxLease clock.Millis
 	}
 
 	// OrderFault is the fault injected into one order.
@@ -64,12 +66,22 @@
 // SetPolicy makes the workers refuse start orders without a valid ticket of y.
 func (p *Pool) SetPolicy(y *Policy) { p.policy = y }
 
+// SetMaxLease makes the workers shorten a lease to m.
+func (p *Pool) SetMaxLease(m clock.Millis) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.maxLease = m
+	for _, w := range p.workers {
+		w.maxLease = m
+	}
+}
+
 func (p *Pool) startWorker(id string, slots int, born int64) {
 	ctx, cancel := context.WithCancel(context.Background())
 	p.workers[id] = &poolWorker{
 		ctx: ctx, cancel: cancel,
 		info:     scheduler.WorkerInfo{ID: id, Address: id, Service: "pool", DataCentre: "a", CPU: int64(slots) * 1000, Memory: int64(slots) * 1000, Born: born},
-		bootedAt: clock.System(), runs: map[string]*poolRun{}, highestAttempt: map[string]int{}, runEnded: make(chan struct{}), slots: slots,
+		bootedAt: clock.System(), runs: map[string]*poolRun{}, highestAttempt: map[string]int{}, runEnded: make(chan struct{}), slots: slots, maxLease: p.maxLease,
 	}
 }
 
@@ -237,12 +249,14 @@
 	}
 	switch {
 	case o.Attempt <= w.highestAttempt[name]:
+		w.extend(o.Deadline)
 		return scheduler.Obsolete
 	case o.Deadline <= w.clock():
 		return scheduler.Late
 	case p.policy != nil && !p.policy.admits(name, w.info.ID, o.Ticket):
 		return scheduler.NoTicket
 	case len(w.runs) >= w.slots:
+		w.extend(o.Deadline)
 		return scheduler.NoRoom
 	}
 	w.extend(o.Deadline)
--- /dev/null
+++ b/imitator/pool_test.go
@@ -0,0 +1,49 @@
+package imitator
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"galenawharf.example/galenawharf/clock"
+	"galenawharf.example/galenawharf/conductor"
+	"galenawharf.example/galenawharf/scheduler"
+)
+
+// TestPoolLeases checks what a refused start does to the lease of another run.
+func TestPoolLeases(t *testing.T) {
+	start := scheduler.Order{Kind: scheduler.Start, Task: scheduler.TaskName{Job: "a"}, Attempt: 2, Deadline: 5 * clock.Second}
+	older, other := start, start
+	older.Attempt, older.Deadline = 1, clock.Hour
+	other.Task.Job, other.Deadline = "b", clock.Hour
+	tests := map[string]struct {
+		maxLease clock.Millis
+		refused  scheduler.Order
+		outcome  scheduler.Outcome
+		after    time.Duration
+		active   int
+	}{
+		"no limit":                 {refused: older, outcome: scheduler.Obsolete, after: 50 * time.Minute, active: 1},
+		"limit":                    {maxLease: 6 * clock.Second, refused: older, outcome: scheduler.Obsolete, after: 7 * time.Second},
+		"extended by an old start": {maxLease: 9 * clock.Second, refused: older, outcome: scheduler.Obsolete, after: 7 * time.Second, active: 1},
+		"extended without room":    {maxLease: 9 * clock.Second, refused: other, outcome: scheduler.NoRoom, after: 7 * time.Second, active: 1},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := NewPool(1, 1, func(scheduler.TaskName, int) (clock.Millis, scheduler.Ending) { return clock.Hour, scheduler.EndDone }, nil)
+				p.SetMaxLease(tc.maxLease)
+				l := p.Life("w0")
+				must.Eq(t, scheduler.Done, l.Send(start, 1))
+				must.Eq(t, tc.outcome, l.Send(tc.refused, 1))
+				time.Sleep(tc.after)
+				r, out := l.Poll(t.Context(), conductor.PollRequest{}, 1)
+				must.Eq(t, scheduler.Done, out)
+				must.Len(t, tc.active, r.Active)
+				p.Kill("w0")
+			})
+		})
+	}
+}
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -72,6 +72,8 @@
 	heartbeatInterval = 500 * clock.Millis(1)
 	// storeLatency is the response time of the store.
 	storeLatency = 4 * clock.Millis(1)
+	// maxLease is the longest lease of a worker.
+	maxLease = 6 * clock.Second
 	// maxTaskMillis is the largest random part of a task's run time.
 	maxTaskMillis = 900
 	// On average, one run in failOneIn fails.
@@ -116,6 +118,7 @@
 		}
 		return clock.Millis(50 + runRandom.IntN(maxTaskMillis)), ending
 	}, nil)
+	k.pool.SetMaxLease(maxLease)
 	k.log.Put("op", recorder.Item{Key: "config", Value: []byte(operatorConfig)})
 	if err := k.startWorkers(); err != nil {
 		k.close()
@@ -225,7 +228,7 @@
 	return strings.Join([]string{
 		"node_name=" + name, "zone=a", "ip=127.0.0.1", "listen.frontend=" + ports[0], "listen.ready=" + ports[1], "listen.control_plane=" + ports[2],
 		"platform.addr=" + store, "platform.form=log", "limits.cpu_share=1", "limits.cores=1",
-		"bounds.hold_max_ms=6000", "bounds.status_s=600", "bounds.interference_ms=4000", "bounds.grace_s=6", "bounds.remote_factor=2", "",
+		fmt.Sprintf("bounds.hold_max_ms=%d", maxLease), "bounds.status_s=600", "bounds.interference_ms=4000", "bounds.grace_s=6", "bounds.remote_factor=2", "",
 	}, "\n")
 }
 
