--- a/cmd/galenawharf-soak/main.go
+++ b/cmd/galenawharf-soak/main.go
@@ -1,6 +1,6 @@
 // Command galenawharf-soak runs soak tests: it starts daemons as separate processes, injects
 // random faults, and checks that the guarantees to callers hold. It exits with status 1 if
-// any seed violates one.
+// any seed violates one, or has too few jobs, ends or faults to have tested anything.
 package main
 
 import (
@@ -14,6 +14,9 @@
 	"galenawharf.example/galenawharf/soaker"
 )
 
+// calmDuration is how long jobs are submitted before the first fault.
+const calmDuration = 3 * clock.Second
+
 func main() { os.Exit(run()) }
 
 func run() int {
@@ -37,13 +40,13 @@
 		}
 		r, err := soaker.Run(soaker.Settings{
 			Binary: binary, Dir: dir, Seed: seed, Hosts: hosts, Workers: workers,
-			FaultDuration: clock.Millis(seconds) * clock.Second, SettleTimeout: clock.Minute,
+			CalmDuration: calmDuration, FaultDuration: clock.Millis(seconds) * clock.Second, SettleTimeout: clock.Minute,
 		})
 		if err != nil {
 			fmt.Fprintln(os.Stderr, err)
 			return 1
 		}
-		fmt.Printf("seed %d: %d accepted, %d refused, %d runs, %d faults\n", seed, r.Accepted, r.Refused, r.Runs, len(r.Violations))
+		fmt.Printf("seed %d: %s; %d violations\n", seed, r.Counts, len(r.Violations))
 		for _, v := range r.Violations {
 			fmt.Println("  " + v)
 		}
--- a/soaker/callers.go
+++ b/soaker/callers.go
@@ -42,11 +42,11 @@
 	maxAttempts        = 6
 	retryDelay         = 300 * clock.Millis(1)
 	maxSubmitGapMillis = 300
-	pollInterval       = 500 * clock.Millis(1)
+	// startTimeout is how long the first acceptance of a job may take without any fault.
+	startTimeout = 15 * clock.Second
+	pollInterval = 500 * clock.Millis(1)
 )
 
-func workerName(i int) string { return fmt.Sprintf("w%d", i) }
-
 func newCallers(seed uint64, addresses []string) *callers {
 	c := &callers{addresses: addresses, client: &http.Client{Timeout: callTimeout.Duration()}, random: rand.New(rand.NewPCG(seed, 3)), jobs: map[string]*jobState{}}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
@@ -67,6 +67,18 @@
 	}
 }
 
+// awaitAcceptance waits until a job was accepted, and reports whether one was in time.
+func (c *callers) awaitAcceptance() bool {
+	deadline := time.Now().Add(startTimeout.Duration())
+	for len(c.accepted()) == 0 {
+		if !time.Now().Before(deadline) {
+			return false
+		}
+		time.Sleep(retryDelay.Duration())
+	}
+	return true
+}
+
 // intN returns a random number below n. It is safe for concurrent use.
 func (c *callers) intN(n int) int {
 	c.mu.Lock()
@@ -171,7 +183,3 @@
 	slices.Sort(ids)
 	return ids
 }
-
-func (c *callers) counts() (accepted, refused int) {
-	return len(c.accepted()), len(c.refused())
-}
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -33,31 +33,35 @@
 		Seed uint64
 		// Hosts and Workers are the numbers of daemons and of workers.
 		Hosts, Workers int
-		// FaultDuration is how long faults are injected, SettleTimeout how long accepted
-		// jobs may take to complete after that.
-		FaultDuration, SettleTimeout clock.Millis
+		// CalmDuration is how long jobs are submitted before the first fault, FaultDuration
+		// how long faults are injected, SettleTimeout how long accepted jobs may take to
+		// complete after that.
+		CalmDuration, FaultDuration, SettleTimeout clock.Millis
 	}
 
 	// Soak is a deployment in a soak test.
 	Soak struct {
-		settings      Settings
-		random        *rand.Rand
-		log           *imitator.KeyedLog
-		pool          *imitator.Pool
-		hosts         []*host
-		storeProxies  []*proxy
-		workerProxies []*proxy
-		servers       []*http.Server
-		done          chan struct{}
-		group         sync.WaitGroup
-		callers       *callers
-	}
-
-	// Result is the outcome of a soak test: the numbers of jobs accepted and refused, and
-	// of runs that workers started.
+		settings     Settings
+		random       *rand.Rand
+		log          *imitator.KeyedLog
+		pool         *imitator.Pool
+		hosts        []*host
+		storeProxies []*proxy
+		workers      []*worker
+		servers      []*http.Server
+		done         chan struct{}
+		group        sync.WaitGroup
+		callers      *callers
+		faults       int
+		// failed gets an error that keeps a fault from ending.
+		failed chan error
+	}
+
+	// Result is the outcome of a soak test.
 	Result struct {
-		Accepted, Refused, Runs int
-		// Violations has a message for each violation of a guarantee to callers.
+		Counts Counts
+		// Violations has a message for each violation of a guarantee to callers, and for
+		// each count below its floor.
 		Violations []string
 	}
 )
@@ -68,6 +72,8 @@
 	heartbeatInterval = 500 * clock.Millis(1)
 	// storeLatency is the response time of the store.
 	storeLatency = 4 * clock.Millis(1)
+	// maxLease is the longest lease of a worker.
+	maxLease = 6 * clock.Second
 	// maxTaskMillis is the largest random part of a task's run time.
 	maxTaskMillis = 900
 	// On average, one run in failOneIn fails.
@@ -77,7 +83,8 @@
 	operatorConfig = `{"version":3,"routes":[{"name":"r","host":"soak.example","prefix":"/jobs/","service":"pool","max_attempts":12,"slack_factor":2,"target_latency_ms":500}],"limits":{"max_body_bytes":65536}}`
 )
 
-// Run runs one soak test. It returns an error only if the deployment can't be started.
+// Run runs one soak test. It returns an error only if the deployment can't be started or the
+// test can't go on.
 func Run(s Settings) (Result, error) {
 	k, err := start(s)
 	if err != nil {
@@ -85,12 +92,23 @@
 	}
 	defer k.close()
 	k.callers.start()
-	k.injectFaults()
-	return k.result(), nil
+	r := Result{}
+	if !k.callers.awaitAcceptance() {
+		r.Violations = append(r.Violations, fmt.Sprintf("no job was accepted within %d ms, without a fault", startTimeout))
+		k.finish(&r)
+		return r, nil
+	}
+	time.Sleep(s.CalmDuration.Duration())
+	r.Counts.CalmAccepted = len(k.callers.accepted())
+	if err := k.injectFaults(); err != nil {
+		return Result{}, err
+	}
+	k.finish(&r)
+	return r, nil
 }
 
 func start(s Settings) (*Soak, error) {
-	k := &Soak{settings: s, random: rand.New(rand.NewPCG(s.Seed, 1)), done: make(chan struct{})}
+	k := &Soak{settings: s, random: rand.New(rand.NewPCG(s.Seed, 1)), done: make(chan struct{}), failed: make(chan error, 1)}
 	k.log = imitator.NewKeyedLog(storeLatency, nil)
 	runRandom := rand.New(rand.NewPCG(s.Seed, 2))
 	k.pool = imitator.NewPool(s.Workers, workerSlots, func(scheduler.TaskName, int) (clock.Millis, scheduler.Ending) {
@@ -100,6 +118,7 @@
 		}
 		return clock.Millis(50 + runRandom.IntN(maxTaskMillis)), ending
 	}, nil)
+	k.pool.SetMaxLease(maxLease)
 	k.log.Put("op", recorder.Item{Key: "config", Value: []byte(operatorConfig)})
 	if err := k.startWorkers(); err != nil {
 		k.close()
@@ -118,12 +137,12 @@
 }
 
 // serve starts an HTTP server on loopback and returns its address.
-func (k *Soak) serve(h http.Handler) (string, error) {
+func (k *Soak) serve(s *http.Server) (string, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return "", errors.Wrap(err, "soaker.Soak.serve")
 	}
-	s := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
+	s.ReadHeaderTimeout = time.Minute
 	k.servers = append(k.servers, s)
 	k.group.Add(1)
 	go func() {
@@ -137,21 +156,10 @@
 // startWorkers starts the workers, each behind a proxy, and writes their entries to the
 // registry, the topic "servers" of the store, at each heartbeat.
 func (k *Soak) startWorkers() error {
-	workers := map[string]*imitation.Worker{}
-	addresses := map[string]string{}
 	for i := range k.settings.Workers {
-		id := fmt.Sprintf("w%d", i)
-		w := imitation.NewWorker(k.pool, id)
-		address, err := k.serve(w)
-		if err != nil {
-			return err
-		}
-		p, err := newProxy(address)
-		if err != nil {
+		if err := k.startWorker(i); err != nil {
 			return err
 		}
-		k.workerProxies = append(k.workerProxies, p)
-		workers[id], addresses[id] = w, p.address()
 	}
 	k.group.Add(1)
 	go func() {
@@ -159,8 +167,10 @@
 		t := time.NewTicker(heartbeatInterval.Duration())
 		defer t.Stop()
 		for {
-			for id, w := range workers {
-				k.log.Put("servers", w.Entry(addresses[id]))
+			for _, w := range k.workers {
+				if i, up := w.handler.Entry(w.proxy.address()); up {
+					k.log.Put("servers", i)
+				}
 			}
 			select {
 			case <-t.C:
@@ -175,7 +185,7 @@
 // startHosts starts the store and the daemons. Each daemon reaches the store through a proxy
 // of its own.
 func (k *Soak) startHosts() error {
-	store, err := k.serve(imitation.NewStore(k.log))
+	store, err := k.serve(&http.Server{Handler: imitation.NewStore(k.log)})
 	if err != nil {
 		return err
 	}
@@ -218,22 +228,35 @@
 	return strings.Join([]string{
 		"node_name=" + name, "zone=a", "ip=127.0.0.1", "listen.frontend=" + ports[0], "listen.ready=" + ports[1], "listen.control_plane=" + ports[2],
 		"platform.addr=" + store, "platform.form=log", "limits.cpu_share=1", "limits.cores=1",
-		"bounds.hold_max_ms=6000", "bounds.status_s=600", "bounds.interference_ms=4000", "bounds.grace_s=6", "bounds.remote_factor=2", "",
+		fmt.Sprintf("bounds.hold_max_ms=%d", maxLease), "bounds.status_s=600", "bounds.interference_ms=4000", "bounds.grace_s=6", "bounds.remote_factor=2", "",
 	}, "\n")
 }
 
-// result waits for the accepted jobs to complete and returns the violations found.
-func (k *Soak) result() Result {
-	r := Result{Violations: k.callers.finish(k.settings.SettleTimeout)}
-	r.Accepted, r.Refused = k.callers.counts()
-	r.Runs = k.pool.Starts()
-	r.Violations = append(r.Violations, k.pool.Violations()...)
+// finish waits for the accepted jobs to complete and adds the counts and the violations found
+// to r.
+func (k *Soak) finish(r *Result) {
+	pending := k.callers.finish(k.settings.SettleTimeout)
+	r.Violations = append(append(r.Violations, pending...), k.pool.Violations()...)
 	for _, id := range k.callers.refused() {
 		if k.pool.Started(id) {
 			r.Violations = append(r.Violations, id+" ran although every answer refused it")
 		}
 	}
-	return r
+	c := &r.Counts
+	c.Accepted, c.Refused, c.Faults = len(k.callers.accepted()), len(k.callers.refused()), k.faults
+	c.Completed = c.Accepted - len(pending)
+	c.Runs, c.AckedEnds, c.StaleAcks, c.Restarts = k.pool.Starts(), k.pool.AckedEnds(), k.pool.StaleAcks(), k.pool.Restarts()
+	for _, w := range k.workers {
+		c.LateOrders += w.handler.LateOrders()
+	}
+	for _, h := range k.hosts {
+		killed, ownExits := h.ends()
+		c.Killed, c.OwnExits = c.Killed+killed, c.OwnExits+ownExits
+	}
+	if c.OwnExits > 0 {
+		r.Violations = append(r.Violations, fmt.Sprintf("%d daemons ended by themselves", c.OwnExits))
+	}
+	r.Violations = append(r.Violations, c.belowFloors(k.settings)...)
 }
 
 // close stops everything that the soak test has started.
@@ -242,7 +265,10 @@
 	for _, h := range k.hosts {
 		h.stop()
 	}
-	for _, p := range append(k.storeProxies, k.workerProxies...) {
+	for _, w := range k.workers {
+		w.proxy.close()
+	}
+	for _, p := range k.storeProxies {
 		p.close()
 	}
 	for _, s := range k.servers {
