scheduler, conductor: a lease is granted to a process of a worker, and checked after

Cause: Lease went by the worker's id, so a start that waited for a former process got a deadline on the clock of the next one; and the leader's right to extend leases was checked only before the deadline was computed, although a host may be suspended between. TestLeaseOfFormerProcess asks for the first.

--- a/conductor/loop.go
+++ b/conductor/loop.go
@@ -197,7 +197,7 @@
 // if this daemon may not extend leases.
 func (c *Conductor) sendOrder(o scheduler.Order) {
 	if o.Kind == scheduler.Start {
-		d, ok := c.leaseDeadline(o.Worker)
+		d, ok := c.leaseDeadline(o.Worker, o.Born)
 		if !ok {
 			c.sched.OrderAnswered(o, scheduler.Unclear)
 			return
@@ -251,7 +251,7 @@
 	d, ok := o.Deadline, false
 	if !c.call(func() {
 		if ok = c.sched.IsCurrent(*o); ok && waited > orderQueueLimit {
-			d, ok = c.leaseDeadline(o.Worker)
+			d, ok = c.leaseDeadline(o.Worker, o.Born)
 		}
 	}) || !ok {
 		return false
@@ -260,13 +260,19 @@
 	return true
 }
 
-// leaseDeadline returns the expiry of a worker's lease for the next call to it. It
-// returns false if this daemon may not extend leases because its last renewal is too old.
-func (c *Conductor) leaseDeadline(worker string) (clock.Millis, bool) {
-	if c.now()-max(c.writer.LastSuccess(), c.lastRenewal()) > leaseGrantLimit {
+// leaseDeadline returns the expiry of the lease of a worker process for the next call to
+// it. It returns false if this daemon may not extend leases because its last renewal is
+// too old, also if the host was suspended while the expiry was computed.
+func (c *Conductor) leaseDeadline(worker string, born int64) (clock.Millis, bool) {
+	if !c.mayExtendLeases() {
 		return 0, false
 	}
-	return c.sched.Lease(worker)
+	d, ok := c.sched.Lease(worker, born)
+	return d, ok && c.mayExtendLeases()
+}
+
+func (c *Conductor) mayExtendLeases() bool {
+	return c.now()-max(c.writer.LastSuccess(), c.lastRenewal()) <= leaseGrantLimit
 }
 
 func (c *Conductor) closeSessions() {
--- a/conductor/session.go
+++ b/conductor/session.go
@@ -216,7 +216,7 @@
 			margin = silentPollMargin
 		}
 		q.Timeout = q.Wait + margin
-		q.Deadline, _ = c.leaseDeadline(s.worker)
+		q.Deadline, _ = c.leaseDeadline(s.worker, s.born)
 	}) {
 		return PollRequest{}, false, false
 	}
--- a/scheduler/doubtful_test.go
+++ b/scheduler/doubtful_test.go
@@ -39,12 +39,12 @@
 			if tt.wantStop {
 				must.Eq(t, Stop, stops[0].Kind)
 				must.Eq(t, 1, stops[0].Attempt)
-				_, ok := b.Lease("w0")
+				_, ok := b.Lease("w0", 1)
 				must.False(t, ok, must.Sprint("the worker gets a lease while the former start may be carried out"))
 				b.OrderAnswered(stops[0], tt.stop)
 				b.report("w0", nil)
 			}
-			_, ok := b.Lease("w0")
+			_, ok := b.Lease("w0", 1)
 			must.Eq(t, tt.wantLease, ok)
 			must.Eq(t, tt.wantStop && !tt.wantLease, len(b.TakeImmediateOrders()) == 1, must.Sprint("the stop is sent again"))
 		})
@@ -69,6 +69,6 @@
 	must.SliceLen(t, 1, stops)
 	must.Eq(t, 2, stops[0].Born)
 	b.OrderAnswered(stops[0], Done)
-	_, ok := b.Lease("w0")
+	_, ok := b.Lease("w0", 2)
 	must.True(t, ok)
 }
--- a/scheduler/lease_test.go
+++ b/scheduler/lease_test.go
@@ -49,7 +49,7 @@
 			}
 			b.submit(t, "job", Step{Count: 1, CPU: 100})
 			o := b.placeAndStore()[0]
-			deadline, ok := b.Lease(o.Worker)
+			deadline, ok := b.Lease(o.Worker, o.Born)
 			must.True(t, ok)
 			must.Greater(t, workerClock()+defaultLease/2, deadline, must.Sprint("the lease is too short for a run to start"))
 			b.OrderAnswered(o, Done)
@@ -75,11 +75,23 @@
 	w.Clock = clock.Hour
 	b.UpdateWorker(w)
 	b.WorkerReplaced("w0", 1, 2)
-	deadline, ok := b.Lease("w0")
+	deadline, ok := b.Lease("w0", 2)
 	must.True(t, ok)
 	must.LessEq(t, defaultLease, deadline)
 	b.Report(Report{Worker: "w0", Born: 2, Clock: clock.Second, Sent: b.clock.Now()})
-	deadline, ok = b.Lease("w0")
+	deadline, ok = b.Lease("w0", 2)
 	must.True(t, ok)
 	must.Eq(t, clock.Second+defaultLease, deadline)
 }
+
+// TestLeaseOfFormerProcess guards against a deadline on the clock of a worker's next process.
+func TestLeaseOfFormerProcess(t *testing.T) {
+	b := newHarness(1)
+	w := testWorker(0)
+	w.Born = 2
+	b.UpdateWorker(w)
+	_, ok := b.Lease("w0", 1)
+	must.False(t, ok)
+	_, ok = b.Lease("w0", 2)
+	must.True(t, ok)
+}
--- a/scheduler/reporting.go
+++ b/scheduler/reporting.go
@@ -393,13 +393,14 @@
 	}
 }
 
-// Lease extends the lease of a worker for a call that is about to be sent, and returns
-// its new end on the worker's clock. It returns false if the lease must not be extended.
+// Lease extends the lease of a worker process for a call that is about to be sent, and
+// returns its new end on the process's clock. It returns false if the lease must not be
+// extended.
 // The end is counted from the least time that the worker's clock can show, so that a
 // worker that was idle for long does not hold the lease for longer than LeaseBound.
-func (s *Scheduler) Lease(id string) (clock.Millis, bool) {
+func (s *Scheduler) Lease(id string, born int64) (clock.Millis, bool) {
 	w := s.workers[id]
-	if w == nil {
+	if w == nil || w.info.Born != born {
 		return 0, false
 	}
 	now := s.now()
