scheduler: the end of an earlier abandoned run completes a pending task

What callers could see: a task starts again after its end was acknowledged. Its run was given up with a lease, the next one was refused, and the worker came back and listed the first as done; only the newest attempt was accepted, the end was acknowledged unheard. Change: while the task is pending, the end of any earlier run counts. Evidence: TestEndOfEarlierAbandonedRunCompletesTask failed before: the task was placed again.

--- a/scheduler/reporting.go
+++ b/scheduler/reporting.go
@@ -187,13 +187,13 @@
 }
 
 // completedByAbandonedRun reports whether the end of an abandoned run shows that the task
-// is done after all. For the newest run this holds while its task is pending; for a
-// speculative task it holds for any run.
+// is done after all. This holds while the task is pending; for a speculative task it holds
+// also while a newer run is active.
 func (t *task) completedByAbandonedRun(w *worker, e EndedRun) bool {
 	if e.How != EndDone || t.state == done || t.spec().LongRunning || t.spec().Gang || t.worker == w && t.attempt == e.Attempt {
 		return false
 	}
-	return t.spec().Speculative || t.state == pending && t.attempt == e.Attempt
+	return t.spec().Speculative || t.state == pending
 }
 
 // findTask returns the task with a name, or nil if its job is unknown or its occurrence
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -347,6 +347,27 @@
 	}
 }
 
+// TestEndOfEarlierAbandonedRunCompletesTask guards against starting a task again after its end
+// was acknowledged: the run that completed was abandoned, and the next one was refused.
+func TestEndOfEarlierAbandonedRunCompletesTask(t *testing.T) {
+	b := newHarness(1)
+	b.submit(t, "job", Step{Count: 1, CPU: 100})
+	o := b.placeAndStore()[0]
+	b.OrderAnswered(o, Done)
+	b.CallFailed("w0", 1, false)
+	b.clock.Advance(2 * defaultLease)
+	b.Sweep()
+	b.UpdateWorker(testWorker(1))
+	again := b.placeAndStore()
+	must.Len(t, 1, again)
+	b.OrderAnswered(again[0], NoRoom)
+	b.report("w0", nil, endedRun(1, o, EndDone))
+	must.SliceEmpty(t, b.placeAndStore(), must.Sprint("the task was started again"))
+	p, err := b.Phase("job", "q")
+	must.NoError(t, err)
+	must.Eq(t, Completed, p)
+}
+
 // TestUnclearOrderIsNotWithdrawn guards against a double start: an order that was not
 // answered is sent again. The first order may still be carried out, so the task must not
 // start elsewhere, whatever the outcome of the second.
