soaker: short tasks; restarts during a network fault

Change: one task in three lasts at most 50 ms; a restart that goes with a network fault may begin at any time of it, or up to 500 ms after.

--- a/soaker/fault.go
+++ b/soaker/fault.go
@@ -23,8 +23,8 @@
 	// first to the last restart of a series.
 	maxDownMillis   = 1500
 	maxSeriesMillis = 1800
-	// maxOffsetMillis is the longest time between the end of a network fault and a restart
-	// of the same worker.
+	// maxOffsetMillis is the longest time from the end of a network fault to a restart of the
+	// same worker.
 	maxOffsetMillis = 500
 	// minLateFault is the shortest time during which orders are carried out late.
 	minLateFault = 2 * clock.Second
@@ -79,10 +79,11 @@
 	return fault{fmt.Sprintf("link of %s for %d ms: %+v", w.id, d, l), func() { disturbLinks(l, d, w.proxy) }}
 }
 
-// restart returns a restart of a worker or a series of two or three, which may follow a
-// network fault of that worker or begin shortly before its end.
+// restart returns a restart of a worker or a series of two or three. It may begin during a
+// network fault of that worker, whose messages may then meet the next process, or soon after.
 func (k *Soak) restart() fault {
-	w, l, d, offset := k.randomWorker(), k.randomLinkFault(), k.faultDuration(), k.millis(2*maxOffsetMillis)-maxOffsetMillis
+	w, l, d := k.randomWorker(), k.randomLinkFault(), k.faultDuration()
+	wait := k.millis(int(d) + maxOffsetMillis)
 	restarts := []int{1, 1, 2, 3}[k.random.IntN(4)]
 	down, gap := clock.Millis(0), clock.Millis(0)
 	if k.random.IntN(2) == 0 {
@@ -101,13 +102,13 @@
 	if k.random.IntN(2) == 0 {
 		return fault{name, series}
 	}
-	return fault{fmt.Sprintf("link of %s for %d ms: %+v; from %d ms after its end %s", w.id, d, l, offset, name), func() {
+	return fault{fmt.Sprintf("link of %s for %d ms: %+v; after %d ms %s", w.id, d, l, wait, name), func() {
 		ended := make(chan struct{})
 		go func() {
 			defer close(ended)
 			disturbLinks(l, d, w.proxy)
 		}()
-		time.Sleep((d + offset).Duration())
+		time.Sleep(wait.Duration())
 		series()
 		<-ended
 	}}
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -76,6 +76,10 @@
 	maxLease = 6 * clock.Second
 	// maxTaskMillis is the largest random part of a task's run time.
 	maxTaskMillis = 900
+	// On average, one run in shortOneIn lasts at most maxShortTaskMillis, so that it may end
+	// before the next poll of its worker.
+	shortOneIn         = 3
+	maxShortTaskMillis = 50
 	// On average, one run in failOneIn fails.
 	failOneIn = 30
 	// operatorConfig is the deployment's configuration, as an operator writes it to the
@@ -116,6 +120,9 @@
 		if runRandom.IntN(failOneIn) == 0 {
 			ending = scheduler.EndFailed
 		}
+		if runRandom.IntN(shortOneIn) == 0 {
+			return clock.Millis(1 + runRandom.IntN(maxShortTaskMillis)), ending
+		}
 		return clock.Millis(50 + runRandom.IntN(maxTaskMillis)), ending
 	}, nil)
 	k.pool.SetMaxLease(maxLease)
