soaker: a link that drops or holds data hides the end of a connection

Cause: a proxy closed the connection to a daemon as soon as the one to the worker was closed, also through a link that drops what the worker sends. A daemon then saw a restart at once, which no cut link shows, and the time in which the new process gets orders while the poll of the old one still waits was 100 ms. Data on a cut link was lost; TCP sends it again once the link is back, even if the sender has given up. Change: each direction of a link passes, drops or holds data; a connection is closed only once the direction to it passes. Requests that are held are a fault of their own.

--- a/soaker/fault.go
+++ b/soaker/fault.go
@@ -38,7 +38,7 @@
 
 func (k *Soak) randomLinkFault() linkFault {
 	delay := 50 + k.millis(maxDelayMillis)
-	return []linkFault{{dropResponses: true}, {dropRequests: true}, {refuseConns: true}, {delay: delay}}[k.random.IntN(4)]
+	return []linkFault{{responses: dropped}, {requests: dropped}, {requests: held}, {refuseConns: true}, {delay: delay}}[k.random.IntN(5)]
 }
 
 // kill returns a fault that ends the processes of one host or of all.
@@ -55,7 +55,7 @@
 func (k *Soak) disturb() fault {
 	i := k.random.IntN(len(k.hosts))
 	h, p, l, d := k.hosts[i], k.storeProxies[i], k.randomLinkFault(), k.faultDuration()
-	all := linkFault{dropResponses: true, dropRequests: true}
+	all := linkFault{responses: dropped, requests: dropped}
 	return []fault{
 		{"reload " + h.name, func() { h.signal(syscall.SIGHUP) }},
 		{fmt.Sprintf("suspend %s for %d ms", h.name, d), func() {
--- a/soaker/proxy.go
+++ b/soaker/proxy.go
@@ -26,12 +26,24 @@
 	linkFault struct {
 		// delay is the wait before each chunk is forwarded.
 		delay clock.Millis
-		// dropResponses drops what the target sends, dropRequests what the client sends.
-		// The connections stay open, and the other end does not see that one is closed.
-		dropResponses, dropRequests bool
+		// responses is the flow of what the target sends, requests that of what the client
+		// sends.
+		responses, requests flow
 		// refuseConns resets new connections.
 		refuseConns bool
 	}
+
+	// flow is what becomes of the data that one end of a connection sends. Unless it passes,
+	// the other end does not see that the connection is closed either.
+	flow string
+)
+
+// Flows of a direction. TCP sends held data again once it can, even if the sender has given
+// up meanwhile.
+const (
+	passing flow = ""
+	dropped flow = "dropped"
+	held    flow = "held"
 )
 
 const (
@@ -105,35 +117,34 @@
 		return
 	}
 	p.track(c, t)
-	defer p.untrack(c, t)
+	requests, responses := func(f linkFault) flow { return f.requests }, func(f linkFault) flow { return f.responses }
 	ended := make(chan struct{}, 2)
 	for _, direction := range []struct {
 		from, to net.Conn
-		drops    func(linkFault) bool
-	}{
-		{c, t, func(h linkFault) bool { return h.dropRequests }},
-		{t, c, func(h linkFault) bool { return h.dropResponses }},
-	} {
+		flow     func(linkFault) flow
+	}{{c, t, requests}, {t, c, responses}} {
 		p.group.Go(func() {
-			p.forward(direction.from, direction.to, direction.drops)
-			p.awaitLink(direction.drops)
+			p.forward(direction.from, direction.to, direction.flow)
 			ended <- struct{}{}
 		})
 	}
 	<-ended
+	p.group.Go(func() { p.closeConn(t, requests) })
+	p.closeConn(c, responses)
 }
 
-// forward copies chunks until one of the connections closes. It delays or drops each as the
-// fault at that moment demands.
-func (p *proxy) forward(from io.Reader, to io.Writer, drops func(linkFault) bool) {
+// forward copies chunks until one of the connections closes. It delays, holds or drops each
+// as the fault at that moment demands.
+func (p *proxy) forward(from io.Reader, to io.Writer, flow func(linkFault) flow) {
 	b := make([]byte, copyBufferBytes)
 	for {
 		n, err := from.Read(b)
-		h := p.currentFault()
-		if n > 0 && !drops(h) {
-			if h.delay > 0 {
-				time.Sleep(h.delay.Duration())
+		f := p.currentFault()
+		if n > 0 && flow(f) != dropped {
+			if f.delay > 0 {
+				time.Sleep(f.delay.Duration())
 			}
+			p.awaitFlow(func(f linkFault) bool { return flow(f) == held })
 			if _, err := to.Write(b[:n]); err != nil {
 				return
 			}
@@ -144,9 +155,19 @@
 	}
 }
 
-// awaitLink waits while the current fault drops what is sent in a direction.
-func (p *proxy) awaitLink(drops func(linkFault) bool) {
-	for drops(p.currentFault()) {
+// closeConn closes a connection once what is sent to it passes.
+func (p *proxy) closeConn(c net.Conn, flow func(linkFault) flow) {
+	p.awaitFlow(func(f linkFault) bool { return flow(f) != passing })
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.conns, c)
+	// An error does not matter, since the connection is not used again.
+	_ = c.Close()
+}
+
+// awaitFlow waits while blocked returns true for the current fault.
+func (p *proxy) awaitFlow(blocked func(linkFault) bool) {
+	for blocked(p.currentFault()) {
 		select {
 		case <-p.closed:
 			return
@@ -163,16 +184,6 @@
 	}
 }
 
-func (p *proxy) untrack(cs ...net.Conn) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, c := range cs {
-		delete(p.conns, c)
-		// An error does not matter, since the connection is not used again.
-		_ = c.Close()
-	}
-}
-
 // abort closes a connection with a TCP reset.
 func abort(c net.Conn) {
 	if t, ok := c.(*net.TCPConn); ok {
