scheduler: another worker at a former address does not show that a worker is gone

What callers could see: a task starts twice. A worker that another one answers for (status 421) was dropped and its tasks started elsewhere at once, also if the call had gone to an address that the worker had left: that of a call in flight, or, after a takeover, that of the registry's entry of its former process. Change: the address that answered must be the worker's; a process that only the records name has no address until the registry has its entry. Evidence: TestTakeoverDistrustsAddressOfFormerProcess (found by the review) failed before; TestAnswerAtFormerAddressKeepsWorker asks for the first case.

--- a/conductor/loop.go
+++ b/conductor/loop.go
@@ -240,7 +240,7 @@
 	}
 	c.sched.OrderAnswered(o, out)
 	if out == scheduler.WorkerRestarted {
-		c.sched.WorkerReplaced(o.Worker, o.Born, 0)
+		c.sched.WorkerReplaced(o.Worker, o.Address, o.Born, 0)
 	}
 }
 
--- a/conductor/session.go
+++ b/conductor/session.go
@@ -239,7 +239,7 @@
 		case scheduler.Fenced:
 			c.end("a worker has seen a newer leader's epoch", logger.String("worker", q.Worker))
 		case scheduler.WorkerRestarted:
-			c.sched.WorkerReplaced(q.Worker, q.Born, r.Born)
+			c.sched.WorkerReplaced(q.Worker, q.Address, q.Born, r.Born)
 		default:
 			c.sched.CallFailed(q.Worker, q.Born, out == scheduler.ConnectionRefused)
 		}
--- a/scheduler/lease_test.go
+++ b/scheduler/lease_test.go
@@ -74,7 +74,7 @@
 	w := testWorker(0)
 	w.Clock = clock.Hour
 	b.UpdateWorker(w)
-	b.WorkerReplaced("w0", 1, 2)
+	b.WorkerReplaced("w0", testWorker(0).Address, 1, 2)
 	deadline, ok := b.Lease("w0", 2)
 	must.True(t, ok)
 	must.LessEq(t, defaultLease, deadline)
--- a/scheduler/record.go
+++ b/scheduler/record.go
@@ -153,8 +153,8 @@
 	now := s.now()
 	if w.info.Born < r.Born {
 		// The registry lags behind: the worker itself has reported the later start. The
-		// clock of that process is unknown; it reads at least 0.
-		w.info.Born, w.clockReading, w.clockReadAt = r.Born, 0, now
+		// address of that process is unknown, and so is its clock, which reads at least 0.
+		w.info.Born, w.info.Address, w.clockReading, w.clockReadAt = r.Born, "", 0, now
 		for _, o := range w.tasks {
 			o.unresolvedSince = now
 		}
--- a/scheduler/reporting.go
+++ b/scheduler/reporting.go
@@ -83,9 +83,9 @@
 // WorkerReplaced must be called when another process answers at the address of the worker
 // process with this ID and start time old, which is therefore gone. born is the start
 // time of the process that answered, or 0 if it belongs to a worker with another ID.
-func (s *Scheduler) WorkerReplaced(id string, old, born int64) {
+func (s *Scheduler) WorkerReplaced(id, address string, old, born int64) {
 	w := s.workers[id]
-	if w == nil || w.info.Born != old {
+	if w == nil || w.info.Born != old || w.info.Address != address {
 		return
 	}
 	if born == 0 {
--- a/scheduler/staleorder_test.go
+++ b/scheduler/staleorder_test.go
@@ -31,11 +31,11 @@
 			back: func(b *harness) { b.UpdateWorker(restarted) },
 		},
 		"address taken over, new process": {
-			lose: func(b *harness) { b.WorkerReplaced("w0", 1, 0) },
+			lose: func(b *harness) { b.WorkerReplaced("w0", testWorker(0).Address, 1, 0) },
 			back: func(b *harness) { b.UpdateWorker(restarted) },
 		},
 		"restarted": {
-			lose: func(b *harness) { b.WorkerReplaced("w0", 1, 2) },
+			lose: func(b *harness) { b.WorkerReplaced("w0", testWorker(0).Address, 1, 2) },
 			back: func(b *harness) {
 				stops := b.TakeImmediateOrders()
 				must.Len(t, 1, stops)
--- a/scheduler/takeover_test.go
+++ b/scheduler/takeover_test.go
@@ -99,3 +99,28 @@
 	b.Sweep()
 	must.SliceLen(t, 1, b.placeAndStore())
 }
+
+// TestAnswerAtFormerAddressKeepsWorker guards against a double start: another worker answers where the worker was before.
+func TestAnswerAtFormerAddressKeepsWorker(t *testing.T) {
+	b := newHarness(2)
+	b.submit(t, "job", Step{Count: 1, CPU: 100})
+	o := b.placeAndStore()[0]
+	b.OrderAnswered(o, Done)
+	b.WorkerReplaced(o.Worker, "127.0.0.1:9", o.Born, 0)
+	must.SliceEmpty(t, b.placeAndStore(), must.Sprint("the task was started elsewhere"))
+	b.WorkerReplaced(o.Worker, o.Address, o.Born, 0)
+	must.SliceLen(t, 1, b.placeAndStore())
+}
+
+// TestTakeoverDistrustsAddressOfFormerProcess guards against a double start: the registry names the address of an older process, where another worker listens now.
+func TestTakeoverDistrustsAddressOfFormerProcess(t *testing.T) {
+	r, _ := recordOfRun(t, "job", 2)
+	b, _ := takeOver(t, registryOf(1), r)
+	b.Sessions(func(q Session) {
+		if q.Worker == "w0" && q.Address != "" {
+			// A poll of that address is answered by another worker.
+			b.WorkerReplaced("w0", q.Address, q.Born, 0)
+		}
+	})
+	must.SliceEmpty(t, b.placeAndStore(), must.Sprint("the task was started elsewhere before its worker was heard"))
+}
