scheduler: unanswered starts of a worker that left the registry are remembered

A cut that lasts longer than a lease usually expires the registry's entry too. The worker was then forgotten together with the starts that it may still carry out, and got a lease as soon as its entry was back.

--- a/scheduler/doubtful_test.go
+++ b/scheduler/doubtful_test.go
@@ -72,3 +72,19 @@
 	_, ok := b.Lease("w0", 2)
 	must.True(t, ok)
 }
+
+// TestUnregisteredWorkerKeepsUnansweredStarts guards against a late start: a worker that was cut off has left the registry too.
+func TestUnregisteredWorkerKeepsUnansweredStarts(t *testing.T) {
+	b := newHarness(1)
+	b.submit(t, "job", Step{Count: 1, CPU: 100})
+	b.OrderAnswered(b.placeAndStore()[0], Unclear)
+	b.CallFailed("w0", 1, false)
+	b.RemoveWorker("w0")
+	b.clock.Advance(2 * defaultLease)
+	b.Sweep()
+	b.UpdateWorker(testWorker(1))
+	must.SliceLen(t, 1, b.placeAndStore())
+	b.UpdateWorker(testWorker(0))
+	_, ok := b.Lease("w0", 1)
+	must.False(t, ok, must.Sprint("the worker gets a lease while the former start may be carried out"))
+}
--- a/scheduler/reporting.go
+++ b/scheduler/reporting.go
@@ -24,6 +24,10 @@
 	// refusalBackoff is how long a worker gets no new runs after it refused one or could
 	// not be reached: the time of two reports.
 	refusalBackoff = 300 * clock.Millis(1)
+	// maxOrderDelay is how long after the end of its lease a worker that has left the
+	// registry is remembered for orders that it may still carry out. Orders are carried
+	// out seconds late at most.
+	maxOrderDelay = clock.Minute
 	// maxListedEnds is the most ended runs that a report lists; from the platform's
 	// description of its workers.
 	maxListedEnds = 500
@@ -440,7 +444,7 @@
 			}
 			s.abandonRuns(w, "its lease has expired")
 		}
-		if !w.registered && len(w.tasks) == 0 {
+		if !w.registered && len(w.tasks) == 0 && (len(w.doubtful) == 0 || now >= w.leaseEnd+maxOrderDelay) {
 			delete(s.workers, id)
 		}
 	}
--- a/scheduler/session.go
+++ b/scheduler/session.go
@@ -54,7 +54,7 @@
 func (w *worker) session(id string) Session {
 	return Session{
 		Worker: id, Address: w.info.Address, Born: w.info.Born, Acked: w.storedEnd,
-		Busy:               len(w.tasks) > 0 || w.lastEnd > w.storedEnd || w.unreconciled || len(w.doubtful) > 0 || w.silentSince != 0 && w.registered || w.storedEnd > w.ackedEnd,
+		Busy:               len(w.tasks) > 0 || w.lastEnd > w.storedEnd || w.unreconciled || w.registered && (len(w.doubtful) > 0 || w.silentSince != 0) || w.storedEnd > w.ackedEnd,
 		ServingWithFillers: w.serving > 0 && w.fillerCPU > 0,
 		Blocked:            w.lastEnd > w.storedEnd, Silent: w.silentSince != 0,
 		Idle: len(w.tasks) == 0, Inherited: w.unreconciled,
