scheduler: one list without a machine does not show that its worker has left

A machine that is listed in another state still counts at once; one that is missing has to be missing from two lists in a row. While only workers that seem to leave are of interest the machines are listed every 300 ms instead of 100.

--- a/conductor/upkeep.go
+++ b/conductor/upkeep.go
@@ -26,8 +26,11 @@
 
 const (
 	// waveInterval is the period at which the machines are listed while a wave is in
-	// progress or a worker seems to have left. The platform allows 60 such calls a second for all daemons together.
+	// progress. The platform allows 60 such calls a second for all daemons together.
 	waveInterval = 100 * clock.Millis(1)
+	// departureInterval is that period while a worker seems to have left. The tasks of a
+	// worker that has are then held for less than a second.
+	departureInterval = 300 * clock.Millis(1)
 	// cloudTimeout bounds the calls of one round, of which the listing of the machines
 	// may be slow.
 	cloudTimeout = 1500 * clock.Millis(1)
@@ -48,15 +51,16 @@
 	if c.cloud.List == nil {
 		return
 	}
-	restored := false
+	restored, listedAt := false, clock.Millis(0)
 	for recorder.Sleep(c.ctx, waveInterval) {
 		active, departing := false, false
 		switch {
 		case !c.call(func() { active, departing = c.sched.WaveInProgress(), c.sched.HasDeparting() }):
 			return
-		case !active && !departing:
+		case !active && (!departing || c.now()-listedAt < departureInterval):
 			continue
 		}
+		listedAt = c.now()
 		if active && !restored {
 			restored = c.restorePublished()
 			continue
--- a/scheduler/draining.go
+++ b/scheduler/draining.go
@@ -5,9 +5,15 @@
 	"galenawharf.example/galenawharf/logger"
 )
 
-// maxMovesPerSweep bounds the runs that one sweep moves, so that they occupy their new
-// places before the next ones are moved.
-const maxMovesPerSweep = 4
+const (
+	// maxMovesPerSweep bounds the runs that one sweep moves, so that they occupy their new
+	// places before the next ones are moved.
+	maxMovesPerSweep = 4
+	// minListsWithout is the number of machine lists in a row that a machine must be missing
+	// from to count as removed. The pages of one list are no snapshot, so it may lack a
+	// machine that runs.
+	minListsWithout = 2
+)
 
 // moveOffDraining stops runs on draining workers that would not end before the worker
 // leaves, if another worker has room for them: runs of long-running tasks, and runs that
@@ -69,14 +75,26 @@
 	return false
 }
 
-// removeDeparted removes the workers that seem to have left and have no running machine.
+// removeDeparted removes the workers that seem to have left and whose machine does not run
+// them: it is listed in another state, or missing from minListsWithout lists in a row.
 func (s *Scheduler) removeDeparted(ms []Machine) {
-	up := map[string]bool{}
+	up, down := map[string]bool{}, map[string]bool{}
 	for _, m := range ms {
-		up[m.Worker] = up[m.Worker] || m.Up
+		if m.Up {
+			up[m.Worker] = true
+		} else {
+			down[m.Worker] = true
+		}
 	}
 	for id, w := range s.workers {
-		if w.seemsDeparted() && !up[id] {
+		switch {
+		case !w.seemsDeparted() || up[id] || len(ms) == 0:
+			w.listsWithout = 0
+			continue
+		case !down[id]:
+			w.listsWithout++
+		}
+		if down[id] || w.listsWithout >= minListsWithout {
 			s.dropWorker(w, "it has drained and its machine does not run it")
 		}
 	}
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -97,6 +97,9 @@
 		// start them may still be carried out. Until the worker has confirmed that they
 		// are stopped it gets no new lease and no new runs.
 		doubtful []doubtfulRun
+		// listsWithout is the number of machine lists in a row that lack the worker since
+		// it seems to have left.
+		listsWithout int
 		// ackedEnd is the highest number of an ended run whose acknowledgement has
 		// reached the worker.
 		ackedEnd int64
