scheduler: every way to give up a run stops its unanswered starts first

Found by the review; each could let a task start elsewhere while a start that got no answer may still be carried out: - a start that was sent again and rejected as malformed (TestRejectedResendKeeps...); - a run that was confirmed by the second order, on a worker that restarts; the first may reach the next process (TestRestartStopsRunWithUnansweredStart); - a stop that was answered with something else than done or obsolete counted as confirmed; - a start that waited was sent although its run was being stopped, and the refusal to send it made a healthy worker count as silent (TestStartOfStoppingRunIsNotCurrent); the new outcome Superseded says nothing about the worker.

--- a/conductor/loop.go
+++ b/conductor/loop.go
@@ -212,10 +212,12 @@
 		if !s.acquire(c.ctx) {
 			return
 		}
-		if waited := c.now() - queued; o.Kind == scheduler.Start && waited > 0 && !c.refreshOrder(&o, waited) {
-			s.release()
-			c.post(func() { c.orderAnswered(o, scheduler.NotSent) })
-			return
+		if waited := c.now() - queued; o.Kind == scheduler.Start && waited > 0 {
+			if out := c.refreshOrder(&o, waited); out != scheduler.Done {
+				s.release()
+				c.post(func() { c.orderAnswered(o, out) })
+				return
+			}
 		}
 		ctx, cancel := context.WithTimeout(c.ctx, orderTimeout.Duration())
 		sent := c.now()
@@ -245,19 +247,28 @@
 }
 
 // refreshOrder updates the lease deadline of an order to start a run that has waited for
-// earlier orders. It returns false if the order must not be sent any more: the scheduler
-// has given up the run, or the lease must not be extended.
-func (c *Conductor) refreshOrder(o *scheduler.Order, waited clock.Millis) bool {
-	d, ok := o.Deadline, false
+// earlier orders. It returns Done if the order may be sent. Otherwise it returns Superseded
+// if the scheduler does not want the run any more, and NotSent if the lease must not be
+// extended.
+func (c *Conductor) refreshOrder(o *scheduler.Order, waited clock.Millis) scheduler.Outcome {
+	d, out := o.Deadline, scheduler.Done
 	if !c.call(func() {
-		if ok = c.sched.IsCurrent(*o); ok && waited > orderQueueLimit {
-			d, ok = c.leaseDeadline(o.Worker, o.Born)
+		if !c.sched.IsCurrent(*o) {
+			out = scheduler.Superseded
+			return
 		}
-	}) || !ok {
-		return false
+		if waited <= orderQueueLimit {
+			return
+		}
+		var ok bool
+		if d, ok = c.leaseDeadline(o.Worker, o.Born); !ok {
+			out = scheduler.NotSent
+		}
+	}) {
+		return scheduler.NotSent
 	}
 	o.Deadline = d
-	return true
+	return out
 }
 
 // leaseDeadline returns the expiry of the lease of a worker process for the next call to
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -89,9 +89,10 @@
 	NoTicket
 	// Rejected: the worker rejected the order as malformed.
 	Rejected
+	// Superseded: the order was not sent, as its run was not wanted any more.
+	Superseded
 )
 
-// confirms reports whether the worker has answered the order, so that it is settled there.
-func (o Outcome) confirms() bool {
-	return o != Unclear && o != NotSent && o != ConnectionRefused && o != Unavailable
-}
+// confirmsStop reports whether an order to stop a run had this outcome, after which the
+// worker does not start that run any more.
+func (o Outcome) confirmsStop() bool { return o == Done || o == Obsolete }
--- a/scheduler/reporting.go
+++ b/scheduler/reporting.go
@@ -123,11 +123,12 @@
 		t.worker = n
 		n.addTask(t)
 		s.markDirty(t.job())
-		if t.state == running {
+		if t.state == running && !t.unclear && t.ordersInFlight == 0 {
 			t.state, t.unresolvedSince = placed, now
-		} else {
-			s.stop(t)
+			continue
 		}
+		t.state = placed
+		s.stop(t)
 	}
 	return n
 }
@@ -291,11 +292,11 @@
 	}
 }
 
-// IsCurrent reports whether the run of an order is still the newest one of its task, and
-// assigned to the worker process that the order is for.
+// IsCurrent reports whether the run of an order is still the newest one of its task, is
+// assigned to the worker process that the order is for, and is not being stopped.
 func (s *Scheduler) IsCurrent(o Order) bool {
 	t := s.findTask(o.Task.String())
-	return t != nil && t.hasRun() && t.attempt == o.Attempt && t.worker.info.ID == o.Worker && t.worker.info.Born == o.Born
+	return t != nil && t.hasRun() && !t.stopping && t.attempt == o.Attempt && t.worker.info.ID == o.Worker && t.worker.info.Born == o.Born
 }
 
 // OrderAnswered applies the outcome of an order.
@@ -309,13 +310,15 @@
 		return
 	}
 	switch out {
+	case Superseded:
+		return
 	case Unclear, NotSent, ConnectionRefused:
 		s.markSilent(w, out == ConnectionRefused)
 	default:
 		w.silentSince, w.leaseExpired, w.connRefused = 0, false, false
 	}
 	if o.Kind == Stop {
-		w.stopAnswered(o, out.confirms())
+		w.stopAnswered(o, out.confirmsStop())
 	}
 	if t == nil || t.worker != w || t.attempt != o.Attempt {
 		return
@@ -324,7 +327,7 @@
 	case Start:
 		s.applyStartOutcome(w, t, out)
 	case Stop:
-		if !out.confirms() {
+		if !out.confirmsStop() {
 			return
 		}
 		// The next report shows whether the run has ended; a run that never started is
@@ -345,7 +348,7 @@
 		if t.job().phase.final() && !t.stopping {
 			s.stop(t)
 		}
-	case NoRoom, Unavailable:
+	case NoRoom, Unavailable, Rejected:
 		w.blockedUntil = now + refusalBackoff
 		s.withdraw(t)
 	case NotSent, ConnectionRefused:
@@ -356,7 +359,7 @@
 		s.withdraw(t)
 	case Obsolete:
 		t.unresolvedSince = now
-	case Rejected, WorkerRestarted:
+	case WorkerRestarted:
 		w.blockedUntil = now + refusalBackoff
 		t.unresolvedSince = now
 	case Unclear:
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -351,24 +351,28 @@
 }
 
 // TestEndOfEarlierAbandonedRunCompletesTask guards against starting a task again after its end
-// was acknowledged: the run that completed was abandoned, and the next one was refused.
+// was acknowledged: the run that completed was abandoned, and the next one did not start.
 func TestEndOfEarlierAbandonedRunCompletesTask(t *testing.T) {
-	b := newHarness(1)
-	b.submit(t, "job", Step{Count: 1, CPU: 100})
-	o := b.placeAndStore()[0]
-	b.OrderAnswered(o, Done)
-	b.CallFailed("w0", 1, false)
-	b.clock.Advance(2 * defaultLease)
-	b.Sweep()
-	b.UpdateWorker(testWorker(1))
-	again := b.placeAndStore()
-	must.Len(t, 1, again)
-	b.OrderAnswered(again[0], NoRoom)
-	b.report("w0", nil, endedRun(1, o, EndDone))
-	must.SliceEmpty(t, b.placeAndStore(), must.Sprint("the task was started again"))
-	p, err := b.Phase("job", "q")
-	must.NoError(t, err)
-	must.Eq(t, Completed, p)
+	for name, second := range map[string]Outcome{"no room": NoRoom, "not sent": NotSent} {
+		t.Run(name, func(t *testing.T) {
+			b := newHarness(1)
+			b.submit(t, "job", Step{Count: 1, CPU: 100})
+			o := b.placeAndStore()[0]
+			b.OrderAnswered(o, Done)
+			b.CallFailed("w0", 1, false)
+			b.clock.Advance(2 * defaultLease)
+			b.Sweep()
+			b.UpdateWorker(testWorker(1))
+			again := b.placeAndStore()
+			must.Len(t, 1, again)
+			b.OrderAnswered(again[0], second)
+			b.report("w0", nil, endedRun(1, o, EndDone))
+			must.SliceEmpty(t, b.placeAndStore(), must.Sprint("the task was started again"))
+			p, err := b.Phase("job", "q")
+			must.NoError(t, err)
+			must.Eq(t, Completed, p)
+		})
+	}
 }
 
 // TestUnclearOrderIsNotWithdrawn guards against a double start: an order that was not
@@ -473,3 +477,34 @@
 	must.Eq(t, 2, firstStored+secondStored)
 	must.ErrorIs(t, b.SubmitDeposited(Spec{ID: "job", Queue: Queue{Name: "other"}}, nil), ErrConflict)
 }
+
+// TestRejectedResendKeepsUnansweredStart guards against a double start: the first order may still be carried out.
+func TestRejectedResendKeepsUnansweredStart(t *testing.T) {
+	b := newHarness(2)
+	b.submit(t, "job", Step{Count: 1, CPU: 100})
+	o := b.placeAndStore()[0]
+	b.OrderAnswered(o, Unclear)
+	b.clock.Advance(resendDelay + 1)
+	b.report(o.Worker, nil)
+	must.Len(t, 1, b.TakeImmediateOrders())
+	b.OrderAnswered(o, Rejected)
+	b.clock.Advance(refusalBackoff + 1)
+	b.report(o.Worker, nil)
+	must.SliceEmpty(t, b.placeAndStore(), must.Sprint("the task was started elsewhere without a confirmed stop"))
+}
+
+// TestRestartStopsRunWithUnansweredStart guards against a double start: an order that was sent again may reach the next process.
+func TestRestartStopsRunWithUnansweredStart(t *testing.T) {
+	b := newHarness(2)
+	b.submit(t, "job", Step{Count: 1, CPU: 100})
+	o := b.placeAndStore()[0]
+	b.OrderAnswered(o, Unclear)
+	b.clock.Advance(resendDelay + 1)
+	b.report(o.Worker, nil)
+	must.Len(t, 1, b.TakeImmediateOrders())
+	b.OrderAnswered(o, Done)
+	b.WorkerReplaced(o.Worker, o.Address, 1, 2)
+	stops := b.TakeImmediateOrders()
+	must.SliceLen(t, 1, stops)
+	must.Eq(t, Stop, stops[0].Kind)
+}
--- a/scheduler/staleorder_test.go
+++ b/scheduler/staleorder_test.go
@@ -86,3 +86,13 @@
 		must.Eq(t, Stop, stops[0].Kind)
 	}
 }
+
+// TestStartOfStoppingRunIsNotCurrent guards against a start that is sent after the stop of its run.
+func TestStartOfStoppingRunIsNotCurrent(t *testing.T) {
+	b := newHarness(1)
+	b.submit(t, "job", Step{Count: 1, CPU: 100})
+	o := b.placeAndStore()[0]
+	must.True(t, b.IsCurrent(o))
+	must.NoError(t, b.Cancel("job", func(error) {}))
+	must.False(t, b.IsCurrent(o))
+}
