--- a/imitator/pool.go
+++ b/imitator/pool.go
@@ -16,7 +16,7 @@
 type (
 	// Pool is a fake of the platform's workers. It records violations of at-most-once
 	// execution: a task that runs twice at the same time, or again after its end was
-	// acknowledged, and an end that is acknowledged before any answer listed it. A start order for a worker without a free slot is refused.
+	// acknowledged, and a poll that acknowledges ends which no answer has listed. A start order for a worker without a free slot is refused.
 	Pool struct {
 		mu      sync.Mutex
 		workers map[string]*poolWorker
@@ -364,6 +364,7 @@
 	w.highestEpoch = epoch
 	if q.Acked > w.listedEnd {
 		p.staleAcks++
+		p.ledger.violate("%s born %d has ends acknowledged up to %d by a poll at %s, and listed ends up to %d", w.info.ID, w.info.Born, q.Acked, clock.System(), w.listedEnd)
 	}
 	unacked := w.endedRuns[:0]
 	for _, e := range w.endedRuns {
