imitator: count leases that a worker shortens

A lease that a leader computed on the clock of a former process is longer than any lease; the soak prints how many there were. go test -race of imitator, platform and soaker passes.

--- a/imitator/pool.go
+++ b/imitator/pool.go
@@ -22,10 +22,11 @@
 		workers map[string]*poolWorker
 		ledger  *ledger
 		// restarts is the number of processes that replaced a killed one, staleAcks that of
-		// polls which acknowledged more ends than their worker had listed.
-		restarts, staleAcks int
-		orderFault          func(o scheduler.Order) OrderFault
-		runTime             func(scheduler.TaskName, int) (clock.Millis, scheduler.Ending)
+		// polls which acknowledged more ends than their worker had listed, cappedLeases that
+		// of leases that were shortened to maxLease.
+		restarts, staleAcks, cappedLeases int
+		orderFault                        func(o scheduler.Order) OrderFault
+		runTime                           func(scheduler.TaskName, int) (clock.Millis, scheduler.Ending)
 		// policy checks the tickets of start orders; nil if tasks need no ticket.
 		policy *Policy
 		// maxLease limits leases; 0 if they are unlimited.
@@ -71,9 +72,6 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.maxLease = m
-	for _, w := range p.workers {
-		w.maxLease = m
-	}
 }
 
 func (p *Pool) startWorker(id string, slots int, born int64) {
@@ -81,7 +79,7 @@
 	p.workers[id] = &poolWorker{
 		ctx: ctx, cancel: cancel,
 		info:     scheduler.WorkerInfo{ID: id, Address: id, Service: "pool", DataCentre: "a", CPU: int64(slots) * 1000, Memory: int64(slots) * 1000, Born: born},
-		bootedAt: clock.System(), runs: map[string]*poolRun{}, highestAttempt: map[string]int{}, runEnded: make(chan struct{}), slots: slots, maxLease: p.maxLease,
+		bootedAt: clock.System(), runs: map[string]*poolRun{}, highestAttempt: map[string]int{}, runEnded: make(chan struct{}), slots: slots,
 	}
 }
 
@@ -178,6 +176,14 @@
 	return p.staleAcks
 }
 
+// CappedLeases returns the number of leases that were shortened to the longest one, as one
+// is that was computed on the clock of a former process.
+func (p *Pool) CappedLeases() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cappedLeases
+}
+
 // Restarts returns the number of processes that replaced a killed one.
 func (p *Pool) Restarts() int {
 	p.mu.Lock()
@@ -249,17 +255,17 @@
 	}
 	switch {
 	case o.Attempt <= w.highestAttempt[name]:
-		w.extend(o.Deadline)
+		p.extend(w, o.Deadline)
 		return scheduler.Obsolete
 	case o.Deadline <= w.clock():
 		return scheduler.Late
 	case p.policy != nil && !p.policy.admits(name, w.info.ID, o.Ticket):
 		return scheduler.NoTicket
 	case len(w.runs) >= w.slots:
-		w.extend(o.Deadline)
+		p.extend(w, o.Deadline)
 		return scheduler.NoRoom
 	}
-	w.extend(o.Deadline)
+	p.extend(w, o.Deadline)
 	w.highestAttempt[name] = o.Attempt
 	d, ending := p.runTime(o.Task, o.Attempt)
 	r := &poolRun{order: o, started: clock.System()}
@@ -276,6 +282,15 @@
 	return scheduler.Done
 }
 
+func (p *Pool) extend(w *poolWorker, deadline clock.Millis) {
+	until := w.bootedAt + deadline
+	if limit := clock.System() + p.maxLease; p.maxLease > 0 && until > limit {
+		until = limit
+		p.cappedLeases++
+	}
+	w.leaseUntil = max(w.leaseUntil, until)
+}
+
 // expireLease ends the runs of a worker whose lease has expired.
 func (p *Pool) expireLease(w *poolWorker) {
 	if clock.System() < w.leaseUntil {
@@ -376,7 +391,7 @@
 	}
 	w.endedRuns = unacked
 	if q.Deadline > 0 {
-		w.extend(q.Deadline)
+		p.extend(w, q.Deadline)
 	}
 	return scheduler.Done
 }
--- a/imitator/poolworker.go
+++ b/imitator/poolworker.go
@@ -27,8 +27,6 @@
 		listedEnd   int64
 		partitioned bool
 		slots       int
-		// maxLease is that of the Pool.
-		maxLease clock.Millis
 	}
 
 	poolRun struct {
@@ -50,11 +48,3 @@
 }
 
 func (w *poolWorker) clock() clock.Millis { return clock.System() - w.bootedAt }
-
-func (w *poolWorker) extend(deadline clock.Millis) {
-	until := w.bootedAt + deadline
-	if w.maxLease > 0 {
-		until = min(until, clock.System()+w.maxLease)
-	}
-	w.leaseUntil = max(w.leaseUntil, until)
-}
--- a/soaker/counts.go
+++ b/soaker/counts.go
@@ -9,8 +9,9 @@
 		// the first fault.
 		Accepted, CalmAccepted, Refused, Completed int
 		// Runs were started by workers; AckedEnds are the ends that were acknowledged to
-		// them, and StaleAcks the polls that acknowledged more than a worker had listed.
-		Runs, AckedEnds, StaleAcks int
+		// them. StaleAcks are polls that acknowledged more than a worker had listed,
+		// CappedLeases are leases that a worker shortened.
+		Runs, AckedEnds, StaleAcks, CappedLeases int
 		// Restarts are those of workers; LateOrders were carried out late.
 		Restarts, LateOrders int
 		// Killed and OwnExits are ends of daemons, by signals sent to them and by
@@ -29,8 +30,8 @@
 const minTasks = 2
 
 func (c Counts) String() string {
-	return fmt.Sprintf("%d jobs accepted (%d before the faults), %d refused, %d completed; %d runs started, %d ends acknowledged, %d polls with a stale number; %d worker restarts, %d late orders; %d daemons killed, %d ended by themselves; %d faults",
-		c.Accepted, c.CalmAccepted, c.Refused, c.Completed, c.Runs, c.AckedEnds, c.StaleAcks, c.Restarts, c.LateOrders, c.Killed, c.OwnExits, c.Faults)
+	return fmt.Sprintf("%d jobs accepted (%d before the faults), %d refused, %d completed; %d runs started, %d ends acknowledged, %d polls with a stale number, %d leases shortened; %d worker restarts, %d late orders; %d daemons killed, %d ended by themselves; %d faults",
+		c.Accepted, c.CalmAccepted, c.Refused, c.Completed, c.Runs, c.AckedEnds, c.StaleAcks, c.CappedLeases, c.Restarts, c.LateOrders, c.Killed, c.OwnExits, c.Faults)
 }
 
 // belowFloors returns a violation for each count that is too low for the soak test to have
