--- a/imitator/ledger.go
+++ b/imitator/ledger.go
@@ -16,8 +16,6 @@
 		running map[string][]taskRun
 		// acked has the acknowledgement of each task's successful end.
 		acked      map[string]acknowledgement
-		starts     int
-		ackedEnds  int
 		violations []string
 	}
 
@@ -45,7 +43,6 @@
 }
 
 func (l *ledger) start(task string, r taskRun) {
-	l.starts++
 	for _, other := range l.running[task] {
 		l.violate("%s runs twice: %s, while %s runs", task, r, other)
 	}
@@ -60,7 +57,6 @@
 }
 
 func (l *ledger) acknowledge(task string, a acknowledgement, done bool) {
-	l.ackedEnds++
 	if !a.listed {
 		l.violate("%s has an end acknowledged that was never listed: %s", task, a)
 	}
--- a/imitator/pool.go
+++ b/imitator/pool.go
@@ -18,15 +18,12 @@
 	// execution: a task that runs twice at the same time, or again after its end was
 	// acknowledged, and a poll that acknowledges ends which no answer has listed. A start order for a worker without a free slot is refused.
 	Pool struct {
-		mu      sync.Mutex
-		workers map[string]*poolWorker
-		ledger  *ledger
-		// restarts is the number of processes that replaced a killed one, staleAcks that of
-		// polls which acknowledged more ends than their worker had listed, cappedLeases that
-		// of leases that were shortened to maxLease.
-		restarts, staleAcks, cappedLeases int
-		orderFault                        func(o scheduler.Order) OrderFault
-		runTime                           func(scheduler.TaskName, int) (clock.Millis, scheduler.Ending)
+		mu         sync.Mutex
+		workers    map[string]*poolWorker
+		ledger     *ledger
+		counts     PoolCounts
+		orderFault func(o scheduler.Order) OrderFault
+		runTime    func(scheduler.TaskName, int) (clock.Millis, scheduler.Ending)
 		// policy checks the tickets of start orders; nil if tasks need no ticket.
 		policy *Policy
 		// maxLease limits leases; 0 if they are unlimited.
@@ -134,7 +131,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if w := p.workers[id]; w.dead() {
-		p.restarts++
+		p.counts.Restarts++
 		p.startWorker(id, w.slots, w.info.Born+1)
 	}
 }
@@ -158,37 +155,7 @@
 func (p *Pool) Starts() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.ledger.starts
-}
-
-// AckedEnds returns the number of ends that were acknowledged.
-func (p *Pool) AckedEnds() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.ledger.ackedEnds
-}
-
-// StaleAcks returns the number of polls that acknowledged more ends than their worker had
-// listed, as one meant for a former process does.
-func (p *Pool) StaleAcks() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.staleAcks
-}
-
-// CappedLeases returns the number of leases that were shortened to the longest one, as one
-// is that was computed on the clock of a former process.
-func (p *Pool) CappedLeases() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.cappedLeases
-}
-
-// Restarts returns the number of processes that replaced a killed one.
-func (p *Pool) Restarts() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.restarts
+	return p.counts.Starts
 }
 
 // Fleet returns a client of the workers for a conductor.
@@ -270,6 +237,7 @@
 	d, ending := p.runTime(o.Task, o.Attempt)
 	r := &poolRun{order: o, started: clock.System()}
 	w.runs[name] = r
+	p.counts.Starts++
 	p.ledger.start(name, w.taskRun(r))
 	r.timer = time.AfterFunc(d.Duration(), func() {
 		p.mu.Lock()
@@ -286,7 +254,7 @@
 	until := w.bootedAt + deadline
 	if limit := clock.System() + p.maxLease; p.maxLease > 0 && until > limit {
 		until = limit
-		p.cappedLeases++
+		p.counts.CappedLeases++
 	}
 	w.leaseUntil = max(w.leaseUntil, until)
 }
@@ -378,7 +346,7 @@
 	p.expireLease(w)
 	w.highestEpoch = epoch
 	if q.Acked > w.listedEnd {
-		p.staleAcks++
+		p.counts.StaleAcks++
 		p.ledger.violate("%s born %d has ends acknowledged up to %d by a poll at %s, and listed ends up to %d", w.info.ID, w.info.Born, q.Acked, clock.System(), w.listedEnd)
 	}
 	unacked := w.endedRuns[:0]
@@ -387,6 +355,7 @@
 			unacked = append(unacked, e)
 			continue
 		}
+		p.counts.AckedEnds++
 		p.ledger.acknowledge(e.Task, acknowledgement{run: e.run, number: e.Number, acked: q.Acked, listed: e.Number <= w.listedEnd, at: clock.System()}, e.How == scheduler.EndDone)
 	}
 	w.endedRuns = unacked
--- a/soaker/counts.go
+++ b/soaker/counts.go
@@ -1,6 +1,10 @@
 package soaker
 
-import "fmt"
+import (
+	"fmt"
+
+	"galenawharf.example/galenawharf/imitator"
+)
 
 type (
 	// Counts are the numbers of what happened in a soak test.
@@ -8,12 +12,10 @@
 		// Accepted, Refused and Completed are jobs; CalmAccepted are those accepted before
 		// the first fault.
 		Accepted, CalmAccepted, Refused, Completed int
-		// Runs were started by workers; AckedEnds are the ends that were acknowledged to
-		// them. StaleAcks are polls that acknowledged more than a worker had listed,
-		// CappedLeases are leases that a worker shortened.
-		Runs, AckedEnds, StaleAcks, CappedLeases int
-		// Restarts are those of workers; LateOrders were carried out late.
-		Restarts, LateOrders int
+		// Workers is what happened to the workers, LateOrders are orders that they carried
+		// out late.
+		Workers    imitator.PoolCounts
+		LateOrders int
 		// Killed and OwnExits are ends of daemons, by signals sent to them and by
 		// themselves with an error.
 		Killed, OwnExits int
@@ -31,7 +33,7 @@
 
 func (c Counts) String() string {
 	return fmt.Sprintf("%d jobs accepted (%d before the faults), %d refused, %d completed; %d runs started, %d ends acknowledged, %d polls with a stale number, %d leases shortened; %d worker restarts, %d late orders; %d daemons killed, %d ended by themselves; %d faults",
-		c.Accepted, c.CalmAccepted, c.Refused, c.Completed, c.Runs, c.AckedEnds, c.StaleAcks, c.CappedLeases, c.Restarts, c.LateOrders, c.Killed, c.OwnExits, c.Faults)
+		c.Accepted, c.CalmAccepted, c.Refused, c.Completed, c.Workers.Starts, c.Workers.AckedEnds, c.Workers.StaleAcks, c.Workers.CappedLeases, c.Workers.Restarts, c.LateOrders, c.Killed, c.OwnExits, c.Faults)
 }
 
 // belowFloors returns a violation for each count that is too low for the soak test to have
@@ -43,10 +45,10 @@
 	for _, f := range []floor{
 		{"jobs accepted before the faults", c.CalmAccepted, jobs},
 		{"jobs completed", c.Completed, jobs},
-		{"runs started", c.Runs, minTasks * max(jobs, c.Completed)},
-		{"ends acknowledged", c.AckedEnds, minTasks * jobs},
+		{"runs started", c.Workers.Starts, minTasks * max(jobs, c.Completed)},
+		{"ends acknowledged", c.Workers.AckedEnds, minTasks * jobs},
 		{"faults injected", c.Faults, int(s.FaultDuration / maxGap)},
-		{"worker restarts", c.Restarts, cycles},
+		{"worker restarts", c.Workers.Restarts, cycles},
 		{"late orders", c.LateOrders, min(1, cycles)},
 		{"daemons killed", c.Killed, cycles},
 	} {
--- a/soaker/counts_test.go
+++ b/soaker/counts_test.go
@@ -6,27 +6,28 @@
 	"github.com/shoenig/test/must"
 
 	"galenawharf.example/galenawharf/clock"
+	"galenawharf.example/galenawharf/imitator"
 )
 
 // TestFloors checks that a soak test that tested nothing does not pass.
 func TestFloors(t *testing.T) {
-	fine := Counts{Accepted: 90, CalmAccepted: 8, Completed: 90, Runs: 180, AckedEnds: 16, Restarts: 1, LateOrders: 1, Killed: 1, Faults: 6}
+	fine := Counts{Accepted: 90, CalmAccepted: 8, Completed: 90, Workers: imitator.PoolCounts{Starts: 180, AckedEnds: 16, Restarts: 1}, LateOrders: 1, Killed: 1, Faults: 6}
 	tests := map[string]struct {
 		duration clock.Millis
 		change   func(*Counts)
 		want     []string
 	}{
 		"fine":                  {duration: 10 * clock.Second, change: func(*Counts) {}},
-		"short, without faults": {duration: clock.Second, change: func(c *Counts) { c.Restarts, c.LateOrders, c.Killed, c.Faults = 0, 0, 0, 0 }},
+		"short, without faults": {duration: clock.Second, change: func(c *Counts) { c.Workers.Restarts, c.LateOrders, c.Killed, c.Faults = 0, 0, 0, 0 }},
 		"dead daemons": {duration: clock.Second, change: func(c *Counts) { *c = Counts{} }, want: []string{
 			"below the floor: jobs accepted before the faults: 0, at least 8 expected", "below the floor: jobs completed: 0, at least 8 expected",
 			"below the floor: runs started: 0, at least 16 expected", "below the floor: ends acknowledged: 0, at least 16 expected",
 		}},
-		"completed without runs": {duration: clock.Second, change: func(c *Counts) { c.Runs = 179 }, want: []string{"below the floor: runs started: 179, at least 180 expected"}},
-		"nothing acknowledged":   {duration: clock.Second, change: func(c *Counts) { c.AckedEnds = 0 }, want: []string{"below the floor: ends acknowledged: 0, at least 16 expected"}},
-		"no restarts":            {duration: 10 * clock.Second, change: func(c *Counts) { c.Restarts = 0 }, want: []string{"below the floor: worker restarts: 0, at least 1 expected"}},
+		"completed without runs": {duration: clock.Second, change: func(c *Counts) { c.Workers.Starts = 179 }, want: []string{"below the floor: runs started: 179, at least 180 expected"}},
+		"nothing acknowledged":   {duration: clock.Second, change: func(c *Counts) { c.Workers.AckedEnds = 0 }, want: []string{"below the floor: ends acknowledged: 0, at least 16 expected"}},
+		"no restarts":            {duration: 10 * clock.Second, change: func(c *Counts) { c.Workers.Restarts = 0 }, want: []string{"below the floor: worker restarts: 0, at least 1 expected"}},
 		"no late orders":         {duration: 10 * clock.Second, change: func(c *Counts) { c.LateOrders = 0 }, want: []string{"below the floor: late orders: 0, at least 1 expected"}},
-		"no daemons killed":      {duration: 20 * clock.Second, change: func(c *Counts) { c.Faults, c.Restarts = 12, 2 }, want: []string{"below the floor: daemons killed: 1, at least 2 expected"}},
+		"no daemons killed":      {duration: 20 * clock.Second, change: func(c *Counts) { c.Faults, c.Workers.Restarts = 12, 2 }, want: []string{"below the floor: daemons killed: 1, at least 2 expected"}},
 		"few faults":             {duration: 10 * clock.Second, change: func(c *Counts) { c.Faults = 5 }, want: []string{"below the floor: faults injected: 5, at least 6 expected"}},
 	}
 	for name, tc := range tests {
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -252,8 +252,7 @@
 	c := &r.Counts
 	c.Accepted, c.Refused, c.Faults = len(k.callers.accepted()), len(k.callers.refused()), k.faults
 	c.Completed = c.Accepted - len(pending)
-	c.Runs, c.AckedEnds, c.Restarts = k.pool.Starts(), k.pool.AckedEnds(), k.pool.Restarts()
-	c.StaleAcks, c.CappedLeases = k.pool.StaleAcks(), k.pool.CappedLeases()
+	c.Workers = k.pool.Counts()
 	for _, w := range k.workers {
 		c.LateOrders += w.handler.LateOrders()
 	}
