--- a/imitator/pool.go
+++ b/imitator/pool.go
@@ -16,16 +16,14 @@
 type (
 	// Pool is a fake of the platform's workers. It records violations of at-most-once
 	// execution: a task that runs twice at the same time, or again after its end was
-	// acknowledged, and an end that is acknowledged before any answer listed it. A start order for a worker without a free slot is refused.
+	// acknowledged, and a poll that acknowledges ends which no answer has listed. A start order for a worker without a free slot is refused.
 	Pool struct {
-		mu      sync.Mutex
-		workers map[string]*poolWorker
-		ledger  *ledger
-		// restarts is the number of processes that replaced a killed one, staleAcks that of
-		// polls which acknowledged more ends than their worker had listed.
-		restarts, staleAcks int
-		orderFault          func(o scheduler.Order) OrderFault
-		runTime             func(scheduler.TaskName, int) (clock.Millis, scheduler.Ending)
+		mu         sync.Mutex
+		workers    map[string]*poolWorker
+		ledger     *ledger
+		counts     PoolCounts
+		orderFault func(o scheduler.Order) OrderFault
+		runTime    func(scheduler.TaskName, int) (clock.Millis, scheduler.Ending)
 		// policy checks the tickets of start orders; nil if tasks need no ticket.
 		policy *Policy
 		// maxLease limits leases; 0 if they are unlimited.
@@ -71,9 +69,6 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.maxLease = m
-	for _, w := range p.workers {
-		w.maxLease = m
-	}
 }
 
 func (p *Pool) startWorker(id string, slots int, born int64) {
@@ -81,7 +76,7 @@
 	p.workers[id] = &poolWorker{
 		ctx: ctx, cancel: cancel,
 		info:     scheduler.WorkerInfo{ID: id, Address: id, Service: "pool", DataCentre: "a", CPU: int64(slots) * 1000, Memory: int64(slots) * 1000, Born: born},
-		bootedAt: clock.System(), runs: map[string]*poolRun{}, highestAttempt: map[string]int{}, runEnded: make(chan struct{}), slots: slots, maxLease: p.maxLease,
+		bootedAt: clock.System(), runs: map[string]*poolRun{}, highestAttempt: map[string]int{}, runEnded: make(chan struct{}), slots: slots,
 	}
 }
 
@@ -136,7 +131,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if w := p.workers[id]; w.dead() {
-		p.restarts++
+		p.counts.Restarts++
 		p.startWorker(id, w.slots, w.info.Born+1)
 	}
 }
@@ -160,29 +155,7 @@
 func (p *Pool) Starts() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.ledger.starts
-}
-
-// AckedEnds returns the number of ends that were acknowledged.
-func (p *Pool) AckedEnds() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.ledger.ackedEnds
-}
-
-// StaleAcks returns the number of polls that acknowledged more ends than their worker had
-// listed, as one meant for a former process does.
-func (p *Pool) StaleAcks() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.staleAcks
-}
-
-// Restarts returns the number of processes that replaced a killed one.
-func (p *Pool) Restarts() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.restarts
+	return p.counts.Starts
 }
 
 // Fleet returns a client of the workers for a conductor.
@@ -249,21 +222,22 @@
 	}
 	switch {
 	case o.Attempt <= w.highestAttempt[name]:
-		w.extend(o.Deadline)
+		p.extend(w, o.Deadline)
 		return scheduler.Obsolete
 	case o.Deadline <= w.clock():
 		return scheduler.Late
 	case p.policy != nil && !p.policy.admits(name, w.info.ID, o.Ticket):
 		return scheduler.NoTicket
 	case len(w.runs) >= w.slots:
-		w.extend(o.Deadline)
+		p.extend(w, o.Deadline)
 		return scheduler.NoRoom
 	}
-	w.extend(o.Deadline)
+	p.extend(w, o.Deadline)
 	w.highestAttempt[name] = o.Attempt
 	d, ending := p.runTime(o.Task, o.Attempt)
 	r := &poolRun{order: o, started: clock.System()}
 	w.runs[name] = r
+	p.counts.Starts++
 	p.ledger.start(name, w.taskRun(r))
 	r.timer = time.AfterFunc(d.Duration(), func() {
 		p.mu.Lock()
@@ -276,6 +250,15 @@
 	return scheduler.Done
 }
 
+func (p *Pool) extend(w *poolWorker, deadline clock.Millis) {
+	until := w.bootedAt + deadline
+	if limit := clock.System() + p.maxLease; p.maxLease > 0 && until > limit {
+		until = limit
+		p.counts.CappedLeases++
+	}
+	w.leaseUntil = max(w.leaseUntil, until)
+}
+
 // expireLease ends the runs of a worker whose lease has expired.
 func (p *Pool) expireLease(w *poolWorker) {
 	if clock.System() < w.leaseUntil {
@@ -363,7 +346,8 @@
 	p.expireLease(w)
 	w.highestEpoch = epoch
 	if q.Acked > w.listedEnd {
-		p.staleAcks++
+		p.counts.StaleAcks++
+		p.ledger.violate("%s born %d has ends acknowledged up to %d by a poll at %s, and listed ends up to %d", w.info.ID, w.info.Born, q.Acked, clock.System(), w.listedEnd)
 	}
 	unacked := w.endedRuns[:0]
 	for _, e := range w.endedRuns {
@@ -371,11 +355,12 @@
 			unacked = append(unacked, e)
 			continue
 		}
+		p.counts.AckedEnds++
 		p.ledger.acknowledge(e.Task, acknowledgement{run: e.run, number: e.Number, acked: q.Acked, listed: e.Number <= w.listedEnd, at: clock.System()}, e.How == scheduler.EndDone)
 	}
 	w.endedRuns = unacked
 	if q.Deadline > 0 {
-		w.extend(q.Deadline)
+		p.extend(w, q.Deadline)
 	}
 	return scheduler.Done
 }
