soaker: ports of daemons stay reserved while no process listens

Change: a socket that is bound with SO_REUSEADDR and never listens holds the port, for the daemons as for the proxies of workers.

--- a/soaker/port.go
+++ b/soaker/port.go
@@ -1,18 +1,17 @@
 package soaker
 
 import (
-	"context"
 	"fmt"
 	"net"
 	"sync"
-	"syscall"
 
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 )
 
 // port is a port on loopback that stays reserved while nothing listens on it, so that
-// connections are refused and no other process takes it.
+// connections are refused and no connection of another process gets it. Linux lets sockets with
+// SO_REUSEADDR, as those of package net, share a port on which none of them listens yet.
 type port struct {
 	address  string
 	reserved int
@@ -26,7 +25,7 @@
 		return nil, errors.Wrap(err, "soaker.newPort")
 	}
 	p := &port{reserved: fd}
-	if err := unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEPORT, 1); err != nil {
+	if err := unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1); err != nil {
 		return nil, errors.Wrap(err, "soaker.newPort")
 	}
 	if err := unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
@@ -45,17 +44,7 @@
 }
 
 func (p *port) listen() (net.Listener, error) {
-	c := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
-		var sockErr error
-		err := raw.Control(func(fd uintptr) {
-			sockErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1)
-		})
-		if err != nil {
-			return errors.Wrap(err, "soaker.port.listen")
-		}
-		return errors.Wrap(sockErr, "soaker.port.listen")
-	}}
-	l, err := c.Listen(context.Background(), "tcp", p.address)
+	l, err := net.Listen("tcp", p.address)
 	if err != nil {
 		return nil, errors.Wrap(err, "soaker.port.listen")
 	}
@@ -68,8 +57,10 @@
 func (p *port) stopListening() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	// An error does not matter, since the listener is not used again.
-	_ = p.listener.Close()
+	if p.listener != nil {
+		// An error does not matter, since the listener is not used again.
+		_ = p.listener.Close()
+	}
 }
 
 func (p *port) close() {
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -49,6 +49,7 @@
 		storeProxies []*proxy
 		workers      []*worker
 		servers      []*http.Server
+		ports        []*port
 		done         chan struct{}
 		group        sync.WaitGroup
 		callers      *callers
@@ -202,7 +203,7 @@
 			return err
 		}
 		k.storeProxies = append(k.storeProxies, p)
-		ports, err := freePorts(3)
+		ports, err := k.reservePorts(3)
 		if err != nil {
 			return err
 		}
@@ -215,17 +216,16 @@
 	return nil
 }
 
-// freePorts returns n addresses on loopback with ports that are free. Another process may take
-// one before it is used.
-func freePorts(n int) ([]string, error) {
+// reservePorts returns n addresses on loopback whose ports stay reserved until close.
+func (k *Soak) reservePorts(n int) ([]string, error) {
 	var addresses []string
 	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		p, err := newPort()
 		if err != nil {
-			return nil, errors.Wrap(err, "soaker.freePorts")
+			return nil, err
 		}
-		defer func() { _ = l.Close() }()
-		addresses = append(addresses, l.Addr().String())
+		k.ports = append(k.ports, p)
+		addresses = append(addresses, p.address)
 	}
 	return addresses, nil
 }
@@ -278,6 +278,9 @@
 	for _, p := range k.storeProxies {
 		p.close()
 	}
+	for _, p := range k.ports {
+		p.close()
+	}
 	for _, s := range k.servers {
 		// An error does not matter, since the clients have all ended.
 		_ = s.Close()
