elector: a replaced host of the same name does not count as stopped

A host that is replaced may run beside its successor. If the successor has its name, it took the claim of the former host for that of its own earlier process, claimed at once and left out the time for which the former leader may still extend leases. Change: an earlier process of a host has its address too.

--- a/elector/claim_test.go
+++ b/elector/claim_test.go
@@ -32,7 +32,7 @@
 			return appendItems(ctx, topic, at, items)
 		}
 		e := &Elector{
-			monitor: NewMonitor("me", "now", claimTimeout), store: s, now: clock.System, emit: func(logger.Event, ...logger.Field) {},
+			monitor: NewMonitor("me", "", "now", claimTimeout), store: s, now: clock.System, emit: func(logger.Event, ...logger.Field) {},
 			host: "me", instance: "now", ctx: t.Context(),
 		}
 		e.monitor.Observe(former, e.now())
@@ -73,7 +73,7 @@
 				}
 				newElector := func(instance string) *Elector {
 					e := &Elector{
-						monitor: NewMonitor("a", instance, claimTimeout), store: l.Client(instance), now: clock.System, emit: func(logger.Event, ...logger.Field) {},
+						monitor: NewMonitor("a", "", instance, claimTimeout), store: l.Client(instance), now: clock.System, emit: func(logger.Event, ...logger.Field) {},
 						host: "a", instance: instance, ctx: t.Context(),
 					}
 					e.monitor.Observe(tc.first, e.now())
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -100,7 +100,7 @@
 // when lead returns. instance identifies this process among all that the host has run.
 func New(s recorder.Store, host, address, instance string, lead func(context.Context, Term), opts ...Option) *Elector {
 	e := &Elector{
-		monitor: NewMonitor(host, instance, claimTimeout), store: s, now: clock.System,
+		monitor: NewMonitor(host, address, instance, claimTimeout), store: s, now: clock.System,
 		emit: func(logger.Event, ...logger.Field) {}, host: host, address: address, instance: instance, lead: lead,
 	}
 	for _, o := range opts {
--- a/elector/monitor.go
+++ b/elector/monitor.go
@@ -7,6 +7,7 @@
 	// does no I/O and is not safe for concurrent use.
 	Monitor struct {
 		host     string
+		address  string
 		instance string
 		timeout  clock.Millis
 		newest   Claim
@@ -22,8 +23,8 @@
 
 // NewMonitor returns a monitor for which a claim expires if it is not renewed for
 // timeout.
-func NewMonitor(host, instance string, timeout clock.Millis) *Monitor {
-	return &Monitor{host: host, instance: instance, timeout: timeout}
+func NewMonitor(host, address, instance string, timeout clock.Millis) *Monitor {
+	return &Monitor{host: host, address: address, instance: instance, timeout: timeout}
 }
 
 // Observe records the newest claim; an epoch of 0 means that there is none.
@@ -53,8 +54,7 @@
 		return false
 	case w.newest.Epoch == 0 || w.newest.Resigned:
 		return true
-	case w.newest.Host == w.host && w.newest.Instance != w.instance:
-		// The leader was an earlier process of this host.
+	case w.fromEarlierProcess():
 		return true
 	default:
 		return now-w.changedAt >= w.timeout
@@ -70,5 +70,11 @@
 	if w.newest.Unsettled {
 		return false
 	}
-	return w.newest.Epoch == 0 || w.newest.Resigned || w.newest.Host == w.host && w.newest.Instance != w.instance
+	return w.newest.Epoch == 0 || w.newest.Resigned || w.fromEarlierProcess()
+}
+
+// fromEarlierProcess reports whether the newest claim is that of an earlier process of this
+// host. A host that is replaced may run beside its successor, which has another address.
+func (w *Monitor) fromEarlierProcess() bool {
+	return w.newest.Host == w.host && w.newest.Address == w.address && w.newest.Instance != w.instance
 }
