soaker: a worker's port can be listened on again while daemons start

Cause: a process that is being started has a copy of every socket until it runs its own program; a listener that a restart of a worker had closed was still there when the worker came back 16 ms later. Change: shutdown before close ends the listening of copies as well. Taking syscall.ForkLock during the close did not suffice: the kernel lets the parent go on before it closes the copies.

--- a/soaker/port.go
+++ b/soaker/port.go
@@ -16,7 +16,7 @@
 	address  string
 	reserved int
 	mu       sync.Mutex
-	listener net.Listener
+	listener *net.TCPListener
 }
 
 func newPort() (*port, error) {
@@ -44,7 +44,11 @@
 }
 
 func (p *port) listen() (net.Listener, error) {
-	l, err := net.Listen("tcp", p.address)
+	a, err := net.ResolveTCPAddr("tcp", p.address)
+	if err != nil {
+		return nil, errors.Wrap(err, "soaker.port.listen")
+	}
+	l, err := net.ListenTCP("tcp", a)
 	if err != nil {
 		return nil, errors.Wrap(err, "soaker.port.listen")
 	}
@@ -57,10 +61,16 @@
 func (p *port) stopListening() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.listener != nil {
-		// An error does not matter, since the listener is not used again.
-		_ = p.listener.Close()
+	if p.listener == nil {
+		return
+	}
+	// A process that is being started has a copy of the listener until it runs its own
+	// program, and shutdown ends the listening of copies as well. Errors do not matter, since
+	// the listener is not used again.
+	if c, err := p.listener.SyscallConn(); err == nil {
+		_ = c.Control(func(fd uintptr) { _ = unix.Shutdown(int(fd), unix.SHUT_RDWR) })
 	}
+	_ = p.listener.Close()
 }
 
 func (p *port) close() {
--- a/soaker/port_test.go
+++ b/soaker/port_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"net"
+	"os/exec"
+	"sync"
 	"syscall"
 	"testing"
 
@@ -28,3 +30,32 @@
 		must.NoError(t, l.Close())
 	}
 }
+
+// TestPortReusableWhileProcessesStart listens on a port while processes start, which have a copy
+// of the former listener for a moment.
+func TestPortReusableWhileProcessesStart(t *testing.T) {
+	p, err := newPort()
+	must.NoError(t, err)
+	defer p.close()
+	done := make(chan struct{})
+	var group sync.WaitGroup
+	for range 8 {
+		group.Go(func() {
+			for {
+				select {
+				case <-done:
+					return
+				default:
+					_ = exec.Command("/bin/true").Run()
+				}
+			}
+		})
+	}
+	defer group.Wait()
+	defer close(done)
+	for range 2000 {
+		_, err := p.listen()
+		must.NoError(t, err)
+		p.stopListening()
+	}
+}
