--- a/conductor/deposed_test.go
+++ b/conductor/deposed_test.go
@@ -16,7 +16,7 @@
 	"galenawharf.example/galenawharf/scheduler"
 )
 
-// TestDeposedLeaderStartsNothing guards against a double start: an append is found stored long after a takeover.
+// TestDeposedLeaderStartsNothing guards against a start after a late append following a takeover.
 func TestDeposedLeaderStartsNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var appends, cutOff atomic.Int64
--- a/conductor/orders_test.go
+++ b/conductor/orders_test.go
@@ -16,8 +16,7 @@
 	"galenawharf.example/galenawharf/scheduler"
 )
 
-// TestQueuedStartOfAbandonedRun lets a worker hang until its lease has expired, while
-// orders to start runs wait in the queue behind others.
+// TestQueuedStartOfAbandonedRun guards against sending a queued start after its lease expired.
 func TestQueuedStartOfAbandonedRun(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		l := imitator.NewKeyedLog(4, nil)
--- a/elector/claim_test.go
+++ b/elector/claim_test.go
@@ -43,7 +43,7 @@
 	})
 }
 
-// TestHandoverAfterUnknownEnd guards against taking the leases of a leader that was only cut off for over.
+// TestHandoverAfterUnknownEnd guards against ignoring the leases of a leader that was cut off.
 func TestHandoverAfterUnknownEnd(t *testing.T) {
 	tests := map[string]struct {
 		// first is the claim before the handover.
--- a/imitator/pool.go
+++ b/imitator/pool.go
@@ -16,7 +16,8 @@
 type (
 	// Pool is a fake of the platform's workers. It records violations of at-most-once
 	// execution: a task that runs twice at the same time, or again after its end was
-	// acknowledged, and a poll that acknowledges ends which no answer has listed. A start order for a worker without a free slot is refused.
+	// acknowledged, and a poll that acknowledges ends that no answer has listed. A start order
+	// for a worker without a free slot is refused.
 	Pool struct {
 		mu         sync.Mutex
 		workers    map[string]*poolWorker
--- a/scheduler/doubtful_test.go
+++ b/scheduler/doubtful_test.go
@@ -6,8 +6,7 @@
 	"github.com/shoenig/test/must"
 )
 
-// TestUnansweredStartBlocksLeaseAfterExpiry lets the lease of a worker expire while the
-// order to start a run there may still be carried out, and lets the worker answer again.
+// TestUnansweredStartBlocksLeaseAfterExpiry guards against a late start under a new lease.
 func TestUnansweredStartBlocksLeaseAfterExpiry(t *testing.T) {
 	tests := map[string]struct {
 		start, stop Outcome
@@ -51,7 +50,7 @@
 	}
 }
 
-// TestRestartKeepsUnansweredStarts restarts a worker whose stop of such a run was not answered.
+// TestRestartKeepsUnansweredStarts guards against a restart that forgets an unconfirmed stop.
 func TestRestartKeepsUnansweredStarts(t *testing.T) {
 	b := newHarness(1)
 	b.submit(t, "job", Step{Count: 1, CPU: 100})
@@ -73,7 +72,7 @@
 	must.True(t, ok)
 }
 
-// TestUnregisteredWorkerKeepsUnansweredStarts guards against a late start: a worker that was cut off has left the registry too.
+// TestUnregisteredWorkerKeepsUnansweredStarts guards against a late start after a partition.
 func TestUnregisteredWorkerKeepsUnansweredStarts(t *testing.T) {
 	b := newHarness(1)
 	b.submit(t, "job", Step{Count: 1, CPU: 100})
--- a/scheduler/draining_test.go
+++ b/scheduler/draining_test.go
@@ -6,7 +6,7 @@
 	"github.com/shoenig/test/must"
 )
 
-// TestIncompleteMachineListKeepsWorker guards against a double start: the pages of a list are no snapshot, so a machine that runs can be in none of them.
+// TestIncompleteMachineListKeepsWorker guards against a double start after one incomplete list.
 func TestIncompleteMachineListKeepsWorker(t *testing.T) {
 	b := newHarness(1)
 	b.submit(t, "job", Step{Count: 1, CPU: 100})
--- a/scheduler/fulllist_test.go
+++ b/scheduler/fulllist_test.go
@@ -7,7 +7,7 @@
 	"github.com/shoenig/test/must"
 )
 
-// TestEndMissingFromFullList guards against a start after the end: the worker lists 500 ends at a time.
+// TestEndMissingFromFullList guards against a start after an end that a full list left out.
 func TestEndMissingFromFullList(t *testing.T) {
 	const listed = 500 // the platform's figure, not maxListedEnds
 	for name, confirmed := range map[string]bool{"confirmed": true, "not confirmed": false} {
--- a/scheduler/lease_test.go
+++ b/scheduler/lease_test.go
@@ -68,7 +68,7 @@
 	}
 }
 
-// TestLeaseOfRestartedWorkerUsesItsOwnClock guards against a lease without an end: the clock starts anew.
+// TestLeaseOfRestartedWorkerUsesItsOwnClock guards against a deadline on the former clock.
 func TestLeaseOfRestartedWorkerUsesItsOwnClock(t *testing.T) {
 	b := newHarness(0)
 	w := testWorker(0)
@@ -84,7 +84,7 @@
 	must.Eq(t, clock.Second+defaultLease, deadline)
 }
 
-// TestLeaseOfFormerProcess guards against a deadline on the clock of a worker's next process.
+// TestLeaseOfFormerProcess guards against a deadline on the clock of the next process.
 func TestLeaseOfFormerProcess(t *testing.T) {
 	b := newHarness(1)
 	w := testWorker(0)
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -350,8 +350,7 @@
 	}
 }
 
-// TestEndOfEarlierAbandonedRunCompletesTask guards against starting a task again after its end
-// was acknowledged: the run that completed was abandoned, and the next one did not start.
+// TestEndOfEarlierAbandonedRunCompletesTask guards against a start after an acknowledged end.
 func TestEndOfEarlierAbandonedRunCompletesTask(t *testing.T) {
 	for name, second := range map[string]Outcome{"no room": NoRoom, "not sent": NotSent} {
 		t.Run(name, func(t *testing.T) {
@@ -478,7 +477,7 @@
 	must.ErrorIs(t, b.SubmitDeposited(Spec{ID: "job", Queue: Queue{Name: "other"}}, nil), ErrConflict)
 }
 
-// TestRejectedResendKeepsUnansweredStart guards against a double start: the first order may still be carried out.
+// TestRejectedResendKeepsUnansweredStart guards against a double start after a refused resend.
 func TestRejectedResendKeepsUnansweredStart(t *testing.T) {
 	b := newHarness(2)
 	b.submit(t, "job", Step{Count: 1, CPU: 100})
@@ -493,7 +492,7 @@
 	must.SliceEmpty(t, b.placeAndStore(), must.Sprint("the task was started elsewhere without a confirmed stop"))
 }
 
-// TestRestartStopsRunWithUnansweredStart guards against a double start: an order that was sent again may reach the next process.
+// TestRestartStopsRunWithUnansweredStart guards against a late start in the next process.
 func TestRestartStopsRunWithUnansweredStart(t *testing.T) {
 	b := newHarness(2)
 	b.submit(t, "job", Step{Count: 1, CPU: 100})
--- a/scheduler/staleorder_test.go
+++ b/scheduler/staleorder_test.go
@@ -8,7 +8,7 @@
 	"galenawharf.example/galenawharf/clock"
 )
 
-// TestStartOfReleasedRunIsNotSent guards against a double start: a run is released while its record is being stored.
+// TestStartOfReleasedRunIsNotSent guards against starting a run released before it was stored.
 func TestStartOfReleasedRunIsNotSent(t *testing.T) {
 	restarted := testWorker(0)
 	restarted.Born = 2
@@ -87,7 +87,7 @@
 	}
 }
 
-// TestStartOfStoppingRunIsNotCurrent guards against a start that is sent after the stop of its run.
+// TestStartOfStoppingRunIsNotCurrent guards against a start sent after the stop of its run.
 func TestStartOfStoppingRunIsNotCurrent(t *testing.T) {
 	b := newHarness(1)
 	b.submit(t, "job", Step{Count: 1, CPU: 100})
--- a/scheduler/takeover_test.go
+++ b/scheduler/takeover_test.go
@@ -23,7 +23,8 @@
 	return batch.Records[0], batch.Orders[0]
 }
 
-// takeOver returns the scheduler of a new leader that has loaded the records, and the end of the former leader's leases.
+// takeOver returns the scheduler of a new leader that has loaded the records, and the end of
+// the former leader's leases.
 func takeOver(t *testing.T, registry []WorkerInfo, records ...Record) (*harness, clock.Millis) {
 	t.Helper()
 	b := newHarness(0)
@@ -45,7 +46,7 @@
 	return []WorkerInfo{w, testWorker(1)}
 }
 
-// TestTakeoverKeepsRunOfAnotherLife guards against a double start: record and registry name different processes.
+// TestTakeoverKeepsRunOfAnotherLife guards against dropping runs of an unregistered process.
 func TestTakeoverKeepsRunOfAnotherLife(t *testing.T) {
 	first, _ := recordOfRun(t, "first", 1)
 	second, _ := recordOfRun(t, "second", 2)
@@ -75,7 +76,7 @@
 	}
 }
 
-// TestTakeoverWithStaleRegistryKeepsLiveRun guards against a double start: the registry names the older process.
+// TestTakeoverWithStaleRegistryKeepsLiveRun guards against dropping runs newer than the registry.
 func TestTakeoverWithStaleRegistryKeepsLiveRun(t *testing.T) {
 	r, o := recordOfRun(t, "job", 2)
 	b, _ := takeOver(t, registryOf(1), r)
@@ -86,7 +87,7 @@
 	must.SliceEmpty(t, b.TakeImmediateOrders(), must.Sprint("the live run was stopped"))
 }
 
-// TestRestartAfterTakeoverKeepsLeaseEnd guards against a double start: the former leader may extend the new process's lease too.
+// TestRestartAfterTakeoverKeepsLeaseEnd guards against forgetting the former leader's leases.
 func TestRestartAfterTakeoverKeepsLeaseEnd(t *testing.T) {
 	r, _ := recordOfRun(t, "job", 1)
 	b, until := takeOver(t, registryOf(1), r)
@@ -100,7 +101,7 @@
 	must.SliceLen(t, 1, b.placeAndStore())
 }
 
-// TestAnswerAtFormerAddressKeepsWorker guards against a double start: another worker answers where the worker was before.
+// TestAnswerAtFormerAddressKeepsWorker guards against dropping a worker that has moved.
 func TestAnswerAtFormerAddressKeepsWorker(t *testing.T) {
 	b := newHarness(2)
 	b.submit(t, "job", Step{Count: 1, CPU: 100})
@@ -112,7 +113,7 @@
 	must.SliceLen(t, 1, b.placeAndStore())
 }
 
-// TestTakeoverDistrustsAddressOfFormerProcess guards against a double start: the registry names the address of an older process, where another worker listens now.
+// TestTakeoverDistrustsAddressOfFormerProcess guards against trusting a reused address.
 func TestTakeoverDistrustsAddressOfFormerProcess(t *testing.T) {
 	r, _ := recordOfRun(t, "job", 2)
 	b, _ := takeOver(t, registryOf(1), r)
