--- a/scheduler/doubtful.go
+++ b/scheduler/doubtful.go
@@ -2,7 +2,8 @@
 
 import "slices"
 
-// doubtfulRun is a run that was given up, whose start was never confirmed by the worker.
+// doubtfulRun is a run that was abandoned when the lease of its worker expired, and whose
+// start the worker has not confirmed, so that it may still begin.
 type doubtfulRun struct {
 	task    TaskName
 	attempt int
@@ -11,14 +12,15 @@
 }
 
 // markDoubtful adds the run of a task to the doubtful runs of its worker if an order to
-// start it may have been sent and was not confirmed.
+// start it may have been sent and is not confirmed.
 func (w *worker) markDoubtful(t *task) {
 	if t.state == placed && t.recorded {
 		w.doubtful = append(w.doubtful, doubtfulRun{task: t.name(), attempt: t.attempt})
 	}
 }
 
-// stopDoubtful orders a worker that answers again to stop its doubtful runs.
+// stopDoubtful orders a worker to stop its doubtful runs, except those for which a stop is
+// in flight.
 func (s *Scheduler) stopDoubtful(w *worker) {
 	for i := range w.doubtful {
 		d := &w.doubtful[i]
@@ -29,8 +31,8 @@
 	}
 }
 
-// stopAnswered applies the outcome of an order to stop a doubtful run. A worker that has
-// carried out a stop rejects the start of that run from then on.
+// stopAnswered applies the outcome of an order to stop a run, if the run is doubtful. A
+// worker that has confirmed a stop rejects later starts of that run.
 func (w *worker) stopAnswered(o Order, confirmed bool) {
 	i := slices.IndexFunc(w.doubtful, func(d doubtfulRun) bool { return d.task == o.Task && d.attempt == o.Attempt })
 	switch {
--- a/scheduler/draining.go
+++ b/scheduler/draining.go
@@ -9,10 +9,10 @@
 	// maxMovesPerSweep bounds the runs that one sweep moves, so that they occupy their new
 	// places before the next ones are moved.
 	maxMovesPerSweep = 4
-	// minListsWithout is the number of machine lists in a row that a machine must be missing
-	// from to count as removed. The pages of one list are no snapshot, so it may lack a
-	// machine that runs.
-	minListsWithout = 2
+	// minAbsences is the number of machine lists in a row that must lack a worker before it
+	// counts as gone. The pages of a list are not a snapshot, so one list may lack a machine
+	// that is up.
+	minAbsences = 2
 )
 
 // moveOffDraining stops runs on draining workers that would not end before the worker
@@ -58,14 +58,14 @@
 	}
 }
 
-// seemsDeparted reports whether a worker that was draining has left the registry, nothing
-// listens at its address, and it still has runs. A network partition looks the same.
+// seemsDeparted reports whether a worker with runs was draining, has left the registry, and
+// refuses connections. A network partition looks the same.
 func (w *worker) seemsDeparted() bool {
 	return w.info.Draining && !w.registered && w.connRefused && len(w.tasks) > 0
 }
 
-// HasDeparting reports whether a worker seems to have left, which a list of the machines
-// can confirm before its lease expires.
+// HasDeparting reports whether a worker seems to have left. A list of the machines can
+// confirm it before the worker's lease expires.
 func (s *Scheduler) HasDeparting() bool {
 	for _, w := range s.workers {
 		if w.seemsDeparted() {
@@ -75,8 +75,8 @@
 	return false
 }
 
-// removeDeparted removes the workers that seem to have left and whose machine does not run
-// them: it is listed in another state, or missing from minListsWithout lists in a row.
+// removeDeparted removes the workers that seem to have left and that no machine runs: their
+// machine is not up, or minAbsences lists in a row lack them.
 func (s *Scheduler) removeDeparted(ms []Machine) {
 	up, down := map[string]bool{}, map[string]bool{}
 	for _, m := range ms {
@@ -89,12 +89,12 @@
 	for id, w := range s.workers {
 		switch {
 		case !w.seemsDeparted() || up[id] || len(ms) == 0:
-			w.listsWithout = 0
+			w.absences = 0
 			continue
 		case !down[id]:
-			w.listsWithout++
+			w.absences++
 		}
-		if down[id] || w.listsWithout >= minListsWithout {
+		if down[id] || w.absences >= minAbsences {
 			s.dropWorker(w, "it has drained and its machine does not run it")
 		}
 	}
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -89,10 +89,11 @@
 	NoTicket
 	// Rejected: the worker rejected the order as malformed.
 	Rejected
-	// Superseded: the order was not sent, as its run was not wanted any more.
+	// Superseded: the order was not sent, because its run was released or stopped while the
+	// order was queued.
 	Superseded
 )
 
-// confirmsStop reports whether an order to stop a run had this outcome, after which the
-// worker does not start that run any more.
+// confirmsStop reports whether a worker that answered an order to stop a run with this
+// outcome rejects later starts of that run.
 func (o Outcome) confirmsStop() bool { return o == Done || o == Obsolete }
--- a/scheduler/record.go
+++ b/scheduler/record.go
@@ -153,7 +153,7 @@
 	now := s.now()
 	if w.info.Born < r.Born {
 		// The registry lags behind: the worker itself has reported the later start. The
-		// address of that process is unknown, and so is its clock, which reads at least 0.
+		// address of that process is unknown; its clock shows at least 0.
 		w.info.Born, w.info.Address, w.clockReading, w.clockReadAt = r.Born, "", 0, now
 		for _, o := range w.tasks {
 			o.unresolvedSince = now
--- a/scheduler/reporting.go
+++ b/scheduler/reporting.go
@@ -24,11 +24,11 @@
 	// refusalBackoff is how long a worker gets no new runs after it refused one or could
 	// not be reached: the time of two reports.
 	refusalBackoff = 300 * clock.Millis(1)
-	// maxOrderDelay is how long after the end of its lease a worker that has left the
-	// registry is remembered for orders that it may still carry out. Orders are carried
-	// out seconds late at most.
+	// maxOrderDelay is how long a worker that has left the registry is kept after the end
+	// of its lease if it may still carry out orders. By the platform's description, orders
+	// are carried out seconds late.
 	maxOrderDelay = clock.Minute
-	// maxListedEnds is the most ended runs that a report lists; from the platform's
+	// maxListedEnds is the maximum number of ended runs in a report; from the platform's
 	// description of its workers.
 	maxListedEnds = 500
 )
@@ -73,7 +73,8 @@
 	delete(s.workers, w.info.ID)
 }
 
-// abandonRuns releases the tasks of a worker whose runs have ended without a report.
+// abandonRuns releases the tasks of a worker whose runs are over without a report of their
+// ends, so that they start again.
 func (s *Scheduler) abandonRuns(w *worker, reason string) {
 	for _, t := range slices.Clone(w.tasks) {
 		s.emit(logger.RunAbandoned, logger.String("task", t.name().String()), logger.Int("attempt", int64(t.attempt)), logger.String("worker", w.info.ID),
@@ -112,10 +113,14 @@
 	now := s.now()
 	s.emit(logger.WorkerReborn, logger.String("worker", i.ID), logger.Int("born", i.Born), logger.Int("former-born", w.info.Born),
 		logger.Int("former-acked", w.storedEnd), logger.Int("runs", int64(len(w.tasks))))
-	n := &worker{info: i, firstEndKnown: true, registered: w.registered, unreconciled: len(w.tasks) > 0, leaseEnd: max(w.leaseEnd, LeaseBound(now, s.leaseLength)), doubtful: w.doubtful}
-	n.clockReading, n.clockReadAt = i.Clock, now
-	for i := range n.doubtful {
-		n.doubtful[i].stopInFlight = false
+	n := &worker{
+		info: i, registered: w.registered, unreconciled: len(w.tasks) > 0, allEndsSeen: true,
+		leaseEnd:     max(w.leaseEnd, LeaseBound(now, s.leaseLength)),
+		clockReading: i.Clock, clockReadAt: now,
+		doubtful: w.doubtful,
+	}
+	for k := range n.doubtful {
+		n.doubtful[k].stopInFlight = false
 	}
 	s.workers[i.ID] = n
 	for _, t := range slices.Clone(w.tasks) {
@@ -143,7 +148,7 @@
 	s.markResponsive(w, r)
 	s.stopDoubtful(w)
 	listed := make(map[*task]struct{}, len(r.Active)+len(r.Ended))
-	if len(r.Ended) > 0 && w.firstEndKnown && r.Ended[0].Number > w.lastEnd+1 {
+	if len(r.Ended) > 0 && w.allEndsSeen && r.Ended[0].Number > w.lastEnd+1 {
 		s.emit(logger.EndsMissing, logger.String("worker", w.info.ID), logger.Int("born", w.info.Born),
 			logger.Int("last", w.lastEnd), logger.Int("next", r.Ended[0].Number), logger.Int("acked", w.ackedEnd))
 	}
@@ -170,7 +175,7 @@
 	}
 	s.updateModels(w)
 	w.groupsValid = false
-	// A full list does not show that a run is gone: its end may be among those that follow.
+	// A full list does not show that a run is over: the next one may contain its end.
 	if len(r.Ended) < maxListedEnds {
 		for _, t := range slices.Clone(w.tasks) {
 			if _, ok := listed[t]; !ok {
@@ -403,8 +408,9 @@
 // Lease extends the lease of a worker process for a call that is about to be sent, and
 // returns its new end on the process's clock. It returns false if the lease must not be
 // extended.
-// The end is counted from the least time that the worker's clock can show, so that a
-// worker that was idle for long does not hold the lease for longer than LeaseBound.
+//
+// The end is counted from the least time that the worker's clock can show, so that the lease
+// ends by LeaseBound even if the last reading of the clock is old.
 func (s *Scheduler) Lease(id string, born int64) (clock.Millis, bool) {
 	w := s.workers[id]
 	if w == nil || w.info.Born != born {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -201,8 +201,8 @@
 
 // Stored must be called when a batch has been stored. It makes the phases in the batch
 // visible to callers, allows its ended runs to be acknowledged, and notifies the callers
-// that wait for it. It removes the orders of runs that were released or stopped while the
-// batch was stored.
+// that wait for it. It removes from b.Orders those of runs that were released or stopped
+// while the batch was being stored.
 func (s *Scheduler) Stored(b *Batch) {
 	for j, p := range b.phases {
 		if j.storedPhase == "" {
@@ -223,8 +223,8 @@
 	}
 }
 
-// markRecorded marks the run of an order to start as recorded. It reports whether the
-// order is still to be sent.
+// markRecorded marks the run of an order to start as recorded. It reports whether the order
+// must still be sent; if not, the order no longer counts as in flight.
 func (s *Scheduler) markRecorded(o Order) bool {
 	t := s.findTask(o.Task.String())
 	if t == nil || t.attempt != o.Attempt {
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -62,9 +62,9 @@
 		// lastEnd is the highest number of an ended run that was reported, storedEnd the
 		// highest one whose result is stored.
 		lastEnd, storedEnd int64
-		// firstEndKnown is whether all ends since the start of the process were reported
-		// in this term, so that a gap in their numbers is an error.
-		firstEndKnown bool
+		// allEndsSeen is whether the process started in this term, so that all of its ended
+		// runs are reported in it, and a gap in their numbers is an error.
+		allEndsSeen bool
 		// failures is the failure score: it grows with each failed run and shrinks with
 		// each completed one.
 		failures float64
@@ -93,13 +93,13 @@
 		// upkeepStarted is whether it is being drained or is down, so that nothing may
 		// start here.
 		upkeepDue, upkeepStarted bool
-		// doubtful are the runs that were given up with the lease although an order to
-		// start them may still be carried out. Until the worker has confirmed that they
-		// are stopped it gets no new lease and no new runs.
+		// doubtful are the runs that were abandoned when the lease expired, although an
+		// order to start them may still be carried out. The worker gets no new lease and no
+		// new runs until it has confirmed that they are stopped.
 		doubtful []doubtfulRun
-		// listsWithout is the number of machine lists in a row that lack the worker since
-		// it seems to have left.
-		listsWithout int
+		// absences is the number of machine lists in a row that lack the worker since it
+		// seems to have left.
+		absences int
 		// ackedEnd is the highest number of an ended run whose acknowledgement has
 		// reached the worker.
 		ackedEnd int64
