--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -152,7 +152,7 @@
 	}()
 	go func() {
 		defer c.group.Done()
-		c.runWaves()
+		c.watchMachines()
 	}()
 	go func() {
 		defer c.group.Done()
--- a/conductor/loop.go
+++ b/conductor/loop.go
@@ -246,10 +246,10 @@
 	}
 }
 
-// refreshOrder updates the lease deadline of an order to start a run that has waited for
-// earlier orders. It returns Done if the order may be sent. Otherwise it returns Superseded
-// if the scheduler does not want the run any more, and NotSent if the lease must not be
-// extended.
+// refreshOrder updates the lease deadline of an order to start a run if the order has waited
+// for longer than orderQueueLimit. It returns Done if the order may be sent, Superseded if
+// its run was released or stopped meanwhile, and NotSent if the lease must not be extended
+// or the term is over.
 func (c *Conductor) refreshOrder(o *scheduler.Order, waited clock.Millis) scheduler.Outcome {
 	d, out := o.Deadline, scheduler.Done
 	if !c.call(func() {
@@ -271,9 +271,9 @@
 	return out
 }
 
-// leaseDeadline returns the expiry of the lease of a worker process for the next call to
-// it. It returns false if this daemon may not extend leases because its last renewal is
-// too old, also if the host was suspended while the expiry was computed.
+// leaseDeadline returns the lease deadline for the next call to a worker process. It returns
+// false if the lease must not be extended. It checks the age of the daemon's last renewal
+// twice, as the host may be suspended while the deadline is computed.
 func (c *Conductor) leaseDeadline(worker string, born int64) (clock.Millis, bool) {
 	if !c.mayExtendLeases() {
 		return 0, false
@@ -282,6 +282,8 @@
 	return d, ok && c.mayExtendLeases()
 }
 
+// mayExtendLeases reports whether the daemon's last renewal of its claim, or its last append,
+// is at most leaseGrantLimit ago.
 func (c *Conductor) mayExtendLeases() bool {
 	return c.now()-max(c.writer.LastSuccess(), c.lastRenewal()) <= leaseGrantLimit
 }
--- a/conductor/upkeep.go
+++ b/conductor/upkeep.go
@@ -28,8 +28,8 @@
 	// waveInterval is the period at which the machines are listed while a wave is in
 	// progress. The platform allows 60 such calls a second for all daemons together.
 	waveInterval = 100 * clock.Millis(1)
-	// departureInterval is that period while a worker seems to have left. The tasks of a
-	// worker that has are then held for less than a second.
+	// departureInterval is the period at which the machines are listed while a worker seems
+	// to have left. Two lists show that it has, so its tasks wait for less than a second.
 	departureInterval = 300 * clock.Millis(1)
 	// cloudTimeout bounds the calls of one round, of which the listing of the machines
 	// may be slow.
@@ -37,7 +37,7 @@
 )
 
 // WithCloud sets the calls to the platform. Without it no maintenance wave is carried
-// out.
+// out, and the tasks of a drained worker that has left wait for the end of its lease.
 func WithCloud(m Cloud) Option { return func(c *Conductor) { c.cloud = m } }
 
 // SetWaves replaces the maintenance waves that the operator has ordered.
@@ -45,9 +45,9 @@
 	c.post(func() { c.sched.SetWaves(ws) })
 }
 
-// runWaves carries out maintenance waves until the term is over. It lists the machines also
-// while a worker seems to have left.
-func (c *Conductor) runWaves() {
+// watchMachines lists the machines while a maintenance wave is in progress or a worker seems
+// to have left, and carries out the waves, until the term is over.
+func (c *Conductor) watchMachines() {
 	if c.cloud.List == nil {
 		return
 	}
@@ -65,7 +65,7 @@
 			restored = c.restorePublished()
 			continue
 		}
-		c.advanceWaves()
+		c.applyMachines()
 	}
 }
 
@@ -92,9 +92,9 @@
 	})
 }
 
-// advanceWaves lists the machines, sends the maintenance orders that are due and
+// applyMachines lists the machines, sends the maintenance orders that are due and
 // publishes the waves' states.
-func (c *Conductor) advanceWaves() {
+func (c *Conductor) applyMachines() {
 	ctx, cancel := context.WithTimeout(c.ctx, cloudTimeout.Duration())
 	defer cancel()
 	listedAt := c.now()
--- a/elector/claim.go
+++ b/elector/claim.go
@@ -26,8 +26,8 @@
 		// Resigned is whether the leader has given up its claim, so that another may
 		// claim at once.
 		Resigned bool `json:"resigned,omitempty"`
-		// Unsettled is whether a leader before this one is not known to have stopped, so
-		// that it may still send orders even if this one has stopped.
+		// Unsettled is whether an earlier leader is not known to have stopped, so that it
+		// may still send orders after this one has stopped.
 		Unsettled bool `json:"unsettled,omitempty"`
 	}
 )
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -71,8 +71,8 @@
 	// host claims first.
 	bootstrapDelay = 400 * clock.Millis(1)
 	// settleTime is how long after a claim a former leader that is not known to have
-	// stopped may still send orders: the time of a takeover from a slow store, and a few
-	// seconds until that leader stops on its own.
+	// stopped may still send orders. It allows for a takeover with a slow store, and for the
+	// few seconds after which a leader that can't renew its claim stops on its own.
 	settleTime = 30 * clock.Second
 	// checkInterval is the period at which the elector checks whether a claim is due.
 	checkInterval = 100 * clock.Millis(1)
@@ -267,8 +267,8 @@
 	return Term{Epoch: c.Epoch, PredecessorStopped: stopped, claimedAt: e.now(), writer: w}, true
 }
 
-// ownClaim returns a function that reports whether an item is from this daemon's term
-// with the given epoch. An item of an earlier term may be stored late.
+// ownClaim returns a function that reports whether an item is a claim of this process with
+// the given epoch. A claim that it made in an earlier term may be stored late.
 func (e *Elector) ownClaim(epoch int64) func(recorder.Item) bool {
 	return func(i recorder.Item) bool {
 		c, err := Decode(i.Value)
@@ -276,7 +276,7 @@
 	}
 }
 
-// claimOf returns the claim of a term as it stands now.
+// claimOf returns the current claim of a term, without its renewal number.
 func (e *Elector) claimOf(t Term) Claim {
 	return Claim{
 		Epoch: t.Epoch, Host: e.host, Address: e.address, Instance: e.instance,
--- a/elector/monitor.go
+++ b/elector/monitor.go
@@ -73,8 +73,9 @@
 	return w.newest.Epoch == 0 || w.newest.Resigned || w.fromEarlierProcess()
 }
 
-// fromEarlierProcess reports whether the newest claim is that of an earlier process of this
-// host. A host that is replaced may run beside its successor, which has another address.
+// fromEarlierProcess reports whether the newest claim is from an earlier process of this
+// host. The address is compared because a host that was replaced under the same name may
+// still run; its replacement has another address.
 func (w *Monitor) fromEarlierProcess() bool {
 	return w.newest.Host == w.host && w.newest.Address == w.address && w.newest.Instance != w.instance
 }
--- a/recorder/writer.go
+++ b/recorder/writer.go
@@ -20,8 +20,8 @@
 		sleep func(context.Context, clock.Millis) bool
 		// end is the offset at which the next append must land.
 		end int64
-		// lastSuccess is a time, in ms, after which the last successful append was stored,
-		// so that no other writer had taken over before it.
+		// lastSuccess is a time, in ms, no later than that at which the last successful
+		// append was stored. No other writer had taken over by then.
 		lastSuccess atomic.Int64
 		// failingSince is when appends began to fail, in ms, 0 while they succeed.
 		failingSince atomic.Int64
@@ -75,8 +75,8 @@
 func (w *Writer) End() int64 { return w.end }
 
 // LastSuccess returns the time at which the last successful append was sent, 0 if there
-// was none. If it was sent several times, and it is not known which of them was stored,
-// it is the first of these.
+// was none. If it was sent several times, and it is not known which attempt was stored, it
+// returns the time of the first.
 func (w *Writer) LastSuccess() clock.Millis { return clock.Millis(w.lastSuccess.Load()) }
 
 // FailingSince returns since when appends have failed, 0 while they succeed.
