--- a/imitator/ledger.go
+++ b/imitator/ledger.go
@@ -30,7 +30,8 @@
 	// acknowledgement is the acknowledgement of the end of a run by a poll.
 	acknowledgement struct {
 		run taskRun
-		// number is that of the end, acked the one of the poll.
+		// number is the number of the end, acked the highest number that the poll
+		// acknowledged.
 		number, acked int64
 		// listed is whether the end was in an answer before the poll.
 		listed bool
--- a/imitator/poolcounts.go
+++ b/imitator/poolcounts.go
@@ -4,11 +4,11 @@
 type PoolCounts struct {
 	// Starts are runs that were started, AckedEnds ends that were acknowledged.
 	Starts, AckedEnds int
-	// StaleAcks are polls that acknowledged more ends than their worker had listed, as one
-	// does that is meant for a former process.
+	// StaleAcks are polls that acknowledged more ends than their worker had listed, like
+	// one that is meant for a former process.
 	StaleAcks int
-	// CappedLeases are leases that were shortened to the longest one, as one is that was
-	// computed on the clock of a former process.
+	// CappedLeases are leases that were shortened to the maximum, like one that was computed
+	// on the clock of a former process.
 	CappedLeases int
 	// Restarts are processes that replaced a killed one.
 	Restarts int
--- a/imitator/poolworker.go
+++ b/imitator/poolworker.go
@@ -23,7 +23,7 @@
 		endedRuns      []poolEnd
 		runEnded       chan struct{}
 		lastEndNumber  int64
-		// listedEnd is the highest number of an end in an answer.
+		// listedEnd is the highest number of an end that an answer has listed.
 		listedEnd   int64
 		partitioned bool
 		slots       int
--- a/soaker/counts.go
+++ b/soaker/counts.go
@@ -22,6 +22,7 @@
 		Faults           int
 	}
 
+	// floor is a count, what it counts, and the least that it must be.
 	floor struct {
 		what       string
 		count, min int
@@ -36,8 +37,8 @@
 		c.Accepted, c.CalmAccepted, c.Refused, c.Completed, c.Workers.Starts, c.Workers.AckedEnds, c.Workers.StaleAcks, c.Workers.CappedLeases, c.Workers.Restarts, c.LateOrders, c.Killed, c.OwnExits, c.Faults)
 }
 
-// belowFloors returns a violation for each count that is too low for the soak test to have
-// tested anything. The floors follow from the settings.
+// belowFloors returns a violation for each count that is so low that the soak test has not
+// tested what it is meant to. The floors follow from the settings.
 func (c Counts) belowFloors(s Settings) []string {
 	jobs := s.minJobs()
 	cycles := int(s.FaultDuration / maxCycle)
--- a/soaker/injector.go
+++ b/soaker/injector.go
@@ -19,11 +19,12 @@
 	maxGap = 1600 * clock.Millis(1)
 )
 
-// faultKinds are the kinds of faults. Each cycle has one fault of each, in random order.
-var faultKinds = []func(*Soak) fault{(*Soak).kill, (*Soak).disturb, (*Soak).disturbWorker, (*Soak).disturbWorker, (*Soak).restart, (*Soak).delayOrders}
-
-// maxCycle is the longest time from the first fault of a cycle to the first of the next.
-var maxCycle = clock.Millis(len(faultKinds)) * maxGap
+var (
+	// faultKinds are the kinds of faults. Each cycle has one fault of each, in random order.
+	faultKinds = []func(*Soak) fault{(*Soak).kill, (*Soak).disturb, (*Soak).disturbWorker, (*Soak).disturbWorker, (*Soak).restart, (*Soak).delayOrders}
+	// maxCycle is the longest time from the first fault of a cycle to the first of the next.
+	maxCycle = clock.Millis(len(faultKinds)) * maxGap
+)
 
 // injectFaults injects random faults for Settings.FaultDuration, and returns once all have
 // ended. It logs them to a file beside the logs of the hosts.
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -54,7 +54,7 @@
 		group        sync.WaitGroup
 		callers      *callers
 		faults       int
-		// failed gets an error that keeps a fault from ending.
+		// failed receives the first error that keeps a fault from ending.
 		failed chan error
 	}
 
