scheduler: the end of an abandoned run completes its task, also beside a newer run

Run 2 was given up with its lease, run 3 was placed on a worker that restarted, the first worker answered again and listed run 2 as done; the end was ignored as run 3 was the newest, acknowledged, and run 4 started ten seconds later. By the users' rules the lapsed lease exempts it; the work was done three times all the same. Change: the task is done, as it was for speculative tasks before, and the newer run is stopped. Its worker gets nothing new until the stop is surely carried out. Evidence: rows "unanswered" and "started" of TestEndOfEarlierAbandonedRunCompletesTask failed before.

--- a/scheduler/ending.go
+++ b/scheduler/ending.go
@@ -9,6 +9,9 @@
 	// retryDelay is the time from a failed run of a task to its next one: two writes of a
 	// record to the store.
 	retryDelay = 20 * clock.Millis(1)
+	// stopBackoff is how long a worker gets no new runs after a run was stopped there whose
+	// end is not awaited: the platform's bound on a stop, and the delay of the order.
+	stopBackoff = 600 * clock.Millis(1)
 )
 
 // endRun applies the end of the newest run of a task.
@@ -80,8 +83,9 @@
 		return
 	}
 	if t.hasRun() {
-		o := s.newOrder(Stop, t)
-		s.immediate = append(s.immediate, o)
+		s.immediate = append(s.immediate, s.newOrder(Stop, t))
+		// What is being stopped uses the worker's resources for a little longer.
+		t.worker.blockedUntil = max(t.worker.blockedUntil, s.now()+stopBackoff)
 	}
 	s.release(t)
 	s.markDirty(t.job())
--- a/scheduler/reporting.go
+++ b/scheduler/reporting.go
@@ -197,13 +197,10 @@
 }
 
 // completedByAbandonedRun reports whether the end of an abandoned run shows that the task
-// is done after all. This holds while the task is pending; for a speculative task it holds
-// also while a newer run is active.
+// is done after all. A newer run is then needless: if it ended in another way, the task
+// would start again although the worker has forgotten the end.
 func (t *task) completedByAbandonedRun(w *worker, e EndedRun) bool {
-	if e.How != EndDone || t.state == done || t.spec().LongRunning || t.spec().Gang || t.worker == w && t.attempt == e.Attempt {
-		return false
-	}
-	return t.spec().Speculative || t.state == pending
+	return e.How == EndDone && t.state != done && !t.spec().LongRunning && !t.spec().Gang && (t.worker != w || t.attempt != e.Attempt)
 }
 
 // findTask returns the task with a name, or nil if its job is unknown or its occurrence
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -350,9 +350,19 @@
 	}
 }
 
-// TestEndOfEarlierAbandonedRunCompletesTask guards against a start after an acknowledged end.
+// TestEndOfEarlierAbandonedRunCompletesTask guards against a start after an acknowledged end: a newer run was placed meanwhile.
 func TestEndOfEarlierAbandonedRunCompletesTask(t *testing.T) {
-	for name, second := range map[string]Outcome{"no room": NoRoom, "not sent": NotSent} {
+	tests := map[string]struct {
+		second Outcome
+		// wantStop is whether the newer run has to be stopped.
+		wantStop bool
+	}{
+		"no room":    {second: NoRoom},
+		"not sent":   {second: NotSent},
+		"unanswered": {second: Unclear, wantStop: true},
+		"started":    {second: Done, wantStop: true},
+	}
+	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			b := newHarness(1)
 			b.submit(t, "job", Step{Count: 1, CPU: 100})
@@ -364,12 +374,18 @@
 			b.UpdateWorker(testWorker(1))
 			again := b.placeAndStore()
 			must.Len(t, 1, again)
-			b.OrderAnswered(again[0], second)
+			b.OrderAnswered(again[0], tt.second)
 			b.report("w0", nil, endedRun(1, o, EndDone))
 			must.SliceEmpty(t, b.placeAndStore(), must.Sprint("the task was started again"))
 			p, err := b.Phase("job", "q")
 			must.NoError(t, err)
 			must.Eq(t, Completed, p)
+			stops := b.TakeImmediateOrders()
+			must.Eq(t, tt.wantStop, len(stops) == 1)
+			for _, s := range stops {
+				must.Eq(t, Stop, s.Kind)
+				must.Eq(t, "w1", s.Worker)
+			}
 		})
 	}
 }
