--- a/conductor/upkeep.go
+++ b/conductor/upkeep.go
@@ -63,9 +63,10 @@
 		listedAt = c.now()
 		if active && !restored {
 			restored = c.restorePublished()
-			continue
 		}
-		c.applyMachines()
+		if restored || departing {
+			c.applyMachines(restored)
+		}
 	}
 }
 
@@ -92,9 +93,9 @@
 	})
 }
 
-// applyMachines lists the machines, sends the maintenance orders that are due and
-// publishes the waves' states.
-func (c *Conductor) applyMachines() {
+// applyMachines lists the machines and removes the workers that have left. If withWaves is
+// set, it also sends the maintenance orders that are due and publishes the waves' states.
+func (c *Conductor) applyMachines(withWaves bool) {
 	ctx, cancel := context.WithTimeout(c.ctx, cloudTimeout.Duration())
 	defer cancel()
 	listedAt := c.now()
@@ -105,6 +106,10 @@
 	}
 	var states map[string]scheduler.WaveState
 	if !c.call(func() {
+		c.sched.RemoveDeparted(ms)
+		if !withWaves {
+			return
+		}
 		c.sched.ApplyMachineList(ms, listedAt)
 		for _, u := range c.sched.TakeUpkeepOrders() {
 			c.sendUpkeep(u)
@@ -127,7 +132,7 @@
 	c.group.Add(1)
 	go func() {
 		defer c.group.Done()
-		ctx, cancel := context.WithTimeout(c.ctx, orderTimeout.Duration())
+		ctx, cancel := context.WithTimeout(c.ctx, OrderTimeout.Duration())
 		defer cancel()
 		out := c.cloud.Upkeep(ctx, u, c.epoch)
 		c.post(func() { c.sched.UpkeepAnswered(u, out) })
--- a/scheduler/draining.go
+++ b/scheduler/draining.go
@@ -75,9 +75,9 @@
 	return false
 }
 
-// removeDeparted removes the workers that seem to have left and that no machine runs: their
+// RemoveDeparted removes the workers that seem to have left and that no machine runs: their
 // machine is not up, or minAbsences lists in a row lack them.
-func (s *Scheduler) removeDeparted(ms []Machine) {
+func (s *Scheduler) RemoveDeparted(ms []Machine) {
 	up, down := map[string]bool{}, map[string]bool{}
 	for _, m := range ms {
 		if m.Up {
--- a/scheduler/draining_test.go
+++ b/scheduler/draining_test.go
@@ -18,8 +18,8 @@
 	b.UpdateWorker(testWorker(1))
 	b.RemoveWorker("w0")
 	b.CallFailed("w0", 1, true)
-	b.ApplyMachineList([]Machine{{ID: "m0", Worker: "w0", Up: true}, {ID: "m1", Worker: "w1", Up: true}}, b.clock.Now())
+	b.RemoveDeparted([]Machine{{ID: "m0", Worker: "w0", Up: true}, {ID: "m1", Worker: "w1", Up: true}})
 	b.clock.Advance(100)
-	b.ApplyMachineList([]Machine{{ID: "m1", Worker: "w1", Up: true}}, b.clock.Now())
+	b.RemoveDeparted([]Machine{{ID: "m1", Worker: "w1", Up: true}})
 	must.SliceEmpty(t, b.placeAndStore(), must.Sprint("the task was started elsewhere before the lease expired"))
 }
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -167,8 +167,8 @@
 			if tc.listed {
 				// Lists always have the machine of w1.
 				ms := append([]Machine{{ID: "m1", Worker: "w1", Up: true}}, tc.machines...)
-				b.ApplyMachineList(ms, b.clock.Now())
-				b.ApplyMachineList(ms, b.clock.Now())
+				b.RemoveDeparted(ms)
+				b.RemoveDeparted(ms)
 			}
 			b.Sweep()
 			must.Eq(t, tc.restarts, len(b.placeAndStore()) == 1)
--- a/scheduler/upkeep.go
+++ b/scheduler/upkeep.go
@@ -198,14 +198,12 @@
 }
 
 // ApplyMachineList applies the list of all machines that was requested from the platform at
-// requestedAt. It removes the workers that have left. Then it drains and orders down the
-// next machines of each wave.
+// requestedAt. Then it drains and orders down the next machines of each wave.
 func (s *Scheduler) ApplyMachineList(ms []Machine, requestedAt clock.Millis) {
 	byID := make(map[string]Machine, len(ms))
 	for _, m := range ms {
 		byID[m.ID] = m
 	}
-	s.removeDeparted(ms)
 	for _, w := range s.waves {
 		for _, d := range w.machines {
 			m, ok := byID[d.id]
