--- a/scheduler/reporting.go
+++ b/scheduler/reporting.go
@@ -350,7 +350,7 @@
 		if t.job().phase.final() && !t.stopping {
 			s.stop(t)
 		}
-	case NoRoom, Unavailable, Rejected:
+	case NoRoom, Unavailable, Rejected, WorkerRestarted:
 		w.blockedUntil = now + refusalBackoff
 		s.withdraw(t)
 	case NotSent, ConnectionRefused:
@@ -361,9 +361,6 @@
 		s.withdraw(t)
 	case Obsolete:
 		t.unresolvedSince = now
-	case WorkerRestarted:
-		w.blockedUntil = now + refusalBackoff
-		t.unresolvedSince = now
 	case Unclear:
 		// The order is sent again after the next report.
 		t.unclear = true
@@ -437,7 +434,9 @@
 func (s *Scheduler) expireLeases() {
 	now := s.now()
 	for id, w := range s.workers {
-		if (w.silentSince == 0 && w.registered) || now < w.leaseEnd {
+		// A process that only the records name has no address and can't be polled.
+		known := w.registered && w.info.Address != ""
+		if (w.silentSince == 0 && known) || now < w.leaseEnd {
 			continue
 		}
 		if w.silentSince != 0 || w.unreconciled {
@@ -450,7 +449,7 @@
 			}
 			s.abandonRuns(w, "its lease has expired")
 		}
-		if !w.registered && len(w.tasks) == 0 && (len(w.doubtful) == 0 || now >= w.leaseEnd+maxOrderDelay) {
+		if !known && len(w.tasks) == 0 && (len(w.doubtful) == 0 || now >= w.leaseEnd+maxOrderDelay) {
 			delete(s.workers, id)
 		}
 	}
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -523,3 +523,21 @@
 	must.SliceLen(t, 1, stops)
 	must.Eq(t, Stop, stops[0].Kind)
 }
+
+// TestAnswerOfOtherWorkerKeepsUnansweredStart guards against a double start: the first order may still be carried out.
+func TestAnswerOfOtherWorkerKeepsUnansweredStart(t *testing.T) {
+	b := newHarness(2)
+	b.submit(t, "job", Step{Count: 1, CPU: 100})
+	o := b.placeAndStore()[0]
+	b.OrderAnswered(o, Unclear)
+	b.clock.Advance(resendDelay + 1)
+	b.report(o.Worker, nil)
+	again := b.TakeImmediateOrders()
+	must.Len(t, 1, again)
+	again[0].Address = "elsewhere"
+	b.OrderAnswered(again[0], WorkerRestarted)
+	b.WorkerReplaced(o.Worker, "elsewhere", 1, 0)
+	b.clock.Advance(refusalBackoff + 1)
+	b.report(o.Worker, nil)
+	must.SliceEmpty(t, b.placeAndStore(), must.Sprint("the task was started elsewhere without a confirmed stop"))
+}
--- a/scheduler/takeover_test.go
+++ b/scheduler/takeover_test.go
@@ -125,3 +125,36 @@
 	})
 	must.SliceEmpty(t, b.placeAndStore(), must.Sprint("the task was started elsewhere before its worker was heard"))
 }
+
+// TestWorkerWithEarlierBornIsUsable guards against a lost worker: records name a later start than its entry.
+func TestWorkerWithEarlierBornIsUsable(t *testing.T) {
+	b := newHarness(1)
+	b.submit(t, "job", Step{Count: 1, CPU: 100})
+	w := testWorker(0)
+	w.Born = 9
+	b.UpdateWorker(w)
+	b.Place()
+	batch := b.TakeBatch()
+	must.Len(t, 1, batch.Orders)
+	c := newHarness(0)
+	c.UpdateWorker(testWorker(0))
+	for _, r := range batch.Records {
+		must.NoError(t, c.Load(r.Key, r.Value, c.clock.Now()+defaultLease))
+	}
+	for range 100 {
+		c.clock.Advance(clock.Second)
+		c.UpdateWorker(testWorker(0))
+		c.Sweep()
+	}
+	must.SliceLen(t, 1, c.placeAndStore())
+}
+
+// TestTaskOfUnaddressedWorkerWaitsNoLongerThanItsLease guards against a task that waits for a process without an address.
+func TestTaskOfUnaddressedWorkerWaitsNoLongerThanItsLease(t *testing.T) {
+	r, _ := recordOfRun(t, "job", 2)
+	b, until := takeOver(t, registryOf(1), r)
+	b.clock.Advance(until - b.clock.Now() + clock.Minute)
+	b.UpdateWorker(registryOf(1)[0])
+	b.Sweep()
+	must.SliceLen(t, 1, b.placeAndStore())
+}
