--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -105,12 +105,12 @@
 	// leases of workers. If the store is unavailable for longer, the leases expire and
 	// the running tasks are lost.
 	leaseGrantLimit = 4 * clock.Second
-	// orderTimeout bounds a call to a worker. Workers answer within a few milliseconds.
-	orderTimeout = 800 * clock.Millis(1)
+	// OrderTimeout bounds an order to a worker. Workers answer within a few milliseconds.
+	OrderTimeout = 800 * clock.Millis(1)
 	// orderQueueLimit is how long the start of a task may wait for earlier orders to the
 	// same worker before its lease deadline has to be computed anew. It is half the
 	// timeout of one order.
-	orderQueueLimit = orderTimeout / 2
+	orderQueueLimit = OrderTimeout / 2
 	// eventQueueSize is the capacity of the queue of functions for the scheduler's
 	// goroutine.
 	eventQueueSize = 1024
@@ -248,7 +248,7 @@
 	if deposits.err != nil {
 		return deposits.err
 	}
-	until := scheduler.LeaseBound(c.now(), c.lease) + orderTimeout
+	until := scheduler.LeaseBound(c.now(), c.lease) + OrderTimeout
 	if !t.PredecessorStopped {
 		until += leaseGrantLimit
 	}
--- a/conductor/deposed_test.go
+++ b/conductor/deposed_test.go
@@ -58,14 +58,14 @@
 		send, poll := f.Send, f.Poll
 		f.Send = func(ctx context.Context, o scheduler.Order, epoch int64) scheduler.Outcome {
 			if o.Worker == "w0" {
-				<-ctx.Done()
+				recorder.Sleep(ctx, conductor.OrderTimeout)
 				return scheduler.Unclear
 			}
 			return send(ctx, o, epoch)
 		}
 		f.Poll = func(ctx context.Context, q conductor.PollRequest, epoch int64) (scheduler.Report, scheduler.Outcome) {
 			if q.Worker == "w0" {
-				<-ctx.Done()
+				recorder.Sleep(ctx, q.Timeout)
 				return scheduler.Report{}, scheduler.Unclear
 			}
 			return poll(ctx, q, epoch)
--- a/conductor/fleet.go
+++ b/conductor/fleet.go
@@ -8,9 +8,11 @@
 )
 
 type (
-	// Fleet holds the functions by which a Conductor calls workers.
+	// Fleet holds the functions by which a Conductor calls workers. Their contexts end with
+	// the term. Their timeouts may start when there is a connection to the worker.
 	Fleet struct {
-		// Send sends one order to a worker and returns its outcome. The epoch is the
+		// Send sends one order to a worker and returns its outcome, which is Unclear after
+		// OrderTimeout. The epoch is the
 		// fencing token: a worker rejects an order whose epoch is lower than one that it
 		// has seen.
 		Send func(ctx context.Context, o scheduler.Order, epoch int64) scheduler.Outcome
@@ -32,7 +34,7 @@
 		// Deadline is the time on the worker's own clock at which its lease expires; 0
 		// leaves the lease unchanged.
 		Deadline clock.Millis
-		// Timeout bounds the whole call.
+		// Timeout is how long the worker may take to answer; 0 means any time.
 		Timeout clock.Millis
 		// Wait is how long the worker may hold the call until a run ends (long polling).
 		Wait clock.Millis
--- a/conductor/loop.go
+++ b/conductor/loop.go
@@ -1,7 +1,6 @@
 package conductor
 
 import (
-	"context"
 	"slices"
 	"strings"
 	"time"
@@ -219,10 +218,8 @@
 				return
 			}
 		}
-		ctx, cancel := context.WithTimeout(c.ctx, orderTimeout.Duration())
 		sent := c.now()
-		out := c.fleet.Send(ctx, o, c.epoch)
-		cancel()
+		out := c.fleet.Send(c.ctx, o, c.epoch)
 		c.metrics.Order(c.now()-sent, out != scheduler.Unclear)
 		s.release()
 		c.post(func() { c.orderAnswered(o, out) })
--- a/conductor/session.go
+++ b/conductor/session.go
@@ -226,9 +226,7 @@
 // poll polls the worker once and reports whether it answered.
 func (c *Conductor) poll(q PollRequest) bool {
 	sent := c.now()
-	ctx, cancel := context.WithTimeout(c.ctx, q.Timeout.Duration())
-	r, out := c.fleet.Poll(ctx, q, c.epoch)
-	cancel()
+	r, out := c.fleet.Poll(c.ctx, q, c.epoch)
 	c.metrics.Poll(c.now() - sent)
 	r.Worker, r.Sent = q.Worker, sent
 	c.call(func() {
--- a/imitator/pool.go
+++ b/imitator/pool.go
@@ -163,6 +163,8 @@
 func (p *Pool) Fleet() conductor.Fleet { return conductor.Fleet{Send: p.send, Poll: p.poll} }
 
 func (p *Pool) send(ctx context.Context, o scheduler.Order, epoch int64) scheduler.Outcome {
+	ctx, cancel := context.WithTimeout(ctx, conductor.OrderTimeout.Duration())
+	defer cancel()
 	if !recorder.Sleep(ctx, 1) {
 		return scheduler.Unclear
 	}
@@ -283,6 +285,11 @@
 }
 
 func (p *Pool) poll(ctx context.Context, q conductor.PollRequest, epoch int64) (scheduler.Report, scheduler.Outcome) {
+	if q.Timeout > 0 {
+		c, cancel := context.WithTimeout(ctx, q.Timeout.Duration())
+		defer cancel()
+		ctx = c
+	}
 	if !recorder.Sleep(ctx, 1) {
 		return scheduler.Report{}, scheduler.Unclear
 	}
--- a/scheduler/session.go
+++ b/scheduler/session.go
@@ -9,7 +9,8 @@
 		// Acked is the highest number of an ended run whose result is stored; the next
 		// poll acknowledges the ended runs up to it.
 		Acked int64
-		// Idle is whether the worker has no runs.
+		// Idle is whether the worker has no runs, not even some that were given up and that
+		// it has to stop.
 		Idle bool
 		// Busy is whether the worker has to be polled: it has runs, may have runs of a
 		// former leader or runs that were given up, has ended runs that are not stored or
@@ -57,7 +58,7 @@
 		Busy:               len(w.tasks) > 0 || w.lastEnd > w.storedEnd || w.unreconciled || w.registered && (len(w.doubtful) > 0 || w.silentSince != 0) || w.storedEnd > w.ackedEnd,
 		ServingWithFillers: w.serving > 0 && w.fillerCPU > 0,
 		Blocked:            w.lastEnd > w.storedEnd, Silent: w.silentSince != 0,
-		Idle: len(w.tasks) == 0, Inherited: w.unreconciled,
+		Idle: len(w.tasks) == 0 && len(w.doubtful) == 0, Inherited: w.unreconciled,
 	}
 }
 
