--- a/scheduler/baseline.go
+++ b/scheduler/baseline.go
@@ -10,9 +10,7 @@
 // fillers. The tasks share one user load, which is periodic with an unknown period, so
 // there is a harmonic fit for each candidate period.
 type baseline struct {
-	selector *periodSelector
-	// sensitivity is that of the step's image.
-	sensitivity *sensitivity
+	selector    *periodSelector
 	fits        []harmonic
 	lastReading clock.Millis
 }
@@ -33,8 +31,8 @@
 	readingAge = 400 * clock.Millis(1)
 )
 
-func newBaseline(c *periodSelector, m *sensitivity) *baseline {
-	b := &baseline{selector: c, sensitivity: m, fits: make([]harmonic, len(candidatePeriods))}
+func newBaseline(c *periodSelector) *baseline {
+	b := &baseline{selector: c, fits: make([]harmonic, len(candidatePeriods))}
 	amplitude := idleHeadroom * meanLoad * loadSwing
 	for i := range b.fits {
 		b.fits[i].state[0] = idleHeadroom * (1 - meanLoad)
@@ -43,16 +41,17 @@
 	return b
 }
 
-// best returns the fit with the selected period, and its basis at a time.
-func (b *baseline) best(at clock.Millis) (*harmonic, [3]float64) {
+// predict returns the headroom without fillers at a time.
+func (b *baseline) predict(at clock.Millis) float64 {
 	i := b.selector.best
-	return &b.fits[i], harmonicBasis(candidatePeriods[i], at)
+	return math.Max(b.fits[i].value(harmonicBasis(candidatePeriods[i], at)), 0)
 }
 
-// predict returns the headroom without fillers at a time.
-func (b *baseline) predict(at clock.Millis) float64 {
-	fit, basis := b.best(at)
-	return math.Max(fit.value(basis, b.sensitivity.weights), 0)
+// variance returns the variance of predict.
+func (b *baseline) variance(at clock.Millis) float64 {
+	i := b.selector.best
+	_, variance, _ := b.fits[i].predict(harmonicBasis(candidatePeriods[i], at))
+	return variance
 }
 
 // lowerOf returns the lower of the headrooms predicted for two times.
@@ -60,8 +59,9 @@
 	return math.Min(b.predict(from), b.predict(to))
 }
 
-// update applies a measured headroom to all fits.
-func (b *baseline) update(at clock.Millis, r reading) {
+// update applies a headroom that was measured at a time, corrected for the effect of
+// fillers, with its variance.
+func (b *baseline) update(at clock.Millis, headroom, variance float64) {
 	elapsed := 0.0
 	if b.lastReading != 0 && at > b.lastReading {
 		elapsed = float64(at-b.lastReading) / float64(clock.Second)
@@ -69,7 +69,7 @@
 	b.lastReading = max(at, b.lastReading)
 	bases := b.selector.basesAt(at)
 	for i := range b.fits {
-		b.selector.addError(i, b.fits[i].update(bases[i], elapsed, r))
+		b.selector.addError(i, b.fits[i].update(bases[i], elapsed, headroom, variance))
 	}
 	b.selector.selectBest()
 }
@@ -83,7 +83,7 @@
 		if o.baselines == nil {
 			o.baselines = map[int]*baseline{}
 		}
-		b = newBaseline(s.periodSelector, s.sensitivityOf(t.spec().Image))
+		b = newBaseline(s.periodSelector)
 		o.baselines[t.step] = b
 	}
 	return b
--- a/scheduler/sensitivity.go
+++ b/scheduler/sensitivity.go
@@ -75,12 +75,6 @@
 
 // update applies a measured headroom of a serving task and the processor shares of the
 // fillers on its worker. It updates the baseline of the task's step too.
-//
-// A weight that is too low makes the baseline too low, so their errors are correlated, and
-// those of the readings of one time have the error of the baseline in common. Therefore
-// the weights are fitted to what the baseline's own fits leave unexplained of headroom and
-// shares (the theorem of Frisch, Waugh and Lovell). For weights without drift this equals
-// one filter for the weights and the baselines of all steps.
 func (m *sensitivity) update(b *baseline, at clock.Millis, headroom float64, shares map[string]float64) {
 	for image := range shares {
 		m.indexOf(image)
@@ -95,28 +89,25 @@
 		m.evidence[i] += share
 		m.covariance[i][i] = math.Min(m.covariance[i][i]+weightDrift, priorVariance)
 	}
-	fit, basis := b.best(at)
-	residuals := fit.shareResiduals(basis, x)
 	gains := make([]float64, n)
-	lossVariance := 0.0
+	weightVariance := 0.0
 	for i := range n {
 		for j := range n {
-			gains[i] += m.covariance[i][j] * residuals[j]
+			gains[i] += m.covariance[i][j] * x[j]
 		}
-		lossVariance += residuals[i] * gains[i]
+		weightVariance += x[i] * gains[i]
 	}
 	noise := readingNoise * headroom
 	noise *= noise
-	variance, _ := fit.variance(basis)
-	residual := headroom + loss - fit.value(basis, m.weights)
-	innovationVariance := robustVariance(residual, variance+noise+lossVariance)
-	b.update(at, reading{value: headroom, noise: noise, shares: x, weights: m.weights, loss: loss, lossVariance: lossVariance})
+	residual := headroom + loss - b.predict(at)
+	innovationVariance := robustVariance(residual, noise+b.variance(at)+weightVariance)
 	for i := range n {
 		m.weights[i] -= gains[i] / innovationVariance * residual
 		for j := range n {
 			m.covariance[i][j] -= gains[i] * gains[j] / innovationVariance
 		}
 	}
+	b.update(at, headroom+loss, noise+weightVariance)
 }
 
 // weight returns the loss of headroom that fillers of an image cause when they use all
