conductor, scheduler: a delay of the leader is no evidence about others

Cause: a leader that was short of processor time took missing answers for silent workers, gave up runs whose ends were listed, started tasks by a registry it had read seconds ago, and told callers that a deposited job did not exist by a read that it had taken up late. Change: package timekeeper measures how late the scheduler's goroutine gets its turns. A call without an answer counts against a worker only if this process was not delayed for half of its time; after a delay a silent worker has to miss another call before its runs are given up. Queued answers are applied before leases are judged. Reads of the store carry their age.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -20,6 +20,7 @@
 	"galenawharf.example/galenawharf/logger"
 	"galenawharf.example/galenawharf/recorder"
 	"galenawharf.example/galenawharf/scheduler"
+	"galenawharf.example/galenawharf/timekeeper"
 )
 
 type (
@@ -45,7 +46,7 @@
 		group  sync.WaitGroup
 		// endOnce ensures that only the first reason for the end of the term is logged.
 		endOnce  sync.Once
-		sessions map[string]*session
+		sessions map[sessionKey]*session
 		// firstPollQueue has the sessions that wait for their first poll of the term, in
 		// order; firstPolls counts the first polls in flight.
 		firstPollQueue []*session
@@ -59,8 +60,14 @@
 		// consultWaiters are the daemons that wait for a consultation, the
 		// longest-waiting first.
 		consultWaiters []*consultWaiter
-		// lastDepositRead is when the deposits were last read from the store.
-		lastDepositRead clock.Millis
+		// lastDepositRead and lastRegistryRead are when the deposits and the registry were
+		// certainly as they are known here, operatorRead returns it for the operator's records.
+		lastDepositRead, lastRegistryRead clock.Millis
+		operatorRead                      func() clock.Millis
+		// timekeeper measures the delay of the scheduler's goroutine.
+		timekeeper *timekeeper.Timekeeper
+		// delayed is whether the delay was logged and its end was not.
+		delayed bool
 		// storedDeposits are the deposits that can be deleted: their jobs are stored as
 		// the leader's own records, or are invalid.
 		storedDeposits []recorder.Item
@@ -127,6 +134,12 @@
 // WithClock sets the monotonic clock.
 func WithClock(now func() clock.Millis) Option { return func(c *Conductor) { c.now = now } }
 
+// WithOperatorRead sets a function that returns when the operator's records, such as the data
+// centres to be evacuated, were certainly as they are known here.
+func WithOperatorRead(f func() clock.Millis) Option {
+	return func(c *Conductor) { c.operatorRead = f }
+}
+
 // New loads the jobs and starts the term. sched must not have been used before; decode
 // parses the entries of the workers' registry. The error is recorder.ErrDeposed if
 // another daemon has taken over.
@@ -134,12 +147,13 @@
 	decode func(recorder.Item) (scheduler.WorkerInfo, bool), opts ...Option) (*Conductor, error) {
 	c := &Conductor{
 		store: s, fleet: f, sched: sched, epoch: t.Epoch, lastRenewal: t.LastRenewal, decode: decode, lease: lease,
-		now: clock.System, emit: func(logger.Event, ...logger.Field) {}, metrics: noMetrics(),
-		events: make(chan func(), eventQueueSize), sessions: map[string]*session{}, batches: make(chan *scheduler.Batch, 1),
+		now: clock.System, emit: func(logger.Event, ...logger.Field) {}, metrics: noMetrics(), operatorRead: func() clock.Millis { return clock.Never },
+		events: make(chan func(), eventQueueSize), sessions: map[sessionKey]*session{}, batches: make(chan *scheduler.Batch, 1),
 	}
 	for _, o := range opts {
 		o(c)
 	}
+	c.timekeeper = timekeeper.New(sweepInterval, c.now)
 	c.ctx, c.cancel = context.WithCancel(ctx)
 	if err := c.load(t); err != nil {
 		c.cancel()
@@ -192,6 +206,7 @@
 func (c *Conductor) load(t Term) error {
 	// The other topics are loaded concurrently: a slow store takes a quarter of a second
 	// for each call.
+	c.lastRegistryRead, c.lastDepositRead = c.now(), c.now()
 	registry, deposits := c.loadAsync(registryTopic), c.loadAsync(depositor.Topic)
 	items, end, err := recorder.Load(c.ctx, c.store, jobsTopic)
 	if err != nil {
@@ -265,7 +280,6 @@
 	}
 	// Jobs that were deposited while there was no leader have to be known before the
 	// first request for them arrives.
-	c.lastDepositRead = c.now()
 	for k, v := range deposits.items {
 		c.acceptDeposit(recorder.Item{Key: k, Value: v})
 	}
--- a/conductor/deposits.go
+++ b/conductor/deposits.go
@@ -10,7 +10,7 @@
 const (
 	// depositPollWait is how long the store may hold a read of the deposits until there
 	// are new ones (long polling).
-	depositPollWait = clock.Second
+	depositPollWait = 600 * clock.Millis(1)
 	// deleteInterval is the period at which deposits are deleted whose jobs are stored.
 	deleteInterval = 500 * clock.Millis(1)
 )
@@ -55,7 +55,10 @@
 				}
 			})
 		},
-		Read:   func(clock.Millis) { c.post(func() { c.lastDepositRead = c.now() }) },
+		Read: func(_, age clock.Millis) {
+			at := c.now() - age
+			c.post(func() { c.lastDepositRead = max(c.lastDepositRead, at) })
+		},
 		Failed: func(error) {},
 	})
 	defer f.Close()
--- a/conductor/loop.go
+++ b/conductor/loop.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 	"time"
 
 	"galenawharf.example/galenawharf/clock"
@@ -17,7 +16,10 @@
 	f := recorder.Follow(c.store, registryTopic, recorder.PollTiming{Pause: registryPollInterval}, recorder.Callbacks{
 		Reset:  func(m map[string][]byte) { c.post(func() { c.resetRegistry(m) }) },
 		Change: func(items []recorder.Item) { c.post(func() { c.applyRegistryChanges(items) }) },
-		Read:   func(clock.Millis) {},
+		Read: func(_, age clock.Millis) {
+			at := c.now() - age
+			c.post(func() { c.lastRegistryRead = at })
+		},
 		Failed: func(error) {},
 	})
 	defer f.Close()
@@ -31,6 +33,9 @@
 			f()
 			c.runQueued()
 		case <-sweep.C:
+			// What workers have answered counts before their leases are judged.
+			c.runQueued()
+			c.noteDelay()
 			c.sched.Sweep()
 			if c.storeUnavailable() {
 				c.sched.DropUnsent(ErrStoreUnavailable)
@@ -71,7 +76,9 @@
 		c.scheduleFlush(flushInterval - gap)
 		return
 	}
-	c.sched.Place()
+	if c.now() <= c.startsUntil() {
+		c.sched.Place()
+	}
 	c.assignConsultations()
 	b := c.sched.TakeBatch()
 	if b == nil {
@@ -163,8 +170,11 @@
 	}
 	for id := range b.Acks {
 		c.wakeSession(id)
+		c.sched.SessionOf(id, c.updateSession)
+	}
+	for _, o := range b.Orders {
+		c.sched.SessionOf(o.Worker, c.updateSession)
 	}
-	c.updateSessions()
 }
 
 // resetRegistry replaces the known workers by those of a complete listing of the
@@ -192,16 +202,17 @@
 	}
 }
 
-// sendOrder sends an order from a goroutine of its own. The start of a task is not sent
-// if this daemon may not extend leases.
+// sendOrder sends an order from a goroutine of its own. The start of a task is withheld if this
+// daemon may not extend leases, or what it knows is too old.
 func (c *Conductor) sendOrder(o scheduler.Order) {
+	until := clock.Never
 	if o.Kind == scheduler.Start {
-		d, ok := c.leaseDeadline(o.Worker, o.Born)
-		if !ok {
-			c.sched.OrderAnswered(o, scheduler.Unclear)
+		var ok bool
+		if o.Deadline, ok = c.leaseDeadline(o.Worker, o.Born); !ok || !c.sched.MayStart(o) {
+			c.sched.OrderAnswered(o, scheduler.Withheld)
 			return
 		}
-		o.Deadline = d
+		until = c.startsUntil()
 	}
 	s := c.session(o.Worker, o.Born)
 	c.group.Add(1)
@@ -211,21 +222,39 @@
 		if !s.acquire(c.ctx) {
 			return
 		}
-		if waited := c.now() - queued; o.Kind == scheduler.Start && waited > 0 {
-			if out := c.refreshOrder(&o, waited); out != scheduler.Done {
-				s.release()
-				c.post(func() { c.orderAnswered(o, out) })
-				return
-			}
+		out := scheduler.Done
+		if waited := c.now() - queued; o.Kind == scheduler.Start && (waited > 0 || c.now() > until) {
+			until, out = c.refreshOrder(&o, waited)
+		}
+		if out == scheduler.Done {
+			out = c.send(o, until)
 		}
-		sent := c.now()
-		out := c.fleet.Send(c.ctx, o, c.epoch)
-		c.metrics.Order(c.now()-sent, out != scheduler.Unclear)
 		s.release()
 		c.post(func() { c.orderAnswered(o, out) })
 	}()
 }
 
+// send sends an order, unless the time until which it may be sent is over. It returns its outcome.
+func (c *Conductor) send(o scheduler.Order, until clock.Millis) scheduler.Outcome {
+	sent, lost := c.now(), c.timekeeper.Lost()
+	if sent > until {
+		return scheduler.Withheld
+	}
+	out := c.fleet.Send(c.ctx, o, c.epoch)
+	c.metrics.Order(c.now()-sent, out != scheduler.Unclear)
+	if c.timekeeper.Lost()-lost <= OrderTimeout/2 {
+		return out
+	}
+	switch out {
+	case scheduler.Unclear:
+		return scheduler.Unheard
+	case scheduler.NotSent:
+		return scheduler.Withheld
+	default:
+		return out
+	}
+}
+
 // orderAnswered passes the outcome of an order to the scheduler, or ends the term if the
 // worker rejected its epoch.
 func (c *Conductor) orderAnswered(o scheduler.Order, out scheduler.Outcome) {
@@ -243,29 +272,30 @@
 	}
 }
 
-// refreshOrder updates the lease deadline of an order to start a run if the order has waited
-// for longer than orderQueueLimit. It returns Done if the order may be sent, Superseded if
-// its run was released or stopped meanwhile, and NotSent if the lease must not be extended
-// or the term is over.
-func (c *Conductor) refreshOrder(o *scheduler.Order, waited clock.Millis) scheduler.Outcome {
-	d, out := o.Deadline, scheduler.Done
+// refreshOrder checks an order to start a run that has waited, and updates its lease deadline if it
+// has waited for longer than orderQueueLimit. It returns the time until which the order may be sent,
+// and Done, Superseded if its run was released or stopped meanwhile, or Withheld if the order must
+// not be sent for another reason.
+func (c *Conductor) refreshOrder(o *scheduler.Order, waited clock.Millis) (clock.Millis, scheduler.Outcome) {
+	d, out, until := o.Deadline, scheduler.Done, clock.Millis(0)
 	if !c.call(func() {
-		if !c.sched.IsCurrent(*o) {
+		until = c.startsUntil()
+		switch {
+		case !c.sched.IsCurrent(*o):
 			out = scheduler.Superseded
-			return
-		}
-		if waited <= orderQueueLimit {
-			return
-		}
-		var ok bool
-		if d, ok = c.leaseDeadline(o.Worker, o.Born); !ok {
-			out = scheduler.NotSent
+		case !c.sched.MayStart(*o):
+			out = scheduler.Withheld
+		case waited > orderQueueLimit:
+			var ok bool
+			if d, ok = c.leaseDeadline(o.Worker, o.Born); !ok {
+				out = scheduler.Withheld
+			}
 		}
 	}) {
-		return scheduler.NotSent
+		return 0, scheduler.Withheld
 	}
 	o.Deadline = d
-	return out
+	return until, out
 }
 
 // leaseDeadline returns the lease deadline for the next call to a worker process. It returns
@@ -291,8 +321,3 @@
 		delete(c.sessions, k)
 	}
 }
-
-// sessionKey identifies one process of a worker by its start time.
-func sessionKey(worker string, born int64) string {
-	return strings.Join([]string{worker, formatInt(born)}, "@")
-}
--- a/conductor/metrics.go
+++ b/conductor/metrics.go
@@ -13,6 +13,9 @@
 		// Totals is called several times a second with the number of jobs that have not
 		// started, of jobs that have not ended, and of workers that do not answer.
 		Totals func(queued, active, silent int)
+		// Delay is called several times a second with how late the scheduler's goroutine
+		// got its turn.
+		Delay func(clock.Millis)
 	}
 )
 
@@ -22,5 +25,6 @@
 func noMetrics() Metrics {
 	return Metrics{
 		Order: func(clock.Millis, bool) {}, Poll: func(clock.Millis) {}, Append: func(clock.Millis) {}, Totals: func(int, int, int) {},
+		Delay: func(clock.Millis) {},
 	}
 }
--- a/conductor/requests.go
+++ b/conductor/requests.go
@@ -19,8 +19,8 @@
 	// accepts jobs from then on.
 	maxRenewalAge = 1500 * clock.Millis(1)
 	// maxDepositReadAge is the age of the last read of the deposits up to which a job may
-	// be reported as unknown: a long poll of a second and the answer of a slow store.
-	maxDepositReadAge = 1500 * clock.Millis(1)
+	// be reported as unknown: two long polls and the answer of a slow store.
+	maxDepositReadAge = 1400 * clock.Millis(1)
 	// changeTimeout is how long a caller waits for a change to be stored. After that the
 	// outcome is unknown and the caller should send the request again.
 	changeTimeout = clock.Second
--- a/conductor/session.go
+++ b/conductor/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"galenawharf.example/galenawharf/clock"
 	"galenawharf.example/galenawharf/logger"
@@ -23,6 +24,22 @@
 		// polling is whether a goroutine polls the worker.
 		polling bool
 	}
+
+	// sessionKey identifies one process of a worker by its start time.
+	sessionKey struct {
+		worker string
+		born   int64
+	}
+
+	// nextPoll is the poll of a worker that follows the previous one.
+	nextPoll struct {
+		request PollRequest
+		// due is whether the worker has to be polled.
+		due bool
+		// blocked is whether ended runs of the worker are not stored yet and therefore can't
+		// be acknowledged.
+		blocked bool
+	}
 )
 
 const (
@@ -52,7 +69,7 @@
 )
 
 func (c *Conductor) session(worker string, born int64) *session {
-	k := sessionKey(worker, born)
+	k := sessionKey{worker, born}
 	s := c.sessions[k]
 	if s == nil {
 		s = &session{worker: worker, born: born, slots: make(chan struct{}, maxOrdersInFlight), wake: make(chan struct{}, 1)}
@@ -62,6 +79,11 @@
 }
 
 func (s *session) acquire(ctx context.Context) bool {
+	select {
+	case s.slots <- struct{}{}:
+		return true
+	default:
+	}
 	select {
 	case s.slots <- struct{}{}:
 		return true
@@ -75,7 +97,7 @@
 // wakeSession continues the polling of a worker whose ended runs were stored.
 func (c *Conductor) wakeSession(worker string) {
 	c.sched.SessionOf(worker, func(q scheduler.Session) {
-		if s := c.sessions[sessionKey(worker, q.Born)]; s != nil {
+		if s := c.sessions[sessionKey{worker, q.Born}]; s != nil {
 			select {
 			case s.wake <- struct{}{}:
 			default:
@@ -86,35 +108,39 @@
 
 // updateSessions starts polling the workers that have to be polled (see
 // scheduler.Session.Busy), those with runs first. It drops the sessions of workers that
-// are gone.
+// are gone. Workers that only a batch concerns are updated by updateSession.
 func (c *Conductor) updateSessions() {
-	live := map[string]bool{}
 	var withoutRuns []scheduler.Session
 	c.sched.Sessions(func(q scheduler.Session) {
-		k := sessionKey(q.Worker, q.Born)
-		live[k] = true
-		if !q.Busy || q.Address == "" {
-			return
-		}
-		s := c.session(q.Worker, q.Born)
-		switch {
-		case s.polling:
-		case q.Idle:
+		if q.Idle && q.Busy {
 			withoutRuns = append(withoutRuns, q)
-		default:
-			c.startPolling(s, q.Inherited)
+			return
 		}
+		c.updateSession(q)
 	})
 	for _, q := range withoutRuns {
-		c.startPolling(c.session(q.Worker, q.Born), q.Inherited)
+		c.updateSession(q)
 	}
 	for k, s := range c.sessions {
-		if !live[k] && !s.polling {
+		if s.polling {
+			continue
+		}
+		if _, known := c.sched.Session(k.worker, k.born); !known {
 			delete(c.sessions, k)
 		}
 	}
 }
 
+// updateSession starts polling a worker if it has to be polled and is not.
+func (c *Conductor) updateSession(q scheduler.Session) {
+	if !q.Busy || q.Address == "" {
+		return
+	}
+	if s := c.session(q.Worker, q.Born); !s.polling {
+		c.startPolling(s, q.Inherited)
+	}
+}
+
 func (c *Conductor) startPolling(s *session, inherited bool) {
 	s.polling = true
 	if inherited {
@@ -125,7 +151,7 @@
 	c.group.Add(1)
 	go func() {
 		defer c.group.Done()
-		c.pollWhileBusy(s)
+		c.pollWhileDue(s, c.nextPoll(s))
 	}()
 }
 
@@ -139,108 +165,123 @@
 		c.group.Add(1)
 		go func() {
 			defer c.group.Done()
-			q, busy, _ := c.nextPoll(s)
-			if busy {
-				c.poll(q)
+			n := c.nextPoll(s)
+			if n.due {
+				n, _ = c.poll(s, n.request)
 			}
 			c.post(func() {
 				c.firstPolls--
 				c.startFirstPolls()
 			})
-			if busy {
-				c.pollWhileBusy(s)
-			}
+			c.pollWhileDue(s, n)
 		}()
 	}
 }
 
-// pollWhileBusy polls a worker until it needn't be polled any more (see
+// pollWhileDue polls a worker until it needn't be polled any more (see
 // scheduler.Session.Busy).
-func (c *Conductor) pollWhileBusy(s *session) {
-	for {
-		q, busy, blocked := c.nextPoll(s)
-		switch {
-		case !busy:
-			return
-		case blocked:
+func (c *Conductor) pollWhileDue(s *session, n nextPoll) {
+	for n.due {
+		blocked := n.blocked
+		if blocked {
 			s.awaitStored(c.ctx)
-			if q, busy, blocked = c.nextPoll(s); !busy {
+			if n = c.nextPoll(s); !n.due {
 				return
 			}
-			if blocked {
-				q.Wait = 0
+			if blocked = n.blocked; blocked {
+				n.request.Wait = 0
 			}
 		}
-		if !c.poll(q) {
+		var answered bool
+		switch n, answered = c.poll(s, n.request); {
+		case !answered:
 			recorder.Sleep(c.ctx, pollRetryDelay)
-		} else if blocked {
+			n = c.nextPoll(s)
+		case blocked:
 			recorder.Sleep(c.ctx, ackWait)
+			n = c.nextPoll(s)
 		}
 	}
 }
 
 // awaitStored waits until the worker's ended runs are stored, at most for ackWait.
 func (s *session) awaitStored(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, ackWait.Duration())
-	defer cancel()
+	t := time.NewTimer(ackWait.Duration())
+	defer t.Stop()
 	select {
 	case <-s.wake:
+	case <-t.C:
 	case <-ctx.Done():
 	}
 }
 
-// nextPoll returns the next poll of a worker, whether to go on polling, and whether ended
-// runs of the worker are not stored yet and therefore can't be acknowledged.
-func (c *Conductor) nextPoll(s *session) (request PollRequest, keepPolling, unacknowledged bool) {
-	var q PollRequest
-	var busy, blocked bool
-	if !c.call(func() {
-		n, known := c.sched.Session(s.worker, s.born)
-		if !known || !n.Busy {
-			s.polling = false
-			return
-		}
-		busy, blocked = true, n.Blocked
-		q = PollRequest{Worker: s.worker, Address: n.Address, Born: s.born, Acked: n.Acked, Wait: pollWait}
-		margin := pollMargin
-		switch {
-		case n.Idle, n.Inherited, n.Silent:
-			// The worker answers at once. Idle: it has no run whose end it could wait for.
-			// Inherited: its runs are not known until it reports. Silent: its lease is
-			// extended only by the poll after the first one that it answers again.
-			q.Wait = 0
-		case n.ServingWithFillers:
-			q.Wait = colocatedPollWait
-		}
-		if n.Silent {
-			margin = silentPollMargin
-		}
-		q.Timeout = q.Wait + margin
-		q.Deadline, _ = c.leaseDeadline(s.worker, s.born)
-	}) {
-		return PollRequest{}, false, false
+// nextPoll returns the next poll of a worker. It is not due if the term is over.
+func (c *Conductor) nextPoll(s *session) nextPoll {
+	var n nextPoll
+	if !c.call(func() { n = c.planPoll(s) }) {
+		return nextPoll{}
+	}
+	return n
+}
+
+// planPoll returns the next poll of a worker, and ends its polling if none is due. It runs on the
+// scheduler's goroutine.
+func (c *Conductor) planPoll(s *session) nextPoll {
+	n, known := c.sched.Session(s.worker, s.born)
+	if !known || !n.Busy {
+		s.polling = false
+		return nextPoll{}
 	}
-	return q, busy, blocked
+	q := PollRequest{Worker: s.worker, Address: n.Address, Born: s.born, Acked: n.Acked, Wait: pollWait}
+	margin := pollMargin
+	switch {
+	case n.Idle, n.Inherited, n.Silent:
+		// The worker answers at once. Idle: it has no run whose end it could wait for.
+		// Inherited: its runs are not known until it reports. Silent: its lease is
+		// extended only by the poll after the first one that it answers again.
+		q.Wait = 0
+	case n.ServingWithFillers:
+		q.Wait = colocatedPollWait
+	}
+	if n.Silent {
+		margin = silentPollMargin
+	}
+	q.Timeout = q.Wait + margin + c.pollExtension()
+	q.Deadline, _ = c.leaseDeadline(s.worker, s.born)
+	return nextPoll{request: q, due: true, blocked: n.Blocked}
 }
 
-// poll polls the worker once and reports whether it answered.
-func (c *Conductor) poll(q PollRequest) bool {
-	sent := c.now()
+// poll polls the worker once. It returns the next poll, and whether the worker answered.
+func (c *Conductor) poll(s *session, q PollRequest) (nextPoll, bool) {
+	sent, lost := c.now(), c.timekeeper.Lost()
 	r, out := c.fleet.Poll(c.ctx, q, c.epoch)
 	c.metrics.Poll(c.now() - sent)
 	r.Worker, r.Sent = q.Worker, sent
-	c.call(func() {
-		switch out {
-		case scheduler.Done:
-			c.sched.AckDelivered(q.Worker, q.Born, q.Acked)
-			c.sched.Report(r)
-		case scheduler.Fenced:
-			c.end("a worker has seen a newer leader's epoch", logger.String("worker", q.Worker))
-		case scheduler.WorkerRestarted:
-			c.sched.WorkerReplaced(q.Worker, q.Address, q.Born, r.Born)
-		default:
-			c.sched.CallFailed(q.Worker, q.Born, out == scheduler.ConnectionRefused)
+	var n nextPoll
+	if !c.call(func() {
+		c.applyPoll(q, r, out, c.timekeeper.Lost()-lost > (q.Timeout-q.Wait)/2)
+		n = c.planPoll(s)
+	}) {
+		return nextPoll{}, false
+	}
+	return n, out == scheduler.Done
+}
+
+// applyPoll passes the outcome of a poll to the scheduler, or ends the term if the worker rejected
+// its epoch. A missing answer says nothing of the worker if this process was delayed meanwhile.
+func (c *Conductor) applyPoll(q PollRequest, r scheduler.Report, out scheduler.Outcome, delayed bool) {
+	switch out {
+	case scheduler.Done:
+		c.sched.AckDelivered(q.Worker, q.Born, q.Acked)
+		c.sched.Report(r)
+	case scheduler.Fenced:
+		c.end("a worker has seen a newer leader's epoch", logger.String("worker", q.Worker))
+	case scheduler.WorkerRestarted:
+		c.sched.WorkerReplaced(q.Worker, q.Address, q.Born, r.Born)
+	default:
+		if delayed && out != scheduler.ConnectionRefused {
+			return
 		}
-	})
-	return out == scheduler.Done
+		c.sched.CallFailed(q.Worker, q.Born, out == scheduler.ConnectionRefused)
+	}
 }
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -110,7 +110,7 @@
 	f := recorder.Follow(s, topic, recorder.PollTiming{Wait: readWait}, recorder.Callbacks{
 		Reset:  func(m map[string][]byte) { e.observe(m[Key]) },
 		Change: func(items []recorder.Item) { e.observe(items[len(items)-1].Value) },
-		Read:   func(clock.Millis) { e.mu.Lock(); e.monitor.ReadSucceeded(e.now()); e.mu.Unlock() },
+		Read:   func(_, _ clock.Millis) { e.mu.Lock(); e.monitor.ReadSucceeded(e.now()); e.mu.Unlock() },
 		Failed: func(error) { e.mu.Lock(); e.monitor.ReadFailed(); e.mu.Unlock() },
 	})
 	e.group.Add(1)
--- a/imitator/pool.go
+++ b/imitator/pool.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"galenawharf.example/galenawharf/clock"
 	"galenawharf.example/galenawharf/conductor"
 	"galenawharf.example/galenawharf/recorder"
@@ -85,18 +87,23 @@
 func (p *Pool) Register(l *KeyedLog) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for id, w := range p.workers {
+	for _, w := range p.workers {
 		i := w.info
 		i.Clock = w.clock()
-		b, err := json.Marshal(i)
-		if err != nil {
-			p.ledger.violate("%v", err)
-			continue
-		}
-		l.Put("servers", recorder.Item{Key: id, Value: b})
+		l.Put("servers", EncodeEntry(i))
 	}
 }
 
+// EncodeEntry returns the registry entry of a worker.
+func EncodeEntry(i scheduler.WorkerInfo) recorder.Item {
+	b, err := json.Marshal(i)
+	if err != nil {
+		// All fields are plain values, so this is a programming error.
+		panic(errors.Wrap(err, "imitator.EncodeEntry"))
+	}
+	return recorder.Item{Key: i.ID, Value: b}
+}
+
 // DecodeEntry decodes a registry entry as Register writes it, and reports whether it is
 // valid.
 func DecodeEntry(i recorder.Item) (scheduler.WorkerInfo, bool) {
--- a/measurer/names.go
+++ b/measurer/names.go
@@ -67,6 +67,8 @@
 	// SilentWorkers is the number of workers that do not answer the leader's polls. Only
 	// the leader reports it.
 	SilentWorkers Gauge = "silent_workers"
+	// ProcessDelay is how late the leader's scheduler got its last turn, in seconds.
+	ProcessDelay Gauge = "process_delay_seconds"
 	// ConfigVersion is the version of the configuration in force.
 	ConfigVersion Gauge = "config_version"
 	// ReadyGauge is 1 while the daemon is ready to serve requests, 0 otherwise.
@@ -101,6 +103,6 @@
 	// counters doesn't contain Results, which has a counter for each result code.
 	counters = []Counter{Appends, AppendedBytes, ReadBytes, LogErrors, CorruptRecords, PeerErrors, Orders, OrderErrors, Starts, Evictions,
 		RequestsServed, RequestsUnknown, RequestsInvalid, RequestsRefused, RequestsUnclear, OrdersUnclear, WorkerPolls, Terms}
-	gauges = []Gauge{OwnedShards, RunningTasks, WaitingTasks, ConfigOffset, ReadyGauge, InFlight, Leading, QueuedJobs, ActiveJobs, SilentWorkers, ConfigVersion}
+	gauges = []Gauge{OwnedShards, RunningTasks, WaitingTasks, ConfigOffset, ReadyGauge, InFlight, Leading, QueuedJobs, ActiveJobs, SilentWorkers, ProcessDelay, ConfigVersion}
 	timers = []Timer{CheckTime, OrderTime, AppendTime, RequestTime, FirstStartTime, WorkerPollTime, StepTime}
 )
--- a/recorder/follower.go
+++ b/recorder/follower.go
@@ -24,8 +24,9 @@
 		Change func([]Item)
 		// Read is called after each successful read, also one without new items. delay is
 		// how long the answer took beyond the wait for items; it is 0 if there were
-		// items, because then it is not known.
-		Read func(delay clock.Millis)
+		// items, because then it is not known. age is how long ago the topic was certainly
+		// as the callbacks have shown it.
+		Read func(delay, age clock.Millis)
 		// Failed is called after each read that failed.
 		Failed func(error)
 	}
@@ -73,18 +74,19 @@
 // follow loads the topic and then reads on from its end. It returns an error if the topic
 // has to be loaded again.
 func follow(ctx context.Context, s Store, topic string, p PollTiming, w Callbacks) error {
+	now := clock.NewSteady()
+	sent := now()
 	items, from, err := Load(ctx, s, topic)
 	if err != nil {
 		return err
 	}
 	w.Reset(items)
-	w.Read(0)
-	now := clock.NewSteady()
+	w.Read(0, now()-sent)
 	for {
 		if p.Pause > 0 && !Sleep(ctx, p.Pause) {
 			return ctx.Err()
 		}
-		sent := now()
+		sent = now()
 		found, end, err := read(ctx, s, topic, from, p.Wait)
 		delay := now() - sent - p.Wait
 		switch {
@@ -102,11 +104,12 @@
 			// The topic was emptied.
 			return ErrTrimmed
 		}
+		age := max(delay, 0)
 		if len(found) > 0 {
 			w.Change(found)
-			delay = 0
+			delay, age = 0, now()-sent
 		}
-		w.Read(max(delay, 0))
+		w.Read(max(delay, 0), age)
 		from = end
 	}
 }
--- a/runner/metrics.go
+++ b/runner/metrics.go
@@ -57,6 +57,7 @@
 			r.metrics.Add(measurer.Appends, 1)
 			r.metrics.Record(measurer.AppendTime, took.Duration())
 		},
+		Delay: func(late clock.Millis) { r.metrics.Set(measurer.ProcessDelay, late.Duration().Seconds()) },
 		Totals: func(queued, active, silent int) {
 			r.metrics.Set(measurer.QueuedJobs, float64(queued))
 			r.metrics.Set(measurer.ActiveJobs, float64(active))
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -51,9 +51,11 @@
 		// lastStoreRead is when the store last answered a read in time, in ms, 0 if the
 		// latest one failed or was slow.
 		lastStoreRead atomic.Int64
-		waves         atomic.Pointer[[]scheduler.Wave]
-		leaving       atomic.Bool
-		servers       []*http.Server
+		// operatorReadAt is when the operator's records were certainly as they are known here.
+		operatorReadAt atomic.Int64
+		waves          atomic.Pointer[[]scheduler.Wave]
+		leaving        atomic.Bool
+		servers        []*http.Server
 	}
 )
 
@@ -136,8 +138,9 @@
 			}
 			r.applyOperatorItems()
 		},
-		Read: func(delay clock.Millis) {
+		Read: func(delay, age clock.Millis) {
 			at := r.now()
+			r.operatorReadAt.Store(int64(at - age))
 			if delay > slowStoreDelay {
 				at = 0
 			}
@@ -248,7 +251,8 @@
 	}
 	c, err := conductor.New(ctx, conductor.Term{Epoch: t.Epoch, PredecessorStopped: t.PredecessorStopped, LastRenewal: t.LastRenewal},
 		r.store, r.workers.Fleet(), s, lease, platform.DecodeWorker,
-		conductor.WithClock(r.now), conductor.WithMetrics(r.conductorMetrics()), conductor.WithEvents(r.log.Emit), conductor.WithCloud(cloud))
+		conductor.WithClock(r.now), conductor.WithMetrics(r.conductorMetrics()), conductor.WithEvents(r.log.Emit), conductor.WithCloud(cloud),
+		conductor.WithOperatorRead(func() clock.Millis { return clock.Millis(r.operatorReadAt.Load()) }))
 	if err != nil {
 		r.log.Emit(logger.TermEnded, logger.Int("epoch", t.Epoch), logger.String("reason", err.Error()))
 		return
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -89,6 +89,11 @@
 	NoTicket
 	// Rejected: the worker rejected the order as malformed.
 	Rejected
+	// Unheard: there was no answer, but the daemon itself was delayed meanwhile, so that this
+	// says nothing of the worker. Otherwise as Unclear.
+	Unheard
+	// Withheld: the daemon has not sent the order, for a reason of its own.
+	Withheld
 	// Superseded: the order was not sent, because its run was released or stopped while the
 	// order was queued.
 	Superseded
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 
 	"galenawharf.example/galenawharf/clock"
@@ -132,11 +131,6 @@
 	return ws
 }
 
-// sortedWorkers returns the workers ordered by ID, so that decisions are deterministic.
-func (s *Scheduler) sortedWorkers() []*worker {
-	return slices.SortedFunc(maps.Values(s.workers), func(a, b *worker) int { return cmp.Compare(a.info.ID, b.info.ID) })
-}
-
 // placeDemand places the tasks of a demand. It returns the workers that remain available
 // to the next demands: all of ws, except one that it reserved.
 func (s *Scheduler) placeDemand(d demand, ws []*worker, now clock.Millis) []*worker {
--- a/scheduler/record.go
+++ b/scheduler/record.go
@@ -148,7 +148,7 @@
 	w := s.workers[r.Worker]
 	if w == nil {
 		w = &worker{info: WorkerInfo{ID: r.Worker, Born: r.Born}}
-		s.workers[r.Worker] = w
+		s.setWorker(r.Worker, w)
 	}
 	now := s.now()
 	if w.info.Born < r.Born {
--- a/scheduler/reporting.go
+++ b/scheduler/reporting.go
@@ -45,7 +45,7 @@
 	}
 	if w == nil {
 		w = &worker{}
-		s.workers[i.ID] = w
+		s.setWorker(i.ID, w)
 	}
 	if now := s.now(); i.Clock >= w.leastClock(now) {
 		w.clockReading, w.clockReadAt = i.Clock, now
@@ -70,7 +70,7 @@
 func (s *Scheduler) dropWorker(w *worker, reason string) {
 	s.emit(logger.WorkerGone, logger.String("worker", w.info.ID), logger.Int("born", w.info.Born), logger.String("reason", reason), logger.Int("runs", int64(len(w.tasks))))
 	s.abandonRuns(w, reason)
-	delete(s.workers, w.info.ID)
+	s.deleteWorker(w.info.ID)
 }
 
 // abandonRuns releases the tasks of a worker whose runs are over without a report of their
@@ -122,7 +122,7 @@
 	for k := range n.doubtful {
 		n.doubtful[k].stopInFlight = false
 	}
-	s.workers[i.ID] = n
+	s.setWorker(i.ID, n)
 	for _, t := range slices.Clone(w.tasks) {
 		w.removeTask(t)
 		t.worker = n
@@ -314,6 +314,7 @@
 	switch out {
 	case Superseded:
 		return
+	case Unheard, Withheld:
 	case Unclear, NotSent, ConnectionRefused:
 		s.markSilent(w, out == ConnectionRefused)
 	default:
@@ -361,9 +362,13 @@
 		s.withdraw(t)
 	case Obsolete:
 		t.unresolvedSince = now
-	case Unclear:
+	case Unclear, Unheard:
 		// The order is sent again after the next report.
 		t.unclear = true
+	case Withheld:
+		if !t.unclear {
+			s.withdraw(t)
+		}
 	case Late, Fenced:
 		// The order is sent again after the next report.
 	}
@@ -392,7 +397,7 @@
 }
 
 func (s *Scheduler) markSilent(w *worker, connRefused bool) {
-	w.connRefused = connRefused
+	w.connRefused, w.failedCallAt = connRefused, s.now()
 	if w.silentSince == 0 {
 		w.silentSince = s.now()
 		s.emit(logger.WorkerSilent, logger.String("worker", w.info.ID))
@@ -439,6 +444,10 @@
 		if (w.silentSince == 0 && known) || now < w.leaseEnd {
 			continue
 		}
+		if w.silentSince != 0 && known && w.failedCallAt < s.delayedAt {
+			// It may have answered while this daemon was delayed.
+			continue
+		}
 		if w.silentSince != 0 || w.unreconciled {
 			if !w.leaseExpired && len(w.tasks) > 0 {
 				s.emit(logger.WorkerLost, logger.String("worker", w.info.ID), logger.Int("runs", int64(len(w.tasks))))
@@ -450,7 +459,7 @@
 			s.abandonRuns(w, "its lease has expired")
 		}
 		if !known && len(w.tasks) == 0 && (len(w.doubtful) == 0 || now >= w.leaseEnd+maxOrderDelay) {
-			delete(s.workers, id)
+			s.deleteWorker(id)
 		}
 	}
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -40,6 +40,8 @@
 		jobs    map[string]*job
 		active  map[*job]struct{}
 		workers map[string]*worker
+		// workersByID are the workers ordered by ID, nil after a change of workers.
+		workersByID []*worker
 		// evacuatedDataCentres are the data centres where nothing may start.
 		evacuatedDataCentres map[string]bool
 		// sensitivities are keyed by the image of the serving tasks. periodSelector is
@@ -72,6 +74,8 @@
 		// consultations are the requests to the policy service that the last round of
 		// placing queued, the most urgent first.
 		consultations []Consultation
+		// delayedAt is when the daemon was last delayed, 0 if it was not.
+		delayedAt clock.Millis
 		// upkeepLength is how long a machine is down for its upkeep.
 		upkeepLength clock.Millis
 		waves        map[string]*wave
@@ -287,6 +291,17 @@
 	}
 }
 
+// NoteDelay must be called when the daemon was delayed. Workers that are silent then have to miss
+// another call before their runs are given up.
+func (s *Scheduler) NoteDelay() { s.delayedAt = s.now() }
+
+// MayStart reports whether a run may still be started on the worker of an order: the worker is
+// known not to leave, and its data centre is not evacuated.
+func (s *Scheduler) MayStart(o Order) bool {
+	w := s.workers[o.Worker]
+	return w != nil && w.info.Born == o.Born && !w.info.Draining && !s.evacuatedDataCentres[w.info.DataCentre]
+}
+
 // Sweep does the periodic work: it creates due occurrences, drops ended jobs after their
 // retention, stops stalled runs and runs on draining workers so that they start
 // elsewhere, abandons the runs of workers whose lease has expired, and adjusts the paces
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -53,6 +53,8 @@
 		leaseExpired bool
 		// silentSince is when calls began to fail; 0 while they succeed.
 		silentSince clock.Millis
+		// failedCallAt is when a call last failed.
+		failedCallAt clock.Millis
 		// connRefused is whether the last call found nothing listening at the worker's
 		// address.
 		connRefused bool
