platform, conductor, scheduler: work is taken on by how fast the host gets it done

Cause: a leader with too little processor time accepted all jobs and placed hundreds of starts at once, which were sent seconds later, while polls and renewals waited behind them. Change: package regulator. The starts of a round are limited to what the host sends in 150 ms, as measured; while they are limited, a job whose tasks can't be started within its objective is refused at once, with the time after which they could. Rounds of placing follow each other by their cost, and read the clock once.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -12,6 +12,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 
 	"github.com/pkg/errors"
 
@@ -19,6 +20,7 @@
 	"galenawharf.example/galenawharf/depositor"
 	"galenawharf.example/galenawharf/logger"
 	"galenawharf.example/galenawharf/recorder"
+	"galenawharf.example/galenawharf/regulator"
 	"galenawharf.example/galenawharf/scheduler"
 	"galenawharf.example/galenawharf/timekeeper"
 )
@@ -64,6 +66,12 @@
 		// certainly as they are known here, operatorRead returns it for the operator's records.
 		lastDepositRead, lastRegistryRead clock.Millis
 		operatorRead                      func() clock.Millis
+		// regulator limits the work that is taken on.
+		regulator *regulator.Regulator
+		// unsentStarts is the number of starts whose goroutine has not begun.
+		unsentStarts atomic.Int64
+		// roundGap is the time from the last batch to the next round of placing.
+		roundGap clock.Millis
 		// timekeeper measures the delay of the scheduler's goroutine.
 		timekeeper *timekeeper.Timekeeper
 		// delayed is whether the delay was logged and its end was not.
@@ -153,7 +161,7 @@
 	for _, o := range opts {
 		o(c)
 	}
-	c.timekeeper = timekeeper.New(sweepInterval, c.now)
+	c.timekeeper, c.regulator, c.roundGap = timekeeper.New(sweepInterval, c.now), regulator.New(c.now), flushInterval
 	c.ctx, c.cancel = context.WithCancel(ctx)
 	if err := c.load(t); err != nil {
 		c.cancel()
--- a/conductor/loop.go
+++ b/conductor/loop.go
@@ -66,21 +66,21 @@
 // consultations, and a batch if none is pending and flushInterval has passed.
 func (c *Conductor) dispatch() {
 	for _, o := range c.sched.TakeImmediateOrders() {
-		c.sendOrder(o)
+		c.sendOrder(o, func() {})
 	}
 	c.assignConsultations()
 	if c.pendingBatch != nil {
 		return
 	}
-	if gap := c.now() - c.lastFlush; gap < flushInterval {
-		c.scheduleFlush(flushInterval - gap)
+	began := c.now()
+	if gap := began - c.lastFlush; gap < c.roundGap {
+		c.scheduleFlush(c.roundGap - gap)
 		return
 	}
-	if c.now() <= c.startsUntil() {
-		c.sched.Place()
-	}
+	c.place(began)
 	c.assignConsultations()
 	b := c.sched.TakeBatch()
+	c.roundGap = nextRoundGap(c.now() - began)
 	if b == nil {
 		return
 	}
@@ -165,9 +165,7 @@
 // to wait until the batch was stored.
 func (c *Conductor) batchStored(b *scheduler.Batch) {
 	c.sched.Stored(b)
-	for _, o := range b.Orders {
-		c.sendOrder(o)
-	}
+	c.sendBatch(b.Orders)
 	for id := range b.Acks {
 		c.wakeSession(id)
 		c.sched.SessionOf(id, c.updateSession)
@@ -203,13 +201,15 @@
 }
 
 // sendOrder sends an order from a goroutine of its own. The start of a task is withheld if this
-// daemon may not extend leases, or what it knows is too old.
-func (c *Conductor) sendOrder(o scheduler.Order) {
+// daemon may not extend leases, or what it knows is too old. sending is called when the order is
+// about to be sent, or will not be.
+func (c *Conductor) sendOrder(o scheduler.Order, sending func()) {
 	until := clock.Never
 	if o.Kind == scheduler.Start {
 		var ok bool
 		if o.Deadline, ok = c.leaseDeadline(o.Worker, o.Born); !ok || !c.sched.MayStart(o) {
 			c.sched.OrderAnswered(o, scheduler.Withheld)
+			sending()
 			return
 		}
 		until = c.startsUntil()
@@ -218,6 +218,7 @@
 	c.group.Add(1)
 	go func() {
 		defer c.group.Done()
+		sending()
 		queued := c.now()
 		if !s.acquire(c.ctx) {
 			return
--- a/conductor/requests.go
+++ b/conductor/requests.go
@@ -41,13 +41,44 @@
 	ErrUnclear = errors.New("storing the change timed out, it may be stored later")
 )
 
-// Submit accepts a job and returns when it is stored. The error is ErrStoreUnavailable if
-// the job will not run, that of scheduler.Submit for an invalid job, or ErrTermEnded or
+// OverloadError is returned for a job that was not accepted and will not run, because this daemon
+// could not start its tasks in time.
+type OverloadError struct{ retryAfter clock.Millis }
+
+// RetryAfter returns the time after which the tasks could be started in time.
+func (e OverloadError) RetryAfter() clock.Millis { return e.retryAfter }
+
+// Error returns the reason of the refusal.
+func (e OverloadError) Error() string {
+	return "more tasks are waiting than this leader can start in time"
+}
+
+// admit reports whether a new job is accepted, or after which time it would be. Jobs that last are
+// always accepted: they are few, and their tasks are started before all others.
+func (c *Conductor) admit(s *scheduler.Spec) (clock.Millis, bool) {
+	tasks, lasts := 0, false
+	for i := range s.Steps {
+		tasks += s.Steps[i].Count
+		lasts = lasts || s.Steps[i].LongRunning
+	}
+	if lasts || s.Repeat > 0 {
+		return 0, true
+	}
+	return c.regulator.Admit(func() int { return c.sched.Waiting() + tasks }, s.Objective())
+}
+
+// Submit accepts a job and returns when it is stored. The error is ErrStoreUnavailable or an
+// OverloadError if the job will not run, that of scheduler.Submit for an invalid job, or ErrTermEnded or
 // ErrUnclear if the outcome is unknown.
 func (c *Conductor) Submit(ctx context.Context, s scheduler.Spec) error {
 	return c.awaitStored(ctx, func(stored func(error)) error {
-		if c.storeUnavailable() && !c.sched.HasJob(s.ID) {
-			return ErrStoreUnavailable
+		if !c.sched.HasJob(s.ID) {
+			if c.storeUnavailable() {
+				return ErrStoreUnavailable
+			}
+			if after, ok := c.admit(&s); !ok {
+				return OverloadError{after}
+			}
 		}
 		return c.sched.Submit(s, stored)
 	})
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -64,10 +64,11 @@
 // instead, where this leader or the next one picks it up.
 func (f *Forwarder) Serve(ctx context.Context, q Request) Reply {
 	r := f.askLeader(ctx, q)
-	if q.Verb != Submit || r.Outcome != Refused && r.Outcome != Unclear || r.StoreUnavailable {
+	if q.Verb != Submit || r.Outcome != Refused && r.Outcome != Unclear || r.StoreUnavailable || r.Overloaded {
 		// Only submissions can be deposited. If the leader refused because the store
 		// doesn't answer, the caller gets this definite refusal: a deposit would likely
-		// time out too, with an unclear outcome.
+		// time out too, with an unclear outcome. An overloaded leader could not start a
+		// deposited job in time either.
 		return r
 	}
 	switch err := f.deposit(ctx, q.Spec); {
@@ -141,6 +142,7 @@
 // replyOf maps the error of a request to a reply; it returns r if err is nil. Errors
 // that leave open whether a change was stored become Unclear, never Refused.
 func replyOf(err error, v Verb, r Reply) Reply {
+	var overload conductor.OverloadError
 	switch {
 	case err == nil:
 		return r
@@ -150,6 +152,8 @@
 		r := refusal(err.Error())
 		r.StoreUnavailable = true
 		return r
+	case errors.As(err, &overload):
+		return Reply{Outcome: Refused, RetryAfter: overload.RetryAfter(), Error: err.Error(), Overloaded: true}
 	case errors.Is(err, conductor.ErrUnconfirmed), errors.Is(err, conductor.ErrDepositsStale):
 		return refusal(err.Error())
 	case errors.Is(err, conductor.ErrTermEnded) && v.readOnly():
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -37,6 +37,8 @@
 		Error      string       `json:"error,omitempty"`
 		// StoreUnavailable is set if the leader refused because the store doesn't answer it.
 		StoreUnavailable bool `json:"store-away,omitempty"`
+		// Overloaded is set if the leader refused because it could not start the job in time.
+		Overloaded bool `json:"overloaded,omitempty"`
 		// Leader is the newest claim known to the daemon; only set with NotLeading.
 		Leader *elector.Claim `json:"leader,omitempty"`
 	}
--- /dev/null
+++ b/regulator/regulator_test.go
@@ -0,0 +1,73 @@
+package regulator
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"galenawharf.example/galenawharf/clock"
+)
+
+func TestStartLimit(t *testing.T) {
+	type burst struct {
+		n    int
+		took clock.Millis
+	}
+	tests := map[string]struct {
+		bursts []burst
+		want   int
+	}{
+		"nothing measured":            {want: maxBurst},
+		"a fast host":                 {bursts: []burst{{200, 4}, {300, 6}}, want: maxBurst},
+		"a few starts show nothing":   {bursts: []burst{{1, 300}, {3, 300}}, want: maxBurst},
+		"3 ms for a start":            {bursts: []burst{{100, 300}, {100, 300}, {100, 300}, {100, 300}, {100, 300}, {100, 300}, {100, 300}, {100, 300}}, want: 53},
+		"a host that does not get on": {bursts: []burst{{100, 60_000}, {100, 60_000}}, want: minBurst},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := New(clock.NewManual(1000).Now)
+			for _, b := range tt.bursts {
+				r.Sent(b.n, b.took)
+			}
+			must.Eq(t, tt.want, r.StartLimit())
+		})
+	}
+}
+
+func TestAdmit(t *testing.T) {
+	tests := map[string]struct {
+		// perSecond starts are sent in each of some seconds, limited or not.
+		perSecond int
+		limited   bool
+		// later is the time since then.
+		later    clock.Millis
+		waiting  int
+		patience clock.Millis
+		want     clock.Millis
+	}{
+		"not limited":          {perSecond: 100, waiting: 10_000, patience: 2000},
+		"started in time":      {perSecond: 100, limited: true, waiting: 150, patience: 2000},
+		"a little late":        {perSecond: 100, limited: true, waiting: 250, patience: 2000, want: minRetryAfter},
+		"seconds late":         {perSecond: 100, limited: true, waiting: 600, patience: 2000, want: 4000},
+		"far too many":         {perSecond: 100, limited: true, waiting: 60_000, patience: 2000, want: maxRetryAfter},
+		"limited a while ago":  {perSecond: 100, limited: true, later: 10_000, waiting: 600, patience: 2000},
+		"a host that is stuck": {perSecond: 0, limited: true, waiting: 600, patience: 2000},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := clock.NewManual(1000)
+			r := New(c.Now)
+			for range 50 {
+				if tt.limited {
+					r.Limited()
+				}
+				r.Sent(tt.perSecond/10, 100)
+				c.Advance(100)
+			}
+			c.Advance(tt.later)
+			after, ok := r.Admit(func() int { return tt.waiting }, tt.patience)
+			must.Eq(t, tt.want, after)
+			must.Eq(t, tt.want == 0, ok)
+		})
+	}
+}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -105,7 +105,7 @@
 	r := &Runner{
 		log: l, metrics: measurer.New(s.Host(), s.DataCentre()), now: clock.NewSteady(), operatorItems: map[string][]byte{},
 		store:       platform.NewStore(s.StoreAddress(), platform.NewClient(storeConnections)).Seam(),
-		workers:     platform.NewWorkers(s.Descriptors()),
+		workers:     platform.NewWorkers(s.Descriptors(), platform.WithWorkerEvents(l.Emit)),
 		cloudClient: platform.NewClient(cloudConnections),
 	}
 	r.state = fsm.NewFSM(stateStarting, fsm.Events{
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"galenawharf.example/galenawharf/clock"
@@ -32,14 +33,20 @@
 	maxCandidates = 64
 )
 
-// Place assigns workers to pending tasks in one round, the most urgent jobs first. The
-// runs start when the next batch is stored.
-func (s *Scheduler) Place() {
+// Place is PlaceUpTo without a limit.
+func (s *Scheduler) Place() { s.PlaceUpTo(math.MaxInt) }
+
+// PlaceUpTo assigns workers to pending tasks in one round, the most urgent jobs first. The
+// runs start when the next batch is stored. It stops after limit runs, or more if the last of them
+// belong to a gang, and reports whether it has stopped for that reason.
+func (s *Scheduler) PlaceUpTo(limit int) bool {
+	defer s.holdTime()()
 	now := s.now()
+	s.startsLeft = limit
 	s.consultations, s.fillersWaiting = nil, false
 	ds := s.demands(now)
 	if len(ds) == 0 {
-		return
+		return false
 	}
 	// Workers that are reserved for long-running tasks get no other tasks except fillers,
 	// which use no reserved processors.
@@ -48,6 +55,9 @@
 	s.racks = racksOf(workers)
 	var unplaced unplacedSet
 	for _, d := range ds {
+		if s.startsLeft <= 0 {
+			return true
+		}
 		if unplaced.covers(&d.occurrence.job.spec, d.step) {
 			continue
 		}
@@ -59,7 +69,7 @@
 		if !filler {
 			unreserved = remaining
 		}
-		if d.tasks[len(d.tasks)-1].state != pending {
+		if d.tasks[len(d.tasks)-1].state != pending || s.startsLeft <= 0 {
 			continue
 		}
 		s.fillersWaiting = s.fillersWaiting || filler
@@ -70,6 +80,39 @@
 			s.queueConsultation(d, remaining, now)
 		}
 	}
+	return s.startsLeft <= 0
+}
+
+// holdTime stops the scheduler's clock until the returned function is called, so that the decisions
+// of a round agree on the time and predictions for it are made once.
+func (s *Scheduler) holdTime() func() {
+	now, running := s.now(), s.now
+	s.now = func() clock.Millis { return now }
+	return func() { s.now = running }
+}
+
+// Waiting returns the number of tasks without a run that have to run before the jobs which end by
+// themselves have ended.
+func (s *Scheduler) Waiting() int {
+	n := 0
+	for j := range s.active {
+		if j.longRunning {
+			continue
+		}
+		for _, o := range j.occurrences {
+			for i, done := range o.done {
+				n += j.spec.Steps[i].Count - done
+			}
+		}
+	}
+	for _, w := range s.workers {
+		for _, t := range w.tasks {
+			if !t.job().longRunning {
+				n--
+			}
+		}
+	}
+	return max(n, 0)
 }
 
 // demands returns the steps with pending tasks, the most urgent first.
@@ -143,6 +186,9 @@
 		return ws
 	}
 	for _, t := range d.tasks {
+		if s.startsLeft <= 0 {
+			return ws
+		}
 		w := s.chooseWorker(t, ws)
 		if w == nil {
 			if step.LongRunning {
@@ -189,6 +235,7 @@
 // the next batch.
 func (s *Scheduler) assign(t *task, w *worker, now clock.Millis) {
 	t.attempt++
+	s.startsLeft--
 	w.removeTask(t)
 	t.state, t.worker, t.placedAt, t.pace = placed, w, now, 100
 	t.percent, t.progressedAt, t.stalled, t.confirmedAt, t.stopping, t.unresolvedSince = 0, now, false, 0, false, 0
--- a/scheduler/ranking.go
+++ b/scheduler/ranking.go
@@ -45,7 +45,7 @@
 	}
 	remaining, total, criticalPath := j.work()
 	if j.spec.Repeat == 0 && !j.longRunning {
-		objective := clock.Millis(j.spec.Queue.Slack*float64(criticalPath)) + j.spec.Queue.Target
+		objective := j.spec.Queue.objective(criticalPath)
 		switch age := s.wall() - j.acceptedAt; {
 		case age > uselessFactor*objective:
 			r.lateness = 2
@@ -64,10 +64,29 @@
 	return cmp.Or(cmp.Compare(r.priority, o.priority), cmp.Compare(r.finite, o.finite), cmp.Compare(r.lateness, o.lateness), cmp.Compare(r.workPerValue, o.workPerValue))
 }
 
+// Objective returns the objective for the time from the acceptance of the job to its end.
+func (s *Spec) Objective() clock.Millis { return s.Queue.objective(s.criticalPath()) }
+
+func (q *Queue) objective(criticalPath clock.Millis) clock.Millis {
+	return clock.Millis(q.Slack*float64(criticalPath)) + q.Target
+}
+
+// criticalPath returns the length of the longest chain of steps by their estimates.
+func (s *Spec) criticalPath() clock.Millis {
+	ends, longest := make([]clock.Millis, len(s.Steps)), clock.Millis(0)
+	for i := range s.Steps {
+		for _, a := range s.Steps[i].After {
+			ends[i] = max(ends[i], ends[a])
+		}
+		ends[i] += s.Steps[i].Estimate
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
 // work returns the remaining and the total declared work of a job in core-seconds, and
-// the length of its critical path by its estimates.
+// the length of its critical path.
 func (j *job) work() (remaining, total float64, criticalPath clock.Millis) {
-	ends := make([]clock.Millis, len(j.spec.Steps))
 	for i := range j.spec.Steps {
 		s := &j.spec.Steps[i]
 		each := float64(max(s.CPU, 1)) * float64(max(s.Estimate, 1)) / 1e6
@@ -76,13 +95,8 @@
 		for _, o := range j.occurrences {
 			remaining -= each * float64(o.done[i])
 		}
-		for _, a := range s.After {
-			ends[i] = max(ends[i], ends[a])
-		}
-		ends[i] += s.Estimate
-		criticalPath = max(criticalPath, ends[i])
 	}
-	return max(remaining, 0), total, criticalPath
+	return max(remaining, 0), total, j.spec.criticalPath()
 }
 
 // meanWork returns the mean work of a queue's jobs, or total if there is none yet.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -58,6 +58,8 @@
 		// searchOffset is the index of the first worker to consider for a task. It
 		// advances with each task to spread the load.
 		searchOffset int
+		// startsLeft is how many runs the current round of placing may still create.
+		startsLeft int
 		// modelsBatchedAt is when a batch last included the models.
 		modelsBatchedAt clock.Millis
 
