--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -70,8 +70,8 @@
 		regulator *regulator.Regulator
 		// unsentStarts is the number of starts whose goroutine has not begun.
 		unsentStarts atomic.Int64
-		// roundGap is the time from the last batch to the next round of placing.
-		roundGap clock.Millis
+		// nextRound is the earliest time of the next round of placing.
+		nextRound clock.Millis
 		// timekeeper measures the delay of the scheduler's goroutine.
 		timekeeper *timekeeper.Timekeeper
 		// delayed is whether the delay was logged and its end was not.
@@ -161,7 +161,7 @@
 	for _, o := range opts {
 		o(c)
 	}
-	c.timekeeper, c.regulator, c.roundGap = timekeeper.New(sweepInterval, c.now), regulator.New(c.now), flushInterval
+	c.timekeeper, c.regulator = timekeeper.New(sweepInterval, c.now), regulator.New(c.now)
 	c.ctx, c.cancel = context.WithCancel(ctx)
 	if err := c.load(t); err != nil {
 		c.cancel()
--- a/conductor/loop.go
+++ b/conductor/loop.go
@@ -72,15 +72,14 @@
 	if c.pendingBatch != nil {
 		return
 	}
-	began := c.now()
-	if gap := began - c.lastFlush; gap < c.roundGap {
-		c.scheduleFlush(c.roundGap - gap)
+	now := c.now()
+	if gap := now - c.lastFlush; gap < flushInterval {
+		c.scheduleFlush(flushInterval - gap)
 		return
 	}
-	c.place(began)
+	c.place(now)
 	c.assignConsultations()
 	b := c.sched.TakeBatch()
-	c.roundGap = nextRoundGap(c.now() - began)
 	if b == nil {
 		return
 	}
--- a/scheduler/ending.go
+++ b/scheduler/ending.go
@@ -51,6 +51,7 @@
 	if t.worker != nil {
 		t.markFillerLeft(s.now())
 		t.worker.removeTask(t)
+		s.searches.noteChange(t.worker)
 	}
 	t.worker, t.state, t.stopping, t.unresolvedSince, t.confirmedAt, t.overSince = nil, pending, false, 0, 0, 0
 	t.percent, t.cpuUse, t.tailLatency, t.modelledAt = 0, 0, 0, 0
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -57,6 +57,8 @@
 		steps  [][]*task
 		// done is the number of done tasks of each step.
 		done []int
+		// runs is the number of tasks of each step that have a run.
+		runs []int
 		// remaining is the number of steps that are not done.
 		remaining int
 		// admissions are the policy's decisions by step; only for queues with a policy.
@@ -117,7 +119,7 @@
 	if o := j.occurrences[k]; o != nil {
 		return o
 	}
-	o := &occurrence{job: j, number: k, done: make([]int, len(j.spec.Steps)), remaining: len(j.spec.Steps)}
+	o := &occurrence{job: j, number: k, done: make([]int, len(j.spec.Steps)), runs: make([]int, len(j.spec.Steps)), remaining: len(j.spec.Steps)}
 	for i := range j.spec.Steps {
 		tasks := make([]*task, j.spec.Steps[i].Count)
 		for n := range tasks {
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -30,7 +30,7 @@
 	quarantineTime = 3 * clock.Second
 	// maxCandidates bounds the suitable workers that are compared for a task that ends by
 	// itself and prefers no rack; the best of these is nearly as good as the best of all.
-	maxCandidates = 64
+	maxCandidates = 32
 )
 
 // Place is PlaceUpTo without a limit.
@@ -43,6 +43,7 @@
 	defer s.holdTime()()
 	now := s.now()
 	s.startsLeft = limit
+	s.round++
 	s.consultations, s.fillersWaiting = nil, false
 	ds := s.demands(now)
 	if len(ds) == 0 {
@@ -143,7 +144,7 @@
 }
 
 func (s *Scheduler) demandOf(o *occurrence, i int, now clock.Millis) (demand, bool) {
-	if o.done[i] == o.job.spec.Steps[i].Count || !o.ready(i) {
+	if o.done[i]+o.runs[i] >= o.job.spec.Steps[i].Count || !o.ready(i) {
 		return demand{}, false
 	}
 	d := demand{occurrence: o, step: i, due: o.job.due(o.number)}
@@ -169,6 +170,7 @@
 		if w.failures >= quarantineScore && now-w.failedAt < quarantineTime {
 			continue
 		}
+		w.availableIn = s.round
 		ws = append(ws, w)
 	}
 	return ws
@@ -228,6 +230,7 @@
 	if best < 0 {
 		return ws
 	}
+	ws[best].reservedIn = s.round
 	return slices.Delete(slices.Clone(ws), best, best+1)
 }
 
@@ -253,6 +256,21 @@
 
 // chooseWorker returns the best worker for a task, or nil if the task has to wait.
 func (s *Scheduler) chooseWorker(t *task, ws []*worker) *worker {
+	spec := &t.job().spec
+	if !spec.isCacheable(t.step) {
+		return s.bestWorker(t, ws)
+	}
+	k, size := requirementsOf(spec, t.step)
+	candidates, onlyChanged := s.searches.candidates(k, size, ws, s.now())
+	best := s.bestWorker(t, candidates)
+	if best == nil {
+		s.searches.noteFailure(k, size, onlyChanged, s.now())
+	}
+	return best
+}
+
+// bestWorker returns the best of the given workers for a task, or nil if none is suitable.
+func (s *Scheduler) bestWorker(t *task, ws []*worker) *worker {
 	var best *worker
 	var bestScore float64
 	step := t.spec()
@@ -260,7 +278,7 @@
 	s.searchOffset++
 	for i := range ws {
 		w := ws[(i+s.searchOffset)%len(ws)]
-		if !s.admitted(t, w) || !s.canRun(t, step, w, tolerance) {
+		if w.availableIn != s.round || w.reservedIn == s.round && !step.Filler || !s.admitted(t, w) || !s.canRun(t, step, w, tolerance) {
 			continue
 		}
 		if score := s.score(t, step, w); best == nil || score > bestScore {
--- a/scheduler/reporting.go
+++ b/scheduler/reporting.go
@@ -50,6 +50,9 @@
 	if now := s.now(); i.Clock >= w.leastClock(now) {
 		w.clockReading, w.clockReadAt = i.Clock, now
 	}
+	if !w.registered || w.info.Draining {
+		s.searches.noteChange(w)
+	}
 	w.info, w.registered = i, true
 	if i.Draining {
 		w.leavesAt = s.now() + i.Remaining
@@ -175,6 +178,7 @@
 	}
 	s.updateModels(w)
 	w.groupsValid = false
+	s.searches.noteChange(w)
 	// A full list does not show that a run is over: the next one may contain its end.
 	if len(r.Ended) < maxListedEnds {
 		for _, t := range slices.Clone(w.tasks) {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -55,6 +55,9 @@
 		meanWorkByQueue map[string]float64
 		// fillersWaiting is whether fillers found no room in the last round of placing.
 		fillersWaiting bool
+		// round is the number of the current round of placing.
+		round    int
+		searches searchCache
 		// searchOffset is the index of the first worker to consider for a task. It
 		// advances with each task to spread the load.
 		searchOffset int
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -76,6 +76,9 @@
 		leavesAt clock.Millis
 		// probedAt is when a quarantined worker last got a run.
 		probedAt clock.Millis
+		// availableIn and reservedIn are the last rounds of placing in which the worker could
+		// get a new run, and in which it was reserved for a long-running task.
+		availableIn, reservedIn int
 		// blockedUntil is the end of the backoff after a refused or failed start.
 		blockedUntil clock.Millis
 		// clockReading is a reading of the worker's clock that was received at clockReadAt;
@@ -132,6 +135,7 @@
 		return
 	}
 	w.tasks = append(w.tasks, t)
+	t.occurrence.runs[t.step]++
 	w.groupsValid = false
 	w.reserveResources(t, 1)
 }
@@ -142,6 +146,7 @@
 		return
 	}
 	w.tasks = slices.Delete(w.tasks, i, i+1)
+	t.occurrence.runs[t.step]--
 	w.groupsValid = false
 	w.reserveResources(t, -1)
 }
