--- a/soaker/fault.go
+++ b/soaker/fault.go
@@ -145,8 +145,4 @@
 	}
 }
 
-func (k *Soak) signalHosts(s syscall.Signal) {
-	for _, h := range k.hosts {
-		h.signal(s)
-	}
-}
+func (k *Soak) signalHosts(s syscall.Signal) { signalAll(k.hosts, s) }
--- a/soaker/injector.go
+++ b/soaker/injector.go
@@ -36,6 +36,7 @@
 	l := log.New(f, "", log.Lmicroseconds|log.LUTC)
 	var group sync.WaitGroup
 	deadline := time.Now().Add(k.settings.FaultDuration.Duration())
+	group.Go(func() { k.starveHosts(deadline, l) })
 	for time.Now().Before(deadline) {
 		for _, i := range k.random.Perm(len(faultKinds)) {
 			if !time.Now().Before(deadline) {
