regulator, conductor: the limit of starts follows their answers, and slow appends refuse jobs

Cause: on hosts whose link is the bottleneck (2 Mbit/s in the small twins of the grown deployments) orders leave the process at once and wait in the link, so that the limit never applied; jobs were accepted whose records took seconds to store. Change: the cost of a start is measured until 60% of its batch are answered, and what is unanswered counts; a new job is refused at once if the last append took half a second.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -68,8 +68,10 @@
 		operatorRead                      func() clock.Millis
 		// regulator limits the work that is taken on.
 		regulator *regulator.Regulator
-		// unsentStarts is the number of starts whose goroutine has not begun.
-		unsentStarts atomic.Int64
+		// startsInFlight is the number of orders of batches that are not answered.
+		startsInFlight atomic.Int64
+		// appendTime is how long the last append of a batch took, in ms.
+		appendTime atomic.Int64
 		// nextRound is the earliest time of the next round of placing.
 		nextRound clock.Millis
 		// timekeeper measures the delay of the scheduler's goroutine.
--- a/conductor/loop.go
+++ b/conductor/loop.go
@@ -132,6 +132,7 @@
 		sent := c.now()
 		err := c.writer.Append(c.ctx, chunk)
 		c.metrics.Append(c.now() - sent)
+		c.appendTime.Store(int64(c.now() - sent))
 		if err != nil {
 			c.end(err.Error())
 			return false
@@ -200,15 +201,15 @@
 }
 
 // sendOrder sends an order from a goroutine of its own. The start of a task is withheld if this
-// daemon may not extend leases, or what it knows is too old. sending is called when the order is
-// about to be sent, or will not be.
-func (c *Conductor) sendOrder(o scheduler.Order, sending func()) {
+// daemon may not extend leases, or what it knows is too old. done is called when the order was
+// answered or will not be.
+func (c *Conductor) sendOrder(o scheduler.Order, done func()) {
 	until := clock.Never
 	if o.Kind == scheduler.Start {
 		var ok bool
 		if o.Deadline, ok = c.leaseDeadline(o.Worker, o.Born); !ok || !c.sched.MayStart(o) {
 			c.sched.OrderAnswered(o, scheduler.Withheld)
-			sending()
+			done()
 			return
 		}
 		until = c.startsUntil()
@@ -217,7 +218,7 @@
 	c.group.Add(1)
 	go func() {
 		defer c.group.Done()
-		sending()
+		defer done()
 		queued := c.now()
 		if !s.acquire(c.ctx) {
 			return
--- a/conductor/requests.go
+++ b/conductor/requests.go
@@ -21,6 +21,11 @@
 	// maxDepositReadAge is the age of the last read of the deposits up to which a job may
 	// be reported as unknown: two long polls and the answer of a slow store.
 	maxDepositReadAge = 1400 * clock.Millis(1)
+	// slowAppend is the time of the last append from which new jobs are refused, since the caller
+	// would not wait for one of the next appends: half of changeTimeout.
+	slowAppend = changeTimeout / 2
+	// minRetryAfter is the time after which a caller returns who was refused for that.
+	minRetryAfter = clock.Second
 	// changeTimeout is how long a caller waits for a change to be stored. After that the
 	// outcome is unknown and the caller should send the request again.
 	changeTimeout = clock.Second
@@ -42,7 +47,7 @@
 )
 
 // OverloadError is returned for a job that was not accepted and will not run, because this daemon
-// could not start its tasks in time.
+// could not store it or start its tasks in time.
 type OverloadError struct{ retryAfter clock.Millis }
 
 // RetryAfter returns the time after which the tasks could be started in time.
@@ -50,7 +55,7 @@
 
 // Error returns the reason of the refusal.
 func (e OverloadError) Error() string {
-	return "more tasks are waiting than this leader can start in time"
+	return "more work is waiting than this leader can do in time"
 }
 
 // admit reports whether a new job is accepted, or after which time it would be. Jobs that last are
@@ -61,6 +66,9 @@
 		tasks += s.Steps[i].Count
 		lasts = lasts || s.Steps[i].LongRunning
 	}
+	if clock.Millis(c.appendTime.Load()) > slowAppend {
+		return minRetryAfter, false
+	}
 	if lasts || s.Repeat > 0 {
 		return 0, true
 	}
--- a/conductor/starting.go
+++ b/conductor/starting.go
@@ -15,6 +15,10 @@
 	// maxRoundGap bounds the time between two rounds, and thereby the time that a task waits
 	// for the next one.
 	maxRoundGap = 250 * clock.Millis(1)
+	// measuredShare is the share of the orders of a batch that are waited for to measure how
+	// long orders take. The others may be for workers that are cut off: up to a third, those of
+	// one data centre.
+	measuredShare = 0.6
 )
 
 // roundGap returns the time from the end of a round of placing that took the given time to the next.
@@ -36,26 +40,26 @@
 		end := c.now()
 		c.nextRound = end + roundGap(end-now)
 	}()
-	limit := c.regulator.StartLimit() - int(c.unsentStarts.Load())
+	limit := c.regulator.StartLimit() - int(c.startsInFlight.Load())
 	if limit <= 0 || c.sched.PlaceUpTo(limit) {
 		c.regulator.Limited()
 	}
 }
 
-// sendBatch sends the orders of a batch and measures how long that takes.
+// sendBatch sends the orders of a batch and measures how long they take.
 func (c *Conductor) sendBatch(os []scheduler.Order) {
 	if len(os) == 0 {
 		return
 	}
 	began, n := c.now(), int64(len(os))
-	c.unsentStarts.Add(n)
-	var left atomic.Int64
-	left.Store(n)
+	c.startsInFlight.Add(n)
+	measured := max(int64(measuredShare*float64(n)), 1)
+	var answered atomic.Int64
 	for _, o := range os {
 		c.sendOrder(o, func() {
-			c.unsentStarts.Add(-1)
-			if left.Add(-1) == 0 {
-				c.regulator.Sent(int(n), c.now()-began)
+			c.startsInFlight.Add(-1)
+			if answered.Add(1) == measured {
+				c.regulator.Sent(int(n), int(measured), c.now()-began)
 			}
 		})
 	}
--- a/regulator/regulator.go
+++ b/regulator/regulator.go
@@ -32,7 +32,7 @@
 )
 
 const (
-	// burstTime is the time that the starts of one round may take to be sent. What keeps
+	// burstTime is the time that the starts of one round may take until they are answered. What keeps
 	// promises, such as polls and the renewal of the claim to lead, waits that long at most.
 	burstTime = 150 * clock.Millis(1)
 	// minBurst is the least number of starts in a round, so that their cost can be measured,
@@ -52,7 +52,7 @@
 // New returns a regulator that limits nothing yet.
 func New(now func() clock.Millis) *Regulator { return &Regulator{now: now, windowFrom: now()} }
 
-// StartLimit returns how many starts may wait to be sent at a time.
+// StartLimit returns how many starts may be unanswered at a time.
 func (r *Regulator) StartLimit() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -62,15 +62,15 @@
 	return max(int(float64(burstTime)/r.startCost), minBurst)
 }
 
-// Sent must be called when n starts that were to be sent at once have been sent. took is the time
-// that this took.
-func (r *Regulator) Sent(n int, took clock.Millis) {
+// Sent must be called for n starts that were sent at once. took is the time after which as many as
+// answered had been answered.
+func (r *Regulator) Sent(n, answered int, took clock.Millis) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.roll()
 	r.windowStarts += n
 	if n >= minBurst {
-		r.startCost += costWeight * (float64(took)/float64(n) - r.startCost)
+		r.startCost += costWeight * (float64(took)/float64(answered) - r.startCost)
 	}
 }
 
--- a/regulator/regulator_test.go
+++ b/regulator/regulator_test.go
@@ -27,7 +27,7 @@
 		t.Run(name, func(t *testing.T) {
 			r := New(clock.NewManual(1000).Now)
 			for _, b := range tt.bursts {
-				r.Sent(b.n, b.took)
+				r.Sent(b.n, b.n, b.took)
 			}
 			must.Eq(t, tt.want, r.StartLimit())
 		})
@@ -61,7 +61,7 @@
 				if tt.limited {
 					r.Limited()
 				}
-				r.Sent(tt.perSecond/10, 100)
+				r.Sent(tt.perSecond/10, max(tt.perSecond/10, 1), 100)
 				c.Advance(100)
 			}
 			c.Advance(tt.later)
