conductor, recorder: errors end a term and not the process, and no upkeep is ordered on an old claim

Cause: a panic on the scheduler's goroutine, for instance by a registry entry that the decoder does not survive, ended the process, and of every next leader too. A leader that was paused while it listed machines ordered upkeep without asking whether it still leads; where the platform does not check epochs, two leaders act. A submission that had waited until its caller was gone was still accepted. Change: entries and records that can't be applied are logged and left out; any other panic ends the term (GE6008) and a follower's reads begin anew. What waits longer than its caller is dropped before it takes effect.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -284,9 +284,11 @@
 		c.sched.Inherit(until)
 	}
 	for k, v := range items {
-		if err := c.sched.Load(k, v, until); err != nil {
-			c.emit(logger.RecordInvalid, logger.String("key", k), logger.Err(err))
-		}
+		c.skipInvalid(k, func() {
+			if err := c.sched.Load(k, v, until); err != nil {
+				c.emit(logger.RecordInvalid, logger.String("key", k), logger.Err(err))
+			}
+		})
 	}
 	// Jobs that were deposited while there was no leader have to be known before the
 	// first request for them arrives.
@@ -303,12 +305,14 @@
 		c.sched.RemoveWorker(i.Key)
 		return
 	}
-	w, ok := c.decode(i)
-	if !ok {
-		c.emit(logger.EntryInvalid, logger.String("key", i.Key))
-		return
-	}
-	c.sched.UpdateWorker(w)
+	c.skipInvalid(i.Key, func() {
+		w, ok := c.decode(i)
+		if !ok {
+			c.emit(logger.EntryInvalid, logger.String("key", i.Key))
+			return
+		}
+		c.sched.UpdateWorker(w)
+	})
 }
 
 // post queues f for the scheduler's goroutine. It returns false if the term is over.
--- a/conductor/deposits.go
+++ b/conductor/deposits.go
@@ -21,6 +21,10 @@
 	if len(i.Value) == 0 {
 		return
 	}
+	c.skipInvalid(i.Key, func() { c.submitDeposit(i) })
+}
+
+func (c *Conductor) submitDeposit(i recorder.Item) {
 	s, err := depositor.Decode(i)
 	if err == nil {
 		err = c.sched.SubmitDeposited(s, func(storeErr error) {
--- a/conductor/loop.go
+++ b/conductor/loop.go
@@ -30,25 +30,35 @@
 	for {
 		select {
 		case f := <-c.events:
-			f()
-			c.runQueued()
+			c.guard(func() {
+				f()
+				c.runQueued()
+				c.dispatch()
+			})
 		case <-sweep.C:
-			// What workers have answered counts before their leases are judged.
-			c.runQueued()
-			c.noteDelay()
-			c.sched.Sweep()
-			if c.storeUnavailable() {
-				c.sched.DropUnsent(ErrStoreUnavailable)
-			}
-			c.updateSessions()
-			c.metrics.Totals(c.sched.Counts())
+			c.guard(func() {
+				c.sweep()
+				c.dispatch()
+			})
 		case <-c.ctx.Done():
 			return
 		}
-		c.dispatch()
 	}
 }
 
+// sweep does the periodic work.
+func (c *Conductor) sweep() {
+	// What workers have answered counts before their leases are judged.
+	c.runQueued()
+	c.noteDelay()
+	c.sched.Sweep()
+	if c.storeUnavailable() {
+		c.sched.DropUnsent(ErrStoreUnavailable)
+	}
+	c.updateSessions()
+	c.metrics.Totals(c.sched.Counts())
+}
+
 // runQueued runs the functions that are already queued, so that their changes share a
 // batch.
 func (c *Conductor) runQueued() {
--- a/conductor/requests.go
+++ b/conductor/requests.go
@@ -137,6 +137,10 @@
 	defer cancel()
 	done := make(chan error, 1)
 	if !c.post(func() {
+		if ctx.Err() != nil {
+			// The caller has gone, and may have been told otherwise since.
+			return
+		}
 		if err := f(func(err error) { done <- err }); err != nil {
 			done <- err
 		}
--- a/conductor/upkeep.go
+++ b/conductor/upkeep.go
@@ -127,14 +127,18 @@
 	}
 }
 
-// sendUpkeep sends a maintenance order from a goroutine of its own.
+// sendUpkeep sends a maintenance order from a goroutine of its own. It is not sent if another daemon
+// may lead, since some platforms don't check the epoch.
 func (c *Conductor) sendUpkeep(u scheduler.UpkeepOrder) {
 	c.group.Add(1)
 	go func() {
 		defer c.group.Done()
 		ctx, cancel := context.WithTimeout(c.ctx, OrderTimeout.Duration())
 		defer cancel()
-		out := c.cloud.Upkeep(ctx, u, c.epoch)
+		out := scheduler.UpkeepBusy
+		if !c.renewalOverdue() {
+			out = c.cloud.Upkeep(ctx, u, c.epoch)
+		}
 		c.post(func() { c.sched.UpkeepAnswered(u, out) })
 	}()
 }
--- a/logger/events.go
+++ b/logger/events.go
@@ -91,6 +91,7 @@
 	UpkeepAnswered = Event{6061, log.InfoLevel, "machine upkeep order was answered"}
 	WaveOver       = Event{6062, log.InfoLevel, "machine upkeep wave ended"}
 	CloudFailed    = Event{6063, log.WarnLevel, "call to the platform's machine service failed"}
+	TermFailed     = Event{6008, log.ErrorLevel, "unexpected error ends the term of this daemon"}
 	ProcessDelayed = Event{6065, log.WarnLevel, "process gets its turns late"}
 	ProcessInTime  = Event{6066, log.InfoLevel, "process gets its turns in time again"}
 	LinesLeftOut   = Event{6050, log.WarnLevel, "log lines were dropped"}
--- a/recorder/follower.go
+++ b/recorder/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime/debug"
 
 	"github.com/pkg/errors"
 
@@ -56,7 +57,7 @@
 	go func() {
 		defer close(f.done)
 		for ctx.Err() == nil {
-			if err := follow(ctx, s, topic, p, w); ctx.Err() == nil {
+			if err := followSafely(ctx, s, topic, p, w); ctx.Err() == nil {
 				w.Failed(err)
 				Sleep(ctx, retryDelay)
 			}
@@ -71,6 +72,17 @@
 	<-f.done
 }
 
+// followSafely is follow with a panic, such as one of a callback that meets a malformed item, turned
+// into an error, so that it does not end the process.
+func followSafely(ctx context.Context, s Store, topic string, p PollTiming, w Callbacks) (err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			err = errors.Errorf("recorder.Follow: panic: %v\n%s", p, debug.Stack())
+		}
+	}()
+	return follow(ctx, s, topic, p, w)
+}
+
 // follow loads the topic and then reads on from its end. It returns an error if the topic
 // has to be loaded again.
 func follow(ctx context.Context, s Store, topic string, p PollTiming, w Callbacks) error {
--- a/scheduler/record.go
+++ b/scheduler/record.go
@@ -128,7 +128,7 @@
 
 func (s *Scheduler) loadTask(j *job, r taskRecord, leaseEnd clock.Millis) {
 	o := j.openOccurrence(r.Occurrence)
-	if r.Step >= len(o.steps) || r.Index >= len(o.steps[r.Step]) {
+	if r.Step < 0 || r.Index < 0 || r.Step >= len(o.steps) || r.Index >= len(o.steps[r.Step]) {
 		s.emit(logger.RecordInvalid, logger.String("id", j.spec.ID))
 		return
 	}
