scheduler: a change of a task stores its chunk and not the whole job

Change: records chunk/ID.K.S.N hold eight tasks each, with the version of the job; the whole job is stored when it begins, when its phase changes and when one of its occurrences is done, which deletes its chunks. A new leader loads the chunks before the jobs and takes the newer of the two.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -11,6 +11,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -283,9 +285,9 @@
 	if len(items) > 0 {
 		c.sched.Inherit(until)
 	}
-	for k, v := range items {
+	for _, k := range slices.Sorted(maps.Keys(items)) {
 		c.skipInvalid(k, func() {
-			if err := c.sched.Load(k, v, until); err != nil {
+			if err := c.sched.Load(k, items[k], until); err != nil {
 				c.emit(logger.RecordInvalid, logger.String("key", k), logger.Err(err))
 			}
 		})
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -34,6 +34,12 @@
 		endedAt clock.Millis
 		// longRunning is whether a step runs until the job is cancelled.
 		longRunning bool
+		// version counts the batches with records of the job.
+		version int64
+		// storedHead is the head of the last record of the whole job, chunkKeys are the keys
+		// of the chunks that were stored since.
+		storedHead jobHead
+		chunkKeys  []string
 		// sent is whether TakeBatch has returned a record of the job, which may thus be
 		// stored already.
 		sent bool
@@ -50,6 +56,13 @@
 		doneCount int
 	}
 
+	// jobHead is what a record of a whole job has besides the tasks and what the caller
+	// submitted.
+	jobHead struct {
+		phase     Phase
+		doneCount int
+	}
+
 	// occurrence is one execution of all steps of a job.
 	occurrence struct {
 		job    *job
@@ -141,6 +154,8 @@
 	return true
 }
 
+func (j *job) head() jobHead { return jobHead{j.phase, j.doneCount} }
+
 // eachTask calls f for every task of every open occurrence. The order of the occurrences
 // is random.
 func (j *job) eachTask(f func(*task)) {
--- a/scheduler/record.go
+++ b/scheduler/record.go
@@ -13,8 +13,11 @@
 type (
 	// jobRecord is the stored form of a job.
 	jobRecord struct {
-		Spec  Spec  `json:"spec"`
-		Phase Phase `json:"phase"`
+		// Version is that of the job when the record was encoded. It is 0 in records of
+		// earlier programs.
+		Version int64 `json:"version,omitempty"`
+		Spec    Spec  `json:"spec"`
+		Phase   Phase `json:"phase"`
 		// AcceptedAt and EndedAt are in Unix milliseconds.
 		AcceptedAt int64 `json:"accepted-at"`
 		EndedAt    int64 `json:"ended-at,omitempty"`
@@ -53,10 +56,10 @@
 	j.doneOccurrences[k] = true
 }
 
-// encode returns the stored form of a job. The record of an ended job omits its text,
+// encode returns the stored form of a whole job. The record of an ended job omits its text,
 // steps and tasks, which callers can no longer ask for.
 func encode(j *job) []byte {
-	r := jobRecord{Spec: j.spec, Phase: j.phase, AcceptedAt: int64(j.acceptedAt), EndedAt: int64(j.endedAt)}
+	r := jobRecord{Version: j.version, Spec: j.spec, Phase: j.phase, AcceptedAt: int64(j.acceptedAt), EndedAt: int64(j.endedAt)}
 	for k := range j.occurrenceCount() {
 		if j.doneOccurrences[k] {
 			r.Done = append(r.Done, k)
@@ -67,32 +70,36 @@
 		return marshal(r)
 	}
 	j.eachTask(func(t *task) {
-		if t.attempt == 0 {
-			return
+		if t.attempt > 0 {
+			r.Tasks = append(r.Tasks, t.record())
 		}
-		tr := taskRecord{Occurrence: t.occurrence.number, Step: t.step, Index: t.index, Done: t.state == done, Attempt: t.attempt, Failures: t.failures}
-		if t.hasRun() {
-			tr.Worker, tr.Born = t.worker.info.ID, t.worker.info.Born
-		}
-		if t.state != done {
-			tr.Checkpoint = t.checkpoint
-		}
-		r.Tasks = append(r.Tasks, tr)
 	})
 	return marshal(r)
 }
 
-func marshal(r jobRecord) []byte {
+// record returns the stored form of a task.
+func (t *task) record() taskRecord {
+	r := taskRecord{Occurrence: t.occurrence.number, Step: t.step, Index: t.index, Done: t.state == done, Attempt: t.attempt, Failures: t.failures}
+	if t.hasRun() {
+		r.Worker, r.Born = t.worker.info.ID, t.worker.info.Born
+	}
+	if t.state != done {
+		r.Checkpoint = t.checkpoint
+	}
+	return r
+}
+
+func marshal(r any) []byte {
 	b, err := json.Marshal(r)
 	if err != nil {
 		// All fields are plain values, so this is a programming error.
-		panic(errors.Wrap(err, "scheduler.encode"))
+		panic(errors.Wrap(err, "scheduler.marshal"))
 	}
 	return b
 }
 
 // Load restores a record that a former leader stored. Call it for every record before the
-// first report. leaseEnd is when the leases that the former leader granted have expired;
+// first report, in the order of their keys. leaseEnd is when the leases that the former leader granted have expired;
 // until then runs that it started may be active.
 func (s *Scheduler) Load(key string, value []byte, leaseEnd clock.Millis) error {
 	switch {
@@ -100,6 +107,8 @@
 		return nil
 	case key == modelKey:
 		return s.loadModels(value)
+	case strings.HasPrefix(key, chunkPrefix):
+		return s.loadChunk(key, value)
 	case !strings.HasPrefix(key, jobPrefix):
 		return nil
 	}
@@ -109,6 +118,7 @@
 	}
 	j := &job{spec: r.Spec, phase: r.Phase, storedPhase: r.Phase, acceptedAt: clock.Millis(r.AcceptedAt), endedAt: clock.Millis(r.EndedAt), occurrences: map[int]*occurrence{}}
 	j.sent = true
+	s.mergeChunks(j, &r)
 	s.recordWork(j)
 	s.jobs[r.Spec.ID] = j
 	for _, k := range r.Done {
@@ -133,7 +143,7 @@
 		return
 	}
 	t := o.steps[r.Step][r.Index]
-	t.attempt, t.failures, t.checkpoint = r.Attempt, r.Failures, r.Checkpoint
+	t.attempt, t.failures, t.checkpoint, t.stored = r.Attempt, r.Failures, r.Checkpoint, r
 	if r.Done {
 		t.state = done
 		o.done[r.Step]++
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -66,10 +66,12 @@
 		// modelsBatchedAt is when a batch last included the models.
 		modelsBatchedAt clock.Millis
 
-		// dirty has the jobs whose records are part of the next batch, deletedJobs the IDs
-		// of those whose records it deletes. orders, replies and acks belong to it too.
+		// loadedChunks are the chunks that were loaded before their jobs, by job and key.
+		loadedChunks map[string]map[string]chunkRecord
+		// dirty has the jobs whose records are part of the next batch, deletedKeys the keys
+		// of the records that it deletes. orders, replies and acks belong to it too.
 		dirty       map[*job]struct{}
-		deletedJobs []string
+		deletedKeys []string
 		orders      []Order
 		// immediate has the orders that may be sent without waiting for a batch to be
 		// stored.
@@ -175,17 +177,17 @@
 // TakeBatch removes and returns the changes since the last call as a batch to store, or nil if
 // there are none.
 func (s *Scheduler) TakeBatch() *Batch {
-	if len(s.dirty) == 0 && len(s.deletedJobs) == 0 && len(s.orders) == 0 && len(s.replies) == 0 && len(s.acks) == 0 {
+	if len(s.dirty) == 0 && len(s.deletedKeys) == 0 && len(s.orders) == 0 && len(s.replies) == 0 && len(s.acks) == 0 {
 		return nil
 	}
 	b := &Batch{Orders: s.orders, Acks: s.acks, replies: s.replies, phases: make(map[*job]Phase, len(s.dirty))}
 	for _, j := range slices.SortedFunc(maps.Keys(s.dirty), func(a, b *job) int { return cmp.Compare(a.spec.ID, b.spec.ID) }) {
-		b.Records = append(b.Records, Record{Key: jobKey(j.spec.ID), Value: encode(j)})
+		b.Records = s.appendRecords(b.Records, j)
 		b.phases[j] = j.phase
 		j.sent = true
 	}
-	for _, id := range s.deletedJobs {
-		b.Records = append(b.Records, Record{Key: jobKey(id)})
+	for _, k := range s.deletedKeys {
+		b.Records = append(b.Records, Record{Key: k})
 	}
 	if len(b.Records) > 0 && len(s.sensitivities) > 0 && s.now()-s.modelsBatchedAt >= modelStoreInterval {
 		s.modelsBatchedAt = s.now()
@@ -196,7 +198,7 @@
 		}
 	}
 	clear(s.dirty)
-	s.deletedJobs, s.orders, s.replies, s.acks = nil, nil, nil, map[string]Ack{}
+	s.deletedKeys, s.orders, s.replies, s.acks = nil, nil, nil, map[string]Ack{}
 	return b
 }
 
@@ -321,9 +323,10 @@
 	for id, j := range s.jobs {
 		if j.phase.final() && j.storedPhase.final() && wall-j.endedAt > s.retention && !j.hasRuns() {
 			delete(s.jobs, id)
-			s.deletedJobs = append(s.deletedJobs, id)
+			s.deletedKeys = append(append(s.deletedKeys, jobKey(id)), j.chunkKeys...)
 		}
 	}
+	s.dropOrphanedChunks()
 	s.moveStalledRuns()
 	s.moveOffDraining()
 	s.expireLeases()
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -31,6 +31,8 @@
 		attempt    int
 		failures   int
 		checkpoint string
+		// stored is the task's form in the last batch; empty before the first run.
+		stored taskRecord
 		// worker is where the newest run is while the state is placed or running.
 		worker *worker
 		// confirmedAt is when the worker first confirmed the run.
