regulator: only windows in which most rounds are limited refuse jobs

Change: a window counts as limited if half of its rounds were; the time of one order, 10 ms, is taken off what is measured.

--- a/conductor/starting.go
+++ b/conductor/starting.go
@@ -41,9 +41,7 @@
 		c.nextRound = end + roundGap(end-now)
 	}()
 	limit := c.regulator.StartLimit() - int(c.startsInFlight.Load())
-	if limit <= 0 || c.sched.PlaceUpTo(limit) {
-		c.regulator.Limited()
-	}
+	c.regulator.Round(limit <= 0 || c.sched.PlaceUpTo(limit))
 }
 
 // sendBatch sends the orders of a batch and measures how long they take.
--- a/regulator/regulator.go
+++ b/regulator/regulator.go
@@ -22,11 +22,10 @@
 		// average over windows; 0 before the first such window.
 		rate float64
 		// windowFrom is the start of the current window, windowStarts the number of starts in
-		// it, windowLimited whether they were limited in it.
-		windowFrom    clock.Millis
-		windowStarts  int
-		windowLimited bool
-		// limitedAt is when starts were last limited.
+		// it. Of windowRounds rounds of placing, windowLimited were limited.
+		windowFrom                                clock.Millis
+		windowStarts, windowRounds, windowLimited int
+		// limitedAt is the end of the last window in which starts were limited.
 		limitedAt clock.Millis
 	}
 )
@@ -35,6 +34,11 @@
 	// burstTime is the time that the starts of one round may take until they are answered. What keeps
 	// promises, such as polls and the renewal of the claim to lead, waits that long at most.
 	burstTime = 150 * clock.Millis(1)
+	// orderTime is how long a single order takes at most on a host that is not busy.
+	orderTime = 10 * clock.Millis(1)
+	// limitedShare is the share of the rounds of a window that have to be limited for the window
+	// to count. Single rounds are limited on any host, when wide jobs come at once.
+	limitedShare = 0.5
 	// minBurst is the least number of starts in a round, so that their cost can be measured,
 	// and maxBurst the greatest.
 	minBurst, maxBurst = 8, 4096
@@ -70,16 +74,20 @@
 	r.roll()
 	r.windowStarts += n
 	if n >= minBurst {
-		r.startCost += costWeight * (float64(took)/float64(answered) - r.startCost)
+		r.startCost += costWeight * (float64(max(took-orderTime, 0))/float64(answered) - r.startCost)
 	}
 }
 
-// Limited must be called when tasks had to wait because of StartLimit.
-func (r *Regulator) Limited() {
+// Round must be called after each round of placing. limited is whether tasks have to wait because of
+// StartLimit.
+func (r *Regulator) Round(limited bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.roll()
-	r.windowLimited, r.limitedAt = true, r.now()
+	r.windowRounds++
+	if limited {
+		r.windowLimited++
+	}
 }
 
 // roll ends the current window if it is over.
@@ -89,14 +97,15 @@
 	if length < window {
 		return
 	}
-	if r.windowLimited {
+	if r.windowLimited > 0 && float64(r.windowLimited) >= limitedShare*float64(r.windowRounds) {
 		rate := float64(r.windowStarts) * float64(clock.Second) / float64(length)
 		if r.rate == 0 {
 			r.rate = rate
 		}
 		r.rate += rateWeight * (rate - r.rate)
+		r.limitedAt = r.windowFrom + window
 	}
-	r.windowFrom, r.windowStarts, r.windowLimited = now, 0, false
+	r.windowFrom, r.windowStarts, r.windowRounds, r.windowLimited = now, 0, 0, 0
 }
 
 // Admit reports whether a job may be accepted whose last task would be the one of the number waiting()
