--- a/recorder/loader.go
+++ b/recorder/loader.go
@@ -9,9 +9,12 @@
 )
 
 const (
-	// pageTimeout bounds the reading of one page: the longest latency of the store in its
-	// fault specification, and the transfer of a full page.
-	pageTimeout = 2 * clock.Second
+	// pageTimeout bounds the first attempt to read a page: the longest latency of the store in
+	// its fault specification, and the transfer of a full page of 1 MB over an ordinary link.
+	// Each further attempt may take twice as long, up to maxPageTimeout, which is enough for a
+	// link of 2 Mbit/s that carries other traffic too.
+	pageTimeout    = 2 * clock.Second
+	maxPageTimeout = 8 * clock.Second
 )
 
 // Load returns the newest item of every key of a topic and the offset up to which they
@@ -41,10 +44,12 @@
 // topic.
 func CatchUp(ctx context.Context, s Store, topic string, from int64, items map[string][]byte) (int64, error) {
 	for {
-		c, cancel := context.WithTimeout(ctx, pageTimeout.Duration())
-		found, end, err := s.Read(c, topic, from, 0)
-		cancel()
-		if err != nil {
+		var found []Item
+		var end int64
+		if err := withPatience(ctx, func(ctx context.Context) (err error) {
+			found, end, err = s.Read(ctx, topic, from, 0)
+			return err
+		}); err != nil {
 			return 0, errors.Wrap(err, "recorder.CatchUp")
 		}
 		for _, i := range found {
@@ -62,7 +67,23 @@
 }
 
 func readPage(ctx context.Context, s Store, topic, after string) (Page, error) {
-	c, cancel := context.WithTimeout(ctx, pageTimeout.Duration())
-	defer cancel()
-	return s.ReadNewest(c, topic, after)
+	var p Page
+	err := withPatience(ctx, func(ctx context.Context) (err error) {
+		p, err = s.ReadNewest(ctx, topic, after)
+		return err
+	})
+	return p, err
+}
+
+// withPatience calls f with growing timeouts until it gets an answer, and returns its error.
+func withPatience(ctx context.Context, f func(context.Context) error) error {
+	for timeout := pageTimeout; ; timeout *= 2 {
+		c, cancel := context.WithTimeout(ctx, timeout.Duration())
+		err := f(c)
+		late := c.Err() != nil
+		cancel()
+		if err == nil || !late || ctx.Err() != nil || timeout >= maxPageTimeout {
+			return err
+		}
+	}
 }
--- a/soaker/starving.go
+++ b/soaker/starving.go
@@ -1,7 +1,6 @@
 package soaker
 
 import (
-	"fmt"
 	"log"
 	"math/rand/v2"
 	"syscall"
@@ -42,7 +41,7 @@
 			hosts, name = k.hosts[i:i+1], k.hosts[i].name
 		}
 		d := between(minStarvation, maxStarvation)
-		l.Print(fmt.Sprintf("begin starve %s for %d ms", name, d))
+		l.Printf("begin starve %s for %d ms", name, d)
 		for end := time.Now().Add(d.Duration()); time.Now().Before(end); {
 			signalAll(hosts, syscall.SIGSTOP)
 			time.Sleep(between(minStopTime, maxStopTime).Duration())
