--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -72,8 +72,8 @@
 		regulator *regulator.Regulator
 		// startsInFlight is the number of orders of batches that are not answered.
 		startsInFlight atomic.Int64
-		// appendTime is how long the last append of a batch took, in ms.
-		appendTime atomic.Int64
+		// slowAppendAt is when an append of a batch last took longer than slowAppend, in ms.
+		slowAppendAt atomic.Int64
 		// nextRound is the earliest time of the next round of placing.
 		nextRound clock.Millis
 		// timekeeper measures the delay of the scheduler's goroutine.
--- a/conductor/delay_test.go
+++ b/conductor/delay_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/shoenig/test/must"
 
 	"galenawharf.example/galenawharf/clock"
@@ -239,3 +240,35 @@
 		must.NoError(t, err)
 	})
 }
+
+// TestSlowAppendRefusesJobsForAWhile checks that jobs are refused after a slow append, and accepted
+// again although no other append has followed.
+func TestSlowAppendRefusesJobsForAWhile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := imitator.NewKeyedLog(4, nil)
+		p := imitator.NewPool(1, 4, func(scheduler.TaskName, int) (clock.Millis, scheduler.Ending) { return 30_000, scheduler.EndDone }, nil)
+		p.Register(log)
+		store := log.Client("a")
+		appendRecord := store.Append
+		var delay atomic.Int64
+		store.Append = func(ctx context.Context, topic string, at int64, items []recorder.Item) (int64, error) {
+			time.Sleep(clock.Millis(delay.Load()).Duration())
+			return appendRecord(context.WithoutCancel(ctx), topic, at, items)
+		}
+		c, err := conductor.New(t.Context(), conductor.Term{Epoch: 1, PredecessorStopped: true, LastRenewal: clock.System},
+			store, p.Fleet(), scheduler.New(scheduler.WithLease(testLease)), testLease, imitator.DecodeEntry)
+		must.NoError(t, err)
+		defer c.Close()
+		must.NoError(t, c.Submit(t.Context(), testJob(1, 1)))
+		time.Sleep(time.Second)
+		delay.Store(700)
+		must.NoError(t, c.Submit(t.Context(), testJob(2, 1)))
+		delay.Store(0)
+		var overload conductor.OverloadError
+		must.True(t, errors.As(c.Submit(t.Context(), testJob(3, 1)), &overload))
+		must.Positive(t, overload.RetryAfter())
+		must.NoError(t, c.Submit(t.Context(), testJob(2, 1)), must.Sprint("a job that is known was refused"))
+		time.Sleep(overload.RetryAfter().Duration() + time.Second)
+		must.NoError(t, c.Submit(t.Context(), testJob(3, 1)))
+	})
+}
--- a/conductor/loop.go
+++ b/conductor/loop.go
@@ -62,7 +62,7 @@
 // runQueued runs the functions that are already queued, so that their changes share a
 // batch.
 func (c *Conductor) runQueued() {
-	for {
+	for range eventQueueSize {
 		select {
 		case f := <-c.events:
 			f()
@@ -142,7 +142,7 @@
 		sent := c.now()
 		err := c.writer.Append(c.ctx, chunk)
 		c.metrics.Append(c.now() - sent)
-		c.appendTime.Store(int64(c.now() - sent))
+		c.appended(c.now() - sent)
 		if err != nil {
 			c.end(err.Error())
 			return false
--- a/conductor/requests.go
+++ b/conductor/requests.go
@@ -21,9 +21,10 @@
 	// maxDepositReadAge is the age of the last read of the deposits up to which a job may
 	// be reported as unknown: two long polls and the answer of a slow store.
 	maxDepositReadAge = 1400 * clock.Millis(1)
-	// slowAppend is the time of the last append from which new jobs are refused, since the caller
-	// would not wait for one of the next appends: half of changeTimeout.
-	slowAppend = changeTimeout / 2
+	// slowAppend is the time of an append from which new jobs are refused for slowAppendTime,
+	// since the caller would not wait for one of the next appends: half of changeTimeout.
+	slowAppend     = changeTimeout / 2
+	slowAppendTime = clock.Second
 	// minRetryAfter is the time after which a caller returns who was refused for that.
 	minRetryAfter = clock.Second
 	// changeTimeout is how long a caller waits for a change to be stored. After that the
@@ -58,6 +59,13 @@
 	return "more work is waiting than this leader can do in time"
 }
 
+// appended records how long an append took.
+func (c *Conductor) appended(took clock.Millis) {
+	if took > slowAppend {
+		c.slowAppendAt.Store(int64(c.now()))
+	}
+}
+
 // admit reports whether a new job is accepted, or after which time it would be. Jobs that last are
 // always accepted: they are few, and their tasks are started before all others.
 func (c *Conductor) admit(s *scheduler.Spec) (clock.Millis, bool) {
@@ -66,7 +74,7 @@
 		tasks += s.Steps[i].Count
 		lasts = lasts || s.Steps[i].LongRunning
 	}
-	if clock.Millis(c.appendTime.Load()) > slowAppend {
+	if at := clock.Millis(c.slowAppendAt.Load()); at != 0 && c.now()-at < slowAppendTime {
 		return minRetryAfter, false
 	}
 	if lasts || s.Repeat > 0 {
--- a/regulator/regulator.go
+++ b/regulator/regulator.go
@@ -39,9 +39,11 @@
 	// limitedShare is the share of the rounds of a window that have to be limited for the window
 	// to count. Single rounds are limited on any host, when wide jobs come at once.
 	limitedShare = 0.5
-	// minBurst is the least number of starts in a round, so that their cost can be measured,
-	// and maxBurst the greatest.
-	minBurst, maxBurst = 8, 4096
+	// minBurst and maxBurst bound StartLimit. Less than minBurst starts could all be for workers
+	// that do not answer.
+	minBurst, maxBurst = 32, 4096
+	// minMeasured is the least number of starts whose cost is measured.
+	minMeasured = 8
 	// costWeight and rateWeight are the weights of the newest measurement in the moving
 	// averages.
 	costWeight, rateWeight = 0.3, 0.4
@@ -73,7 +75,7 @@
 	defer r.mu.Unlock()
 	r.roll()
 	r.windowStarts += n
-	if n >= minBurst {
+	if n >= minMeasured {
 		r.startCost += costWeight * (float64(max(took-orderTime, 0))/float64(answered) - r.startCost)
 	}
 }
--- a/scheduler/progress.go
+++ b/scheduler/progress.go
@@ -29,14 +29,15 @@
 	}
 }
 
-// updateProgress applies the reported progress of a run, in percent.
+// updateProgress applies the progress of a run, in percent, that a worker has reported when its clock
+// showed now. By this daemon's clock, a report that is taken up late would look like a stalled run.
 func (t *task) updateProgress(percent int, now clock.Millis) {
 	limit := stallTimeout
 	if t.spec().Filler {
 		limit = fillerStallTimeout
 	}
 	switch {
-	case percent != t.percent, t.spec().Filler && t.pace < 100:
+	case t.progressedAt == 0, percent != t.percent, t.spec().Filler && t.pace < 100:
 		t.percent, t.progressedAt, t.stalled = percent, now, false
 	case percent < 100 && now-t.progressedAt > limit:
 		t.stalled = true
--- a/scheduler/reporting.go
+++ b/scheduler/reporting.go
@@ -241,7 +241,7 @@
 		s.confirmRun(t)
 	}
 	t.unresolvedSince = 0
-	t.updateProgress(a.Percent, s.now())
+	t.updateProgress(a.Percent, w.clockReading)
 	if t.spec().LongRunning && a.Percent == 100 && t.confirmedAt > w.failedAt {
 		// The task works although it started after the last failure, so the worker is
 		// healthy.
@@ -286,7 +286,7 @@
 }
 
 func (s *Scheduler) confirmRun(t *task) {
-	t.state, t.confirmedAt, t.progressedAt = running, s.now(), s.now()
+	t.state, t.confirmedAt = running, s.now()
 	if t.spec().Filler && t.worker.serving > 0 {
 		_, paces := s.fillerPaces(t.worker)
 		s.setPace(t, paces[t])
@@ -448,8 +448,8 @@
 		if (w.silentSince == 0 && known) || now < w.leaseEnd {
 			continue
 		}
-		if w.silentSince != 0 && known && w.failedCallAt < s.delayedAt {
-			// It may have answered while this daemon was delayed.
+		if w.silentSince != 0 && w.info.Address != "" && len(w.tasks) > 0 && w.failedCallAt < s.delayedAt {
+			// It may have answered while this daemon was delayed, and is asked again.
 			continue
 		}
 		if w.silentSince != 0 || w.unreconciled {
--- a/scheduler/reporting_test.go
+++ b/scheduler/reporting_test.go
@@ -217,3 +217,37 @@
 	must.NoError(t, b.Cancel("job", func(error) {}))
 	must.False(t, b.IsCurrent(o))
 }
+
+// TestReportTakenUpLateIsNoStall guards against taking the leader's own delay for a run that stands
+// still: the worker answered twice within a few milliseconds, and the leader took up the second report
+// a second later.
+func TestReportTakenUpLateIsNoStall(t *testing.T) {
+	tests := map[string]struct {
+		// between is the time between the reports on the worker's clock.
+		between clock.Millis
+		want    bool
+	}{
+		"taken up late":        {between: 5},
+		"really standing":      {between: 1200, want: true},
+		"standing not so long": {between: 800},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := newHarness(1)
+			b.submit(t, "job", Step{Count: 1, CPU: 100, Estimate: 10_000})
+			o := b.placeAndStore()[0]
+			b.OrderAnswered(o, Done)
+			b.TakeImmediateOrders()
+			report := func(at clock.Millis) {
+				b.Report(Report{Worker: "w0", Born: 1, Clock: at, Sent: b.clock.Now(), Active: activeRuns(o)})
+			}
+			answered := b.clock.Now()
+			report(answered)
+			b.clock.Advance(1200)
+			report(answered + tt.between)
+			b.Sweep()
+			stopped := len(b.TakeImmediateOrders()) > 0
+			must.Eq(t, tt.want, stopped)
+		})
+	}
+}
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -47,7 +47,8 @@
 		// placedAt is the latest of the times at which the run was assigned to its
 		// worker, its record was stored, and its order was sent again.
 		placedAt clock.Millis
-		// percent is the last reported progress, progressedAt when it last changed.
+		// percent is the last reported progress. progressedAt is when it last changed, on the
+		// clock of the worker; 0 before the first report.
 		percent      int
 		progressedAt clock.Millis
 		// stalled is whether the run has made no progress for longer than its timeout.
