conductor: the number of waiting jobs is only told by a leader that knows them all

Pending, unlike Phase, asked neither whether the claim was renewed nor whether the deposits were read. Change: Pending refuses as Phase does. Panics in callbacks of followers are logged. Measured: TestUnconfirmedLeaderDoesNotCount and the new line of TestDelayedReadOfDepositsIsStale fail without the change.

--- a/conductor/delay_test.go
+++ b/conductor/delay_test.go
@@ -205,8 +205,9 @@
 	})
 }
 
-// TestDelayedReadOfDepositsIsStale guards against reporting a deposited job as unknown by a read of
-// the deposits that the process has taken up seconds after it was answered.
+// TestDelayedReadOfDepositsIsStale guards against reporting a deposited job as unknown, or counting the
+// jobs that wait without it, by a read of the deposits that the process has taken up seconds after it
+// was answered.
 func TestDelayedReadOfDepositsIsStale(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var delayed atomic.Bool
@@ -234,6 +235,8 @@
 			time.Sleep(50 * time.Millisecond)
 			if _, err := c.Phase(testJob(7, 1).ID, "q"); err != nil {
 				must.ErrorIs(t, err, conductor.ErrDepositsStale)
+				_, err = c.Pending("q")
+				must.ErrorIs(t, err, conductor.ErrDepositsStale, must.Sprint("a job that may wait was not counted"))
 			}
 		}
 		_, err = c.Phase(testJob(7, 1).ID, "q")
@@ -272,3 +275,24 @@
 		must.NoError(t, c.Submit(t.Context(), testJob(3, 1)))
 	})
 }
+
+// TestUnconfirmedLeaderDoesNotCount guards against counting the jobs that wait by what a leader knows
+// that has not renewed its claim: another may have accepted jobs since.
+func TestUnconfirmedLeaderDoesNotCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := imitator.NewKeyedLog(4, nil)
+		p := imitator.NewPool(1, 4, func(scheduler.TaskName, int) (clock.Millis, scheduler.Ending) { return 1000, scheduler.EndDone }, nil)
+		p.Register(log)
+		renewed := clock.System()
+		c, err := conductor.New(t.Context(), conductor.Term{Epoch: 1, PredecessorStopped: true, LastRenewal: func() clock.Millis { return renewed }},
+			log.Client("a"), p.Fleet(), scheduler.New(scheduler.WithLease(testLease)), testLease, imitator.DecodeEntry)
+		must.NoError(t, err)
+		defer c.Close()
+		n, err := c.Pending("q")
+		must.NoError(t, err)
+		must.Eq(t, 0, n)
+		time.Sleep(2 * time.Second)
+		_, err = c.Pending("q")
+		must.ErrorIs(t, err, conductor.ErrUnconfirmed)
+	})
+}
--- a/conductor/deposits.go
+++ b/conductor/deposits.go
@@ -63,7 +63,7 @@
 			at := c.now() - age
 			c.post(func() { c.lastDepositRead = max(c.lastDepositRead, at) })
 		},
-		Failed: func(error) {},
+		Failed: c.followFailed,
 	})
 	defer f.Close()
 	for recorder.Sleep(c.ctx, deleteInterval) {
--- a/conductor/loop.go
+++ b/conductor/loop.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"galenawharf.example/galenawharf/clock"
 	"galenawharf.example/galenawharf/logger"
 	"galenawharf.example/galenawharf/recorder"
@@ -20,7 +22,7 @@
 			at := c.now() - age
 			c.post(func() { c.lastRegistryRead = at })
 		},
-		Failed: func(error) {},
+		Failed: c.followFailed,
 	})
 	defer f.Close()
 	defer c.closeSessions()
@@ -46,6 +48,14 @@
 	}
 }
 
+// followFailed logs why a topic can't be followed, unless the store does not answer, which the reads
+// of the operator's records show too.
+func (c *Conductor) followFailed(err error) {
+	if errors.Is(err, recorder.ErrCallback) {
+		c.emit(logger.RecordInvalid, logger.Err(err))
+	}
+}
+
 // sweep does the periodic work.
 func (c *Conductor) sweep() {
 	// What workers have answered counts before their leases are judged.
--- a/conductor/requests.go
+++ b/conductor/requests.go
@@ -186,14 +186,20 @@
 	return p, err
 }
 
-// Pending returns the number of jobs of a queue that have not started. The only error is
-// ErrTermEnded.
+// Pending returns the number of jobs of a queue that have not started. The error is that of Phase
+// for an unknown job: there may be jobs that this daemon does not know.
 func (c *Conductor) Pending(queue string) (int, error) {
 	var n int
-	if !c.call(func() { n = c.sched.Pending(queue) }) {
+	var err error
+	if !c.call(func() {
+		n = c.sched.Pending(queue)
+		if e := c.unknownJobError(); !errors.Is(e, scheduler.ErrUnknown) {
+			err = e
+		}
+	}) {
 		return 0, ErrTermEnded
 	}
-	return n, nil
+	return n, err
 }
 
 // SetEvacuated replaces the set of data centres in which no task may start.
--- a/recorder/follower.go
+++ b/recorder/follower.go
@@ -77,7 +77,7 @@
 func followSafely(ctx context.Context, s Store, topic string, p PollTiming, w Callbacks) (err error) {
 	defer func() {
 		if p := recover(); p != nil {
-			err = errors.Errorf("recorder.Follow: panic: %v\n%s", p, debug.Stack())
+			err = errors.Wrapf(ErrCallback, "panic: %v\n%s", p, debug.Stack())
 		}
 	}()
 	return follow(ctx, s, topic, p, w)
--- a/recorder/store.go
+++ b/recorder/store.go
@@ -53,6 +53,8 @@
 	ErrTrimmed = errors.New("the records have been discarded")
 	// ErrRefused is returned if the store did nothing; a retry may succeed.
 	ErrRefused = errors.New("the store refused the call")
+	// ErrCallback is passed to Failed if a callback of a Follower has panicked.
+	ErrCallback = errors.New("a callback of the follower failed")
 	// ErrUnclear is returned if there was no answer. An append may have taken effect or
 	// may do so later.
 	ErrUnclear = errors.New("the store did not answer")
--- a/regulator/regulator.go
+++ b/regulator/regulator.go
@@ -1,6 +1,6 @@
 // Package regulator decides how much work the leader takes on when its host has too little processor
-// time for what is asked of it. It knows neither jobs nor workers, only how long the host takes for
-// the orders it sends and how many it manages to send.
+// time, or too narrow a link, for what is asked of it. It knows neither jobs nor workers, only how
+// many starts the host sends and how long they take to be answered.
 package regulator
 
 import (
@@ -31,8 +31,8 @@
 )
 
 const (
-	// burstTime is the time that the starts of one round may take until they are answered. What keeps
-	// promises, such as polls and the renewal of the claim to lead, waits that long at most.
+	// burstTime is the time that the starts in flight may take until they are answered. Polls and
+	// the renewal of the claim to lead, which keep promises, wait that long at most.
 	burstTime = 150 * clock.Millis(1)
 	// orderTime is how long a single order takes at most on a host that is not busy.
 	orderTime = 10 * clock.Millis(1)
