conductor: what late workers owe does not count as the leader's slowness; pages by the link's speed

A new leader that the store half answers held the lead for 7.5 s, since it read a page with more and more patience. A cost that falls counts at once. The time for a page follows the bandwidth of the settings: 8 s more at 2 Mbit/s, 80 ms at 200. TestLoadOverSlowLink states the time that a link is given, and has a row more.

--- a/conductor/starting.go
+++ b/conductor/starting.go
@@ -1,8 +1,6 @@
 package conductor
 
 import (
-	"sync/atomic"
-
 	"galenawharf.example/galenawharf/clock"
 	"galenawharf.example/galenawharf/scheduler"
 )
@@ -15,10 +13,6 @@
 	// maxRoundGap bounds the time between two rounds, and thereby the time that a task waits
 	// for the next one.
 	maxRoundGap = 250 * clock.Millis(1)
-	// measuredShare is the share of the orders of a batch that are waited for to measure how
-	// long orders take. The others may be for workers that are cut off: up to a third, those of
-	// one data centre.
-	measuredShare = 0.6
 )
 
 // roundGap returns the time from the end of a round of placing that took the given time to the next.
@@ -44,21 +38,13 @@
 	c.regulator.Round(limit <= 0 || c.sched.PlaceUpTo(limit))
 }
 
-// sendBatch sends the orders of a batch and measures how long they take.
+// sendBatch sends the orders of a batch.
 func (c *Conductor) sendBatch(os []scheduler.Order) {
 	if len(os) == 0 {
 		return
 	}
-	began, n := c.now(), int64(len(os))
-	c.startsInFlight.Add(n)
-	measured := max(int64(measuredShare*float64(n)), 1)
-	var answered atomic.Int64
+	b := newSentBatch(c, len(os))
 	for _, o := range os {
-		c.sendOrder(o, func() {
-			c.startsInFlight.Add(-1)
-			if answered.Add(1) == measured {
-				c.regulator.Sent(int(n), int(measured), c.now()-began)
-			}
-		})
+		c.sendOrder(o, b.answered)
 	}
 }
--- a/recorder/loader.go
+++ b/recorder/loader.go
@@ -9,12 +9,9 @@
 )
 
 const (
-	// pageTimeout bounds the first attempt to read a page: the longest latency of the store in
-	// its fault specification, and the transfer of a full page of 1 MB over an ordinary link.
-	// Each further attempt may take twice as long, up to maxPageTimeout, which is enough for a
-	// link of 2 Mbit/s that carries other traffic too.
-	pageTimeout    = 2 * clock.Second
-	maxPageTimeout = 8 * clock.Second
+	// pageTimeout bounds the reading of one page, besides its transfer: the longest latency of
+	// the store in its fault specification.
+	pageTimeout = 2 * clock.Second
 )
 
 // Load returns the newest item of every key of a topic and the offset up to which they
@@ -46,7 +43,7 @@
 	for {
 		var found []Item
 		var end int64
-		if err := withPatience(ctx, func(ctx context.Context) (err error) {
+		if err := inTime(ctx, s, func(ctx context.Context) (err error) {
 			found, end, err = s.Read(ctx, topic, from, 0)
 			return err
 		}); err != nil {
@@ -68,22 +65,16 @@
 
 func readPage(ctx context.Context, s Store, topic, after string) (Page, error) {
 	var p Page
-	err := withPatience(ctx, func(ctx context.Context) (err error) {
+	err := inTime(ctx, s, func(ctx context.Context) (err error) {
 		p, err = s.ReadNewest(ctx, topic, after)
 		return err
 	})
 	return p, err
 }
 
-// withPatience calls f with growing timeouts until it gets an answer, and returns its error.
-func withPatience(ctx context.Context, f func(context.Context) error) error {
-	for timeout := pageTimeout; ; timeout *= 2 {
-		c, cancel := context.WithTimeout(ctx, timeout.Duration())
-		err := f(c)
-		late := c.Err() != nil
-		cancel()
-		if err == nil || !late || ctx.Err() != nil || timeout >= maxPageTimeout {
-			return err
-		}
-	}
+// inTime calls f with the timeout for one page and returns its error.
+func inTime(ctx context.Context, s Store, f func(context.Context) error) error {
+	c, cancel := context.WithTimeout(ctx, (pageTimeout + s.PageTransfer).Duration())
+	defer cancel()
+	return f(c)
 }
--- a/recorder/loader_test.go
+++ b/recorder/loader_test.go
@@ -17,12 +17,15 @@
 func TestLoadOverSlowLink(t *testing.T) {
 	tests := map[string]struct {
 		transfer clock.Millis
-		want     bool
+		// allowed is the time for the transfer of a page.
+		allowed clock.Millis
+		want    bool
 	}{
-		"ordinary link":    {transfer: 80, want: true},
-		"2 Mbit/s":         {transfer: 4000, want: true},
-		"2 Mbit/s, shared": {transfer: 7500, want: true},
-		"store is cut off": {transfer: clock.Minute},
+		"ordinary link":              {transfer: 80, allowed: 100, want: true},
+		"2 Mbit/s":                   {transfer: 4000, allowed: 8400, want: true},
+		"2 Mbit/s, shared":           {transfer: 7500, allowed: 8400, want: true},
+		"ordinary link, no answer":   {transfer: 4000, allowed: 100},
+		"2 Mbit/s, store is cut off": {transfer: clock.Minute, allowed: 8400},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -36,6 +39,7 @@
 					}
 				}
 				s := recorder.Store{
+					PageTransfer: tt.allowed,
 					ReadNewest: func(ctx context.Context, _, _ string) (recorder.Page, error) {
 						return recorder.Page{Items: []recorder.Item{{Key: "a", Value: []byte("1")}}, End: 1}, transfer(ctx)
 					},
--- a/recorder/store.go
+++ b/recorder/store.go
@@ -40,6 +40,8 @@
 		// ReadNewest returns a page with the newest item of each key that sorts after the
 		// given one.
 		ReadNewest func(ctx context.Context, topic, after string) (Page, error)
+		// PageTransfer is how long the transfer of a full page may take over the host's link.
+		PageTransfer clock.Millis
 	}
 )
 
--- a/regulator/regulator.go
+++ b/regulator/regulator.go
@@ -45,8 +45,9 @@
 	// minMeasured is the least number of starts whose cost is measured.
 	minMeasured = 8
 	// costWeight and rateWeight are the weights of the newest measurement in the moving
-	// averages.
-	costWeight, rateWeight = 0.3, 0.4
+	// averages. A cost that falls counts by lowerCostWeight, so that a limit that was due to a
+	// short trouble soon goes.
+	costWeight, lowerCostWeight, rateWeight = 0.3, 0.6, 0.4
 	// window is the time over which the rate of starts is measured.
 	window = clock.Second
 	// limitedTime is how long after starts were limited jobs may be refused.
@@ -75,9 +76,14 @@
 	defer r.mu.Unlock()
 	r.roll()
 	r.windowStarts += n
-	if n >= minMeasured {
-		r.startCost += costWeight * (float64(max(took-orderTime, 0))/float64(answered) - r.startCost)
+	if n < minMeasured {
+		return
+	}
+	cost, weight := float64(max(took-orderTime, 0))/float64(answered), costWeight
+	if cost < r.startCost {
+		weight = lowerCostWeight
 	}
+	r.startCost += weight * (cost - r.startCost)
 }
 
 // Round must be called after each round of placing. limited is whether tasks have to wait because of
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -108,6 +108,7 @@
 		workers:     platform.NewWorkers(s.Descriptors(), platform.WithWorkerEvents(l.Emit)),
 		cloudClient: platform.NewClient(cloudConnections),
 	}
+	r.store.PageTransfer = s.PageTransfer()
 	r.state = fsm.NewFSM(stateStarting, fsm.Events{
 		{Name: stateServing, Src: []string{stateStarting}, Dst: stateServing},
 		{Name: stateLeaving, Src: []string{stateStarting, stateServing}, Dst: stateLeaving},
