conductor: only answers tell how fast the leader's orders are

Change: a batch is measured when all its orders have ended, by the time in which half of the answered ones were; orders without an answer say nothing.

--- a/conductor/loop.go
+++ b/conductor/loop.go
@@ -86,7 +86,7 @@
 // consultations, and a batch if none is pending and flushInterval has passed.
 func (c *Conductor) dispatch() {
 	for _, o := range c.sched.TakeImmediateOrders() {
-		c.sendOrder(o, func() {})
+		c.sendOrder(o, func(bool) {})
 	}
 	c.assignConsultations()
 	if c.pendingBatch != nil {
@@ -223,13 +223,13 @@
 // sendOrder sends an order from a goroutine of its own. The start of a task is withheld if this
 // daemon may not extend leases, or what it knows is too old. done is called when the order was
 // answered or will not be.
-func (c *Conductor) sendOrder(o scheduler.Order, done func()) {
+func (c *Conductor) sendOrder(o scheduler.Order, done func(answered bool)) {
 	until := clock.Never
 	if o.Kind == scheduler.Start {
 		var ok bool
 		if o.Deadline, ok = c.leaseDeadline(o.Worker, o.Born); !ok || !c.sched.MayStart(o) {
 			c.sched.OrderAnswered(o, scheduler.Withheld)
-			done()
+			done(false)
 			return
 		}
 		until = c.startsUntil()
@@ -238,9 +238,9 @@
 	c.group.Add(1)
 	go func() {
 		defer c.group.Done()
-		defer done()
 		queued := c.now()
 		if !s.acquire(c.ctx) {
+			done(false)
 			return
 		}
 		out := scheduler.Done
@@ -251,6 +251,7 @@
 			out = c.send(o, until)
 		}
 		s.release()
+		done(out.Answered())
 		c.post(func() { c.orderAnswered(o, out) })
 	}()
 }
--- a/conductor/sentbatch.go
+++ b/conductor/sentbatch.go
@@ -7,53 +7,53 @@
 	"galenawharf.example/galenawharf/clock"
 )
 
-// sentBatch counts the unanswered orders of a batch and measures how long they take. An order counts
+// sentBatch counts the unanswered orders of a batch and measures how long answers take. An order counts
 // as in flight for maxInFlightTime: after that it is the worker that does not answer, and not this
-// process that is slow.
+// process that is slow. Orders without an answer are not measured.
 type sentBatch struct {
-	c        *Conductor
-	sentAt   clock.Millis
-	size     int
-	measured int
-	timer    *time.Timer
+	c      *Conductor
+	sentAt clock.Millis
+	size   int
+	timer  *time.Timer
 
 	mu sync.Mutex
-	// replies is the number of orders that were answered, over whether the batch was measured,
-	// expired whether its orders do not count any more.
-	replies       int
-	over, expired bool
+	// done is the number of orders that have ended, answerTimes how long the answered ones took,
+	// expired whether the others do not count as in flight any more.
+	done        int
+	answerTimes []clock.Millis
+	expired     bool
 }
 
-const (
-	// measuredShare is the share of the orders of a batch that are waited for to measure how
-	// long orders take. The others may be for workers that are cut off: up to a third, those of
-	// one data centre.
-	measuredShare = 0.6
-	// maxInFlightTime is twice the time in which the regulator wants orders to be answered.
-	maxInFlightTime = 300 * clock.Millis(1)
-)
+// maxInFlightTime is twice the time in which the regulator wants orders to be answered.
+const maxInFlightTime = 300 * clock.Millis(1)
 
 func newSentBatch(c *Conductor, size int) *sentBatch {
-	b := &sentBatch{c: c, sentAt: c.now(), size: size, measured: max(int(measuredShare*float64(size)), 1)}
+	b := &sentBatch{c: c, sentAt: c.now(), size: size}
 	c.startsInFlight.Add(int64(size))
 	b.timer = time.AfterFunc(maxInFlightTime.Duration(), b.expire)
 	return b
 }
 
-// answered must be called once for each order.
-func (b *sentBatch) answered() {
+// end must be called once for each order, with whether the worker has answered.
+func (b *sentBatch) end(answered bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.replies++
+	b.done++
 	if !b.expired {
 		b.c.startsInFlight.Add(-1)
 	}
-	if b.replies == b.measured {
-		b.measure()
+	if answered {
+		b.answerTimes = append(b.answerTimes, b.c.now()-b.sentAt)
+	}
+	if b.done < b.size {
+		return
 	}
-	if b.replies == b.size {
-		b.timer.Stop()
+	b.timer.Stop()
+	half, took := (len(b.answerTimes)+1)/2, clock.Millis(0)
+	if half > 0 {
+		took = b.answerTimes[half-1]
 	}
+	b.c.regulator.Sent(b.size, half, took)
 }
 
 // expire ends the time in which the orders count.
@@ -61,14 +61,5 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.expired = true
-	b.c.startsInFlight.Add(int64(b.replies - b.size))
-	b.measure()
-}
-
-// measure passes the time that the orders take to the regulator, once.
-func (b *sentBatch) measure() {
-	if !b.over {
-		b.over = true
-		b.c.regulator.Sent(b.size, max(b.replies, 1), b.c.now()-b.sentAt)
-	}
+	b.c.startsInFlight.Add(int64(b.done - b.size))
 }
--- a/conductor/starting.go
+++ b/conductor/starting.go
@@ -45,6 +45,6 @@
 	}
 	b := newSentBatch(c, len(os))
 	for _, o := range os {
-		c.sendOrder(o, b.answered)
+		c.sendOrder(o, b.end)
 	}
 }
--- a/regulator/regulator.go
+++ b/regulator/regulator.go
@@ -42,8 +42,8 @@
 	// minBurst and maxBurst bound StartLimit. Less than minBurst starts could all be for workers
 	// that do not answer.
 	minBurst, maxBurst = 32, 4096
-	// minMeasured is the least number of starts whose cost is measured.
-	minMeasured = 8
+	// minMeasured is the least number of answered starts whose cost is measured.
+	minMeasured = 4
 	// costWeight and rateWeight are the weights of the newest measurement in the moving
 	// averages. A cost that falls counts by lowerCostWeight, so that a limit that was due to a
 	// short trouble soon goes.
@@ -76,7 +76,7 @@
 	defer r.mu.Unlock()
 	r.roll()
 	r.windowStarts += n
-	if n < minMeasured {
+	if answered < minMeasured {
 		return
 	}
 	cost, weight := float64(max(took-orderTime, 0))/float64(answered), costWeight
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -99,6 +99,16 @@
 	Superseded
 )
 
+// Answered reports whether the worker has answered the order.
+func (o Outcome) Answered() bool {
+	switch o {
+	case Unclear, Unheard, NotSent, Withheld, Superseded, ConnectionRefused:
+		return false
+	default:
+		return true
+	}
+}
+
 // confirmsStop reports whether a worker that answered an order to stop a run with this
 // outcome rejects later starts of that run.
 func (o Outcome) confirmsStop() bool { return o == Done || o == Obsolete }
