--- a/conductor/delay_test.go
+++ b/conductor/delay_test.go
@@ -296,3 +296,20 @@
 		must.ErrorIs(t, err, conductor.ErrUnconfirmed)
 	})
 }
+
+// TestSubmissionOutlivesNoCaller guards against accepting a job whose caller has gone while the
+// submission waited, and may have been told since that it was not accepted.
+func TestSubmissionOutlivesNoCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newStalledLeader(t, 1, 1000, func(f conductor.Fleet) conductor.Fleet { return f })
+		time.Sleep(time.Second)
+		l.stall(3000)
+		// The next sweep stalls the scheduler's goroutine.
+		time.Sleep(200 * time.Millisecond)
+		must.ErrorIs(t, l.Submit(t.Context(), testJob(1, 1)), conductor.ErrUnclear)
+		time.Sleep(5 * time.Second)
+		must.Eq(t, 0, l.pool.Starts())
+		_, err := l.Phase(testJob(1, 1).ID, "q")
+		must.ErrorIs(t, err, scheduler.ErrUnknown)
+	})
+}
