scheduler: the log names the lease that a lost worker's tasks waited for

Cause: GE6032 did not say which bound a worker's wait came from, nor when it was set: a lease that this leader granted, or one that a former leader may have granted. Change: bounds of former leaders are kept apart from this leader's; GE6032 has born, lease-from, lease-set-ms-ago, silent-ms, known-address and registered. The lease has a file of its own. Measured: TestLostWorkerNamesItsLease; no decision changes, the package's tests pass.

--- a/scheduler/record.go
+++ b/scheduler/record.go
@@ -176,7 +176,7 @@
 		// An order to the former process may have reached its successor.
 		t.unresolvedSince = now
 	}
-	w.leaseEnd, w.unreconciled = leaseEnd, true
+	w.inheritedEnd, w.inheritedAt, w.unreconciled = leaseEnd, now, true
 	w.addTask(t)
 }
 
@@ -184,7 +184,8 @@
 // or its lease expires. until is when the leases that the former leader granted have
 // expired.
 func (s *Scheduler) Inherit(until clock.Millis) {
+	now := s.now()
 	for _, w := range s.workers {
-		w.leaseEnd, w.unreconciled = max(w.leaseEnd, until), true
+		w.inheritedEnd, w.inheritedAt, w.unreconciled = max(w.inheritedEnd, until), now, true
 	}
 }
--- a/scheduler/reporting.go
+++ b/scheduler/reporting.go
@@ -8,12 +8,6 @@
 )
 
 const (
-	// maxClockDrift bounds how much slower than this host's a worker's clock may run, as
-	// a share; from the platform's description of its workers.
-	maxClockDrift = 0.02
-	// leaseMargin is added to the end of a lease for the delay of the call that extended
-	// it.
-	leaseMargin = 200 * clock.Millis(1)
 	// resendDelay is the least time from an order to its repetition, if the run is still
 	// missing from the reports.
 	resendDelay = 150 * clock.Millis(1)
@@ -24,10 +18,6 @@
 	// refusalBackoff is how long a worker gets no new runs after it refused one or could
 	// not be reached: the time of two reports.
 	refusalBackoff = 300 * clock.Millis(1)
-	// maxOrderDelay is how long a worker that has left the registry is kept after the end
-	// of its lease if it may still carry out orders. By the platform's description, orders
-	// are carried out seconds late.
-	maxOrderDelay = clock.Minute
 	// maxListedEnds is the maximum number of ended runs in a report; from the platform's
 	// description of its workers.
 	maxListedEnds = 500
@@ -82,7 +72,7 @@
 	for _, t := range slices.Clone(w.tasks) {
 		s.emit(logger.RunAbandoned, logger.String("task", t.name().String()), logger.Int("attempt", int64(t.attempt)), logger.String("worker", w.info.ID),
 			logger.Int("born", w.info.Born), logger.String("reason", reason), logger.Text("unclear", t.unclear), logger.Int("unanswered", int64(t.ordersInFlight)),
-			logger.Int("lease-left-ms", int64(w.leaseEnd-s.now())))
+			logger.Int("lease-left-ms", int64(w.leaseBound()-s.now())))
 		s.markDirty(t.job())
 		s.release(t)
 	}
@@ -119,6 +109,7 @@
 	n := &worker{
 		info: i, registered: w.registered, unreconciled: len(w.tasks) > 0, allEndsSeen: true,
 		leaseEnd:     max(w.leaseEnd, LeaseBound(now, s.leaseLength)),
+		inheritedEnd: w.inheritedEnd, inheritedAt: w.inheritedAt,
 		clockReading: i.Clock, clockReadAt: now,
 		doubtful: w.doubtful,
 	}
@@ -407,63 +398,3 @@
 		s.emit(logger.WorkerSilent, logger.String("worker", w.info.ID))
 	}
 }
-
-// Lease extends the lease of a worker process for a call that is about to be sent, and
-// returns its new end on the process's clock. It returns false if the lease must not be
-// extended.
-//
-// The end is counted from the least time that the worker's clock can show, so that the lease
-// ends by LeaseBound even if the last reading of the clock is old.
-func (s *Scheduler) Lease(id string, born int64) (clock.Millis, bool) {
-	w := s.workers[id]
-	if w == nil || w.info.Born != born {
-		return 0, false
-	}
-	now := s.now()
-	if len(w.doubtful) > 0 {
-		return 0, false
-	}
-	if w.silentSince != 0 {
-		// The current lease lasts for a few more calls. If these fail too, the runs have
-		// to end soon so that their tasks can start elsewhere.
-		return 0, false
-	}
-	w.leaseEnd = max(w.leaseEnd, LeaseBound(now, s.leaseLength))
-	return w.leastClock(now) + s.leaseLength, true
-}
-
-// LeaseBound returns the time, on this host's clock, after which a lease that is extended
-// at now has expired, even if the worker's clock runs slow.
-func LeaseBound(now, lease clock.Millis) clock.Millis {
-	return now + lease + clock.Millis(float64(lease)*maxClockDrift) + leaseMargin
-}
-
-// expireLeases abandons the runs of workers whose lease has expired, and removes workers
-// that have left the registry.
-func (s *Scheduler) expireLeases() {
-	now := s.now()
-	for id, w := range s.workers {
-		// A process that only the records name has no address and can't be polled.
-		known := w.registered && w.info.Address != ""
-		if (w.silentSince == 0 && known) || now < w.leaseEnd {
-			continue
-		}
-		if w.silentSince != 0 && w.info.Address != "" && len(w.tasks) > 0 && w.failedCallAt < s.delayedAt {
-			// It may have answered while this daemon was delayed, and is asked again.
-			continue
-		}
-		if w.silentSince != 0 || w.unreconciled {
-			if !w.leaseExpired && len(w.tasks) > 0 {
-				s.emit(logger.WorkerLost, logger.String("worker", w.info.ID), logger.Int("runs", int64(len(w.tasks))))
-			}
-			w.leaseExpired, w.unreconciled = true, false
-			for _, t := range w.tasks {
-				w.markDoubtful(t)
-			}
-			s.abandonRuns(w, "its lease has expired")
-		}
-		if !known && len(w.tasks) == 0 && (len(w.doubtful) == 0 || now >= w.leaseEnd+maxOrderDelay) {
-			s.deleteWorker(id)
-		}
-	}
-}
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -58,9 +58,11 @@
 		// connRefused is whether the last call found nothing listening at the worker's
 		// address.
 		connRefused bool
-		// leaseEnd is the time by which all runs on the worker have ended unless the
-		// lease is extended.
-		leaseEnd clock.Millis
+		// leaseEnd is the time by which the leases that this leader has granted have ended
+		// unless they are extended, inheritedEnd the same for those of former leaders.
+		leaseEnd, inheritedEnd clock.Millis
+		// inheritedAt is when inheritedEnd was set.
+		inheritedAt clock.Millis
 		// lastEnd is the highest number of an ended run that was reported, storedEnd the
 		// highest one whose result is stored.
 		lastEnd, storedEnd int64
@@ -130,6 +132,10 @@
 	return w.clockReading + clock.Millis(float64(now-w.clockReadAt)*(1-maxClockDrift))
 }
 
+// leaseBound returns the time by which all runs on the worker have ended unless its lease is
+// extended.
+func (w *worker) leaseBound() clock.Millis { return max(w.leaseEnd, w.inheritedEnd) }
+
 func (w *worker) addTask(t *task) {
 	if slices.Contains(w.tasks, t) {
 		return
