imitator: record how long a task is without a run

Cause: nothing counted how long a task that lasts is without a run. A lease ends its runs at its end, as on the platform, and no longer at the next call to the worker, so that the end of a lapsed run has the right time.

--- a/imitator/ledger.go
+++ b/imitator/ledger.go
@@ -14,6 +14,10 @@
 	ledger struct {
 		// running has the current runs of each task that was ever started.
 		running map[string][]taskRun
+		// idleSince has the end of the last run of each task that has had one and has none now.
+		idleSince map[string]clock.Millis
+		// gaps are the times between the runs of tasks.
+		gaps []Gap
 		// acked has the acknowledgement of each task's successful end.
 		acked      map[string]acknowledgement
 		violations []string
@@ -40,7 +44,7 @@
 )
 
 func newLedger() *ledger {
-	return &ledger{running: map[string][]taskRun{}, acked: map[string]acknowledgement{}}
+	return &ledger{running: map[string][]taskRun{}, idleSince: map[string]clock.Millis{}, acked: map[string]acknowledgement{}}
 }
 
 func (l *ledger) start(task string, r taskRun) {
@@ -50,11 +54,18 @@
 	if a, ok := l.acked[task]; ok {
 		l.violate("%s runs again after its end was acknowledged: %s, after %s", task, r, a)
 	}
+	if since, ok := l.idleSince[task]; ok {
+		delete(l.idleSince, task)
+		l.gaps = append(l.gaps, Gap{task: task, from: since, to: r.started})
+	}
 	l.running[task] = append(l.running[task], r)
 }
 
-func (l *ledger) end(task string, r taskRun) {
+func (l *ledger) end(task string, r taskRun, at clock.Millis) {
 	l.running[task] = slices.DeleteFunc(l.running[task], func(other taskRun) bool { return other == r })
+	if len(l.running[task]) == 0 {
+		l.idleSince[task] = at
+	}
 }
 
 func (l *ledger) acknowledge(task string, a acknowledgement, done bool) {
--- a/imitator/pool.go
+++ b/imitator/pool.go
@@ -76,11 +76,17 @@
 
 func (p *Pool) startWorker(id string, slots int, born int64) {
 	ctx, cancel := context.WithCancel(context.Background())
-	p.workers[id] = &poolWorker{
+	w := &poolWorker{
 		ctx: ctx, cancel: cancel,
 		info:     scheduler.WorkerInfo{ID: id, Address: id, Service: "pool", DataCentre: "a", CPU: int64(slots) * 1000, Memory: int64(slots) * 1000, Born: born},
 		bootedAt: clock.System(), runs: map[string]*poolRun{}, highestAttempt: map[string]int{}, runEnded: make(chan struct{}), slots: slots,
 	}
+	w.leaseTimer = time.AfterFunc(0, func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.expireLease(w)
+	})
+	p.workers[id] = w
 }
 
 // Register writes the entries of all workers to the registry, the topic "servers".
@@ -127,9 +133,10 @@
 	}
 	for name, r := range w.runs {
 		r.timer.Stop()
-		p.ledger.end(name, w.taskRun(r))
+		p.ledger.end(name, w.taskRun(r), clock.System())
 	}
 	clear(w.runs)
+	w.leaseTimer.Stop()
 	w.cancel()
 	close(w.runEnded)
 }
@@ -267,6 +274,7 @@
 		p.counts.CappedLeases++
 	}
 	w.leaseUntil = max(w.leaseUntil, until)
+	w.leaseTimer.Reset((w.leaseUntil - clock.System()).Duration())
 }
 
 // expireLease ends the runs of a worker whose lease has expired.
@@ -284,7 +292,11 @@
 	r.timer.Stop()
 	delete(w.runs, name)
 	run := w.taskRun(r)
-	p.ledger.end(name, run)
+	at := clock.System()
+	if ending == scheduler.EndLapsed {
+		at = w.leaseUntil
+	}
+	p.ledger.end(name, run, at)
 	w.lastEndNumber++
 	w.endedRuns = append(w.endedRuns, poolEnd{run: run, EndedRun: scheduler.EndedRun{Number: w.lastEndNumber, Task: name, Attempt: r.order.Attempt, How: ending}})
 	close(w.runEnded)
--- a/imitator/pool_test.go
+++ b/imitator/pool_test.go
@@ -47,3 +47,22 @@
 		})
 	}
 }
+
+// TestGapBeginsWithLapse guards against taking a run for active after its lease has expired because
+// nobody has called its worker since.
+func TestGapBeginsWithLapse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := NewPool(2, 1, func(scheduler.TaskName, int) (clock.Millis, scheduler.Ending) { return clock.Hour, scheduler.EndDone }, nil)
+		start := scheduler.Order{Kind: scheduler.Start, Task: scheduler.TaskName{Job: "a"}, Attempt: 1, Deadline: 5 * clock.Second}
+		must.Eq(t, scheduler.Done, p.Life("w0").Send(start, 1))
+		time.Sleep(8 * time.Second)
+		gaps := p.Gaps("a")
+		must.Len(t, 1, gaps)
+		must.Eq(t, 3*clock.Second, gaps[0].Length())
+		start.Attempt, start.Deadline = 2, clock.Hour
+		must.Eq(t, scheduler.Done, p.Life("w1").Send(start, 1))
+		time.Sleep(time.Second)
+		must.Eq(t, gaps, p.Gaps("a"))
+		must.SliceEmpty(t, p.Violations())
+	})
+}
--- a/imitator/poolworker.go
+++ b/imitator/poolworker.go
@@ -13,11 +13,13 @@
 	poolWorker struct {
 		info scheduler.WorkerInfo
 		// ctx is cancelled when the process is killed.
-		ctx            context.Context
-		cancel         context.CancelFunc
-		bootedAt       clock.Millis
-		highestEpoch   int64
-		leaseUntil     clock.Millis
+		ctx          context.Context
+		cancel       context.CancelFunc
+		bootedAt     clock.Millis
+		highestEpoch int64
+		leaseUntil   clock.Millis
+		// leaseTimer ends the runs at leaseUntil.
+		leaseTimer     *time.Timer
 		runs           map[string]*poolRun
 		highestAttempt map[string]int
 		endedRuns      []poolEnd
