conductor: tests of the time that a task that lasts is without a run

Cause: no test had takeovers in series, so that a wait which each takeover begins anew was not seen. Change: deployments in virtual time whose daemons are killed without a resignation and started again, each process with a monotonic clock of its own, and whose workers leave for good.

--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -16,6 +16,7 @@
 	"galenawharf.example/galenawharf/conductor"
 	"galenawharf.example/galenawharf/elector"
 	"galenawharf.example/galenawharf/imitator"
+	"galenawharf.example/galenawharf/recorder"
 	"galenawharf.example/galenawharf/scheduler"
 )
 
@@ -37,14 +38,24 @@
 	return d.random.IntN(n)
 }
 
+func (d *lockedRand) perm(n int) []int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.random.Perm(n)
+}
+
 const testLease = 6 * clock.Second
 
 func startDaemon(name string, l *imitator.KeyedLog, p *imitator.Pool, y *imitator.Policy) *daemon {
+	return startProcess(name, name+"-life", clock.System, l.Client(name), p.Fleet(), y)
+}
+
+// startProcess starts a daemon as one process of a host, with a monotonic clock of its own.
+func startProcess(host, instance string, now func() clock.Millis, s recorder.Store, f conductor.Fleet, y *imitator.Policy) *daemon {
 	d := &daemon{leading: make(chan *conductor.Conductor, 8)}
-	s := l.Client(name)
-	d.elector = elector.New(s, name, name, name+"-life", func(ctx context.Context, t elector.Term) {
+	d.elector = elector.New(s, host, host, instance, func(ctx context.Context, t elector.Term) {
 		c, err := conductor.New(ctx, conductor.Term{Epoch: t.Epoch, PredecessorStopped: t.PredecessorStopped, LastRenewal: t.LastRenewal},
-			s, p.Fleet(), scheduler.New(scheduler.WithLease(testLease)), testLease, imitator.DecodeEntry)
+			s, f, scheduler.New(scheduler.WithLease(testLease), scheduler.WithClocks(now, clock.System)), testLease, imitator.DecodeEntry, conductor.WithClock(now))
 		if err != nil {
 			return
 		}
@@ -54,7 +65,7 @@
 			defer a.Close()
 		}
 		c.Wait()
-	})
+	}, elector.WithClock(now))
 	return d
 }
 
--- /dev/null
+++ b/conductor/site_test.go
@@ -0,0 +1,319 @@
+package conductor_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"galenawharf.example/galenawharf/clock"
+	"galenawharf.example/galenawharf/conductor"
+	"galenawharf.example/galenawharf/imitator"
+	"galenawharf.example/galenawharf/recorder"
+	"galenawharf.example/galenawharf/scheduler"
+)
+
+type (
+	// site is a deployment in which daemons are killed and started again, and workers leave for good.
+	// It runs one job, whose tasks last.
+	site struct {
+		t           *testing.T
+		log         *imitator.KeyedLog
+		pool        *imitator.Pool
+		random      *lockedRand
+		disruptions imitator.Disruptions
+		processes   map[string]*process
+		starts      int
+		group       sync.WaitGroup
+		done        chan struct{}
+		// losing is whether answers of the store are lost, late whether orders are carried out late.
+		losing, late atomic.Bool
+		mu           sync.Mutex
+		// left has the workers that have left, and whether their addresses refuse connections.
+		left map[string]bool
+	}
+
+	// process is one process of a daemon.
+	process struct {
+		*daemon
+		dead atomic.Bool
+	}
+)
+
+const (
+	siteDaemons = 3
+	siteWorkers = 12
+	siteTasks   = 16
+	lastingJob  = "00000000000000aa"
+	// siteHeartbeat is the interval at which workers write their registry entries. An entry is
+	// removed after three of silence.
+	siteHeartbeat = 500 * clock.Millis(1)
+	// maxClockOffset bounds the difference between the monotonic clocks of two processes.
+	maxClockOffset = clock.Hour
+)
+
+// newSite starts a deployment and waits until all tasks run.
+func newSite(t *testing.T, seed uint64) *site {
+	s := &site{
+		t: t, random: &lockedRand{random: rand.New(rand.NewPCG(seed, 1))}, processes: map[string]*process{}, done: make(chan struct{}), left: map[string]bool{},
+	}
+	s.log = imitator.NewKeyedLog(4, func(_, call, _ string) imitator.StoreFault {
+		if call == "append" && s.losing.Load() && s.random.intN(3) == 0 {
+			return imitator.StoreLosesAnswer
+		}
+		return imitator.StoreFine
+	})
+	s.pool = imitator.NewPool(siteWorkers, 4, func(scheduler.TaskName, int) (clock.Millis, scheduler.Ending) { return clock.Hour, scheduler.EndDone }, func(scheduler.Order) imitator.OrderFault {
+		if s.late.Load() && s.random.intN(2) == 0 {
+			return imitator.OrderLate
+		}
+		return imitator.OrderFine
+	})
+	s.pool.Register(s.log)
+	s.group.Go(s.writeEntries)
+	t.Cleanup(s.close)
+	for i := range siteDaemons {
+		s.start(fmt.Sprintf("h%d", i))
+	}
+	c := awaitLeader(s.daemons()...)
+	must.NoError(t, c.Submit(t.Context(), scheduler.Spec{
+		ID: lastingJob, Queue: scheduler.Queue{Name: "q", Service: "pool", MaxAttempts: 3, Slack: 2},
+		Steps: []scheduler.Step{{Count: siteTasks, CPU: 1000, LongRunning: true}},
+	}))
+	s.sleep(2000, 4000)
+	must.Eq(t, siteTasks, s.pool.Starts())
+	return s
+}
+
+// sleep waits for a random time within bounds, in ms.
+func (s *site) sleep(least, most int) {
+	time.Sleep(time.Duration(least+s.random.intN(most-least+1)) * time.Millisecond)
+}
+
+// writeEntries writes the registry entries of the workers that are up, at each heartbeat.
+func (s *site) writeEntries() {
+	for {
+		for i := range siteWorkers {
+			if info, up := s.pool.Info(fmt.Sprintf("w%d", i)); up {
+				s.log.Put("servers", imitator.EncodeEntry(info))
+			}
+		}
+		select {
+		case <-time.After(siteHeartbeat.Duration()):
+		case <-s.done:
+			return
+		}
+	}
+}
+
+// start starts a process of a host.
+func (s *site) start(host string) {
+	s.disruptions.Begin()()
+	s.starts++
+	p := &process{}
+	offset := clock.Millis(s.random.intN(int(maxClockOffset)))
+	now := func() clock.Millis { return clock.System() + offset }
+	p.daemon = startProcess(host, fmt.Sprintf("%s-%d", host, s.starts), now, p.store(s.log.Client(host)), s.fleet(p), nil)
+	s.processes[host] = p
+}
+
+// kill ends the process of a host, which does not resign.
+func (s *site) kill(host string) {
+	s.disruptions.Begin()()
+	p := s.processes[host]
+	delete(s.processes, host)
+	p.dead.Store(true)
+	s.group.Go(p.elector.Close)
+}
+
+// killAll ends the processes of all hosts and returns these.
+func (s *site) killAll() []string {
+	var hosts []string
+	for h := range s.processes {
+		hosts = append(hosts, h)
+	}
+	for _, h := range hosts {
+		s.kill(h)
+	}
+	return hosts
+}
+
+// leader waits until a host leads, and returns it.
+func (s *site) leader() string {
+	for {
+		for h, p := range s.processes {
+			if _, here := p.elector.Leader(); here {
+				return h
+			}
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// takeover kills the leader, waits until another host leads, and returns the former leader.
+func (s *site) takeover() string {
+	h := s.leader()
+	s.kill(h)
+	s.leader()
+	return h
+}
+
+func (s *site) daemons() []*daemon {
+	var ds []*daemon
+	for _, p := range s.processes {
+		ds = append(ds, p.daemon)
+	}
+	return ds
+}
+
+// leave makes a third of the workers leave for good, at the same time. Their addresses refuse
+// connections, or nothing answers there.
+func (s *site) leave() {
+	for _, id := range s.someWorkers() {
+		s.mu.Lock()
+		s.left[id] = s.random.intN(2) == 0
+		s.mu.Unlock()
+		s.pool.Kill(id)
+		time.AfterFunc((3 * siteHeartbeat).Duration(), func() { s.log.Put("servers", recorder.Item{Key: id}) })
+	}
+}
+
+// cut cuts a third of the workers off from all daemons for a random time within bounds, in ms.
+func (s *site) cut(least, most int) {
+	ids := s.someWorkers()
+	defer s.disruptions.Begin()()
+	for _, id := range ids {
+		s.pool.SetPartitioned(id, true)
+	}
+	s.sleep(least, most)
+	for _, id := range ids {
+		s.pool.SetPartitioned(id, false)
+	}
+}
+
+// loseAnswers loses answers of the store during f.
+func (s *site) loseAnswers(f func()) {
+	defer s.disruptions.Begin()()
+	s.losing.Store(true)
+	f()
+	s.losing.Store(false)
+}
+
+// delayOrders makes orders that are sent during f late, and waits until all are carried out.
+func (s *site) delayOrders(f func()) {
+	defer s.disruptions.Begin()()
+	s.late.Store(true)
+	f()
+	s.late.Store(false)
+	s.sleep(2000, 2000)
+}
+
+func (s *site) someWorkers() []string {
+	var ids []string
+	for _, i := range s.random.perm(siteWorkers)[:siteWorkers/3] {
+		ids = append(ids, fmt.Sprintf("w%d", i))
+	}
+	return ids
+}
+
+func (s *site) refuses(worker string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.left[worker]
+}
+
+// store returns a client of the store that makes no calls once the process is killed.
+func (p *process) store(s recorder.Store) recorder.Store {
+	return recorder.Store{
+		Append: func(ctx context.Context, topic string, at int64, items []recorder.Item) (int64, error) {
+			if p.stopped(ctx) {
+				return 0, recorder.ErrUnclear
+			}
+			return s.Append(ctx, topic, at, items)
+		},
+		Read: func(ctx context.Context, topic string, from int64, wait clock.Millis) ([]recorder.Item, int64, error) {
+			if p.stopped(ctx) {
+				return nil, 0, recorder.ErrUnclear
+			}
+			return s.Read(ctx, topic, from, wait)
+		},
+		ReadNewest: func(ctx context.Context, topic, after string) (recorder.Page, error) {
+			if p.stopped(ctx) {
+				return recorder.Page{}, recorder.ErrUnclear
+			}
+			return s.ReadNewest(ctx, topic, after)
+		},
+	}
+}
+
+// stopped reports whether the process was killed. It then waits for the end of the call, so that the
+// caller does not go on at once.
+func (p *process) stopped(ctx context.Context) bool {
+	if !p.dead.Load() {
+		return false
+	}
+	<-ctx.Done()
+	return true
+}
+
+// fleet returns a client of the workers that makes no calls once the process is killed.
+func (s *site) fleet(p *process) conductor.Fleet {
+	f := s.pool.Fleet()
+	return conductor.Fleet{
+		Send: func(ctx context.Context, o scheduler.Order, epoch int64) scheduler.Outcome {
+			switch {
+			case p.stopped(ctx):
+				return scheduler.Unclear
+			case s.refuses(o.Worker) && recorder.Sleep(ctx, 1):
+				return scheduler.ConnectionRefused
+			default:
+				return f.Send(ctx, o, epoch)
+			}
+		},
+		Poll: func(ctx context.Context, q conductor.PollRequest, epoch int64) (scheduler.Report, scheduler.Outcome) {
+			switch {
+			case p.stopped(ctx):
+				return scheduler.Report{}, scheduler.Unclear
+			case s.refuses(q.Worker) && recorder.Sleep(ctx, 1):
+				return scheduler.Report{}, scheduler.ConnectionRefused
+			default:
+				return f.Poll(ctx, q, epoch)
+			}
+		},
+	}
+}
+
+// check reports each violation: a task that ran twice at once, or one that was without a run for
+// too long.
+func (s *site) check() {
+	s.t.Helper()
+	must.SliceEmpty(s.t, s.pool.Violations())
+	gaps := s.pool.Gaps(lastingJob)
+	must.SliceNotEmpty(s.t, gaps, must.Sprint("no task has lost its run"))
+	longest, late := gaps[0], 0
+	for _, g := range gaps {
+		if g.Length() > longest.Length() {
+			longest = g
+		}
+		if s.disruptions.Exceeded(g) {
+			late++
+		}
+	}
+	s.t.Logf("%d gaps, the longest: %s, limit %d ms", len(gaps), longest, s.disruptions.Limit(longest.From())-longest.From())
+	if late > 0 {
+		s.t.Errorf("%d of %d gaps were too long, the longest: %s, limit %d ms", late, len(gaps), longest, s.disruptions.Limit(longest.From())-longest.From())
+	}
+}
+
+func (s *site) close() {
+	close(s.done)
+	for h := range s.processes {
+		s.kill(h)
+	}
+	s.group.Wait()
+}
