conductor: test of a takeover from a leader that still reaches workers

Cause: a shorter wait after a takeover would be refuted by few tests. Change: the leader loses the store and, with a third of the workers, the way to all others; it goes on extending their leases while its successor waits for them. With and without their registry entries.

--- a/conductor/lasting_test.go
+++ b/conductor/lasting_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/shoenig/test/must"
 )
 
 const (
@@ -139,3 +141,24 @@
 		},
 	})
 }
+
+// TestTakeoverFromCutOffLeader guards against a wait that is too short: a leader that has lost the
+// store goes on extending leases of workers that its successor does not reach.
+func TestTakeoverFromCutOffLeader(t *testing.T) {
+	for name, unregistered := range map[string]bool{"workers are registered": false, "workers lose the registry too": true} {
+		for seed := range uint64(lastingSeeds) {
+			t.Run(fmt.Sprintf("%s/%d", name, seed), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					s := newSite(t, seed)
+					s.sleep(0, 1000)
+					h := s.leader()
+					s.processes[h].cutOff.Store(true)
+					s.split(h, unregistered)
+					time.Sleep(settleTime)
+					must.SliceEmpty(t, s.pool.Violations(), must.Sprint(s.pool.Violations()))
+					must.Greater(t, siteTasks, s.pool.Starts(), must.Sprint("no run was started by the successor"))
+				})
+			})
+		}
+	}
+}
--- a/conductor/site_test.go
+++ b/conductor/site_test.go
@@ -36,12 +36,18 @@
 		mu           sync.Mutex
 		// left has the workers that have left, and whether their addresses refuse connections.
 		left map[string]bool
+		// reachedBy has the only process that reaches a worker, if the network is split. That
+		// process reaches no other workers.
+		reachedBy map[string]*process
+		// unregistered has the workers that don't reach the registry.
+		unregistered map[string]bool
 	}
 
 	// process is one process of a daemon.
 	process struct {
 		*daemon
-		dead atomic.Bool
+		// dead is whether it was killed, cutOff whether it does not reach the store.
+		dead, cutOff atomic.Bool
 	}
 )
 
@@ -60,7 +66,8 @@
 // newSite starts a deployment and waits until all tasks run.
 func newSite(t *testing.T, seed uint64) *site {
 	s := &site{
-		t: t, random: &lockedRand{random: rand.New(rand.NewPCG(seed, 1))}, processes: map[string]*process{}, done: make(chan struct{}), left: map[string]bool{},
+		t: t, random: &lockedRand{random: rand.New(rand.NewPCG(seed, 1))}, processes: map[string]*process{}, done: make(chan struct{}),
+		left: map[string]bool{}, reachedBy: map[string]*process{}, unregistered: map[string]bool{},
 	}
 	s.log = imitator.NewKeyedLog(4, func(_, call, _ string) imitator.StoreFault {
 		if call == "append" && s.losing.Load() && s.random.intN(3) == 0 {
@@ -99,7 +106,11 @@
 func (s *site) writeEntries() {
 	for {
 		for i := range siteWorkers {
-			if info, up := s.pool.Info(fmt.Sprintf("w%d", i)); up {
+			info, up := s.pool.Info(fmt.Sprintf("w%d", i))
+			s.mu.Lock()
+			up = up && !s.unregistered[info.ID]
+			s.mu.Unlock()
+			if up {
 				s.log.Put("servers", imitator.EncodeEntry(info))
 			}
 		}
@@ -179,10 +190,43 @@
 		s.left[id] = s.random.intN(2) == 0
 		s.mu.Unlock()
 		s.pool.Kill(id)
-		time.AfterFunc((3 * siteHeartbeat).Duration(), func() { s.log.Put("servers", recorder.Item{Key: id}) })
+		s.removeEntry(id)
 	}
 }
 
+// removeEntry removes a worker's registry entry after three heartbeats of silence.
+func (s *site) removeEntry(id string) {
+	time.AfterFunc((3 * siteHeartbeat).Duration(), func() { s.log.Put("servers", recorder.Item{Key: id}) })
+}
+
+// split splits the network: the process of a host and a third of the workers reach only each other.
+// These workers reach the registry unless unregistered is set.
+func (s *site) split(host string, unregistered bool) {
+	for _, id := range s.someWorkers() {
+		s.mu.Lock()
+		s.reachedBy[id], s.unregistered[id] = s.processes[host], unregistered
+		s.mu.Unlock()
+		if unregistered {
+			s.removeEntry(id)
+		}
+	}
+}
+
+// reached reports whether a process reaches a worker.
+func (s *site) reached(p *process, worker string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if by := s.reachedBy[worker]; by != nil {
+		return by == p
+	}
+	for _, other := range s.reachedBy {
+		if other == p {
+			return false
+		}
+	}
+	return true
+}
+
 // cut cuts a third of the workers off from all daemons for a random time within bounds, in ms.
 func (s *site) cut(least, most int) {
 	ids := s.someWorkers()
@@ -231,19 +275,19 @@
 func (p *process) store(s recorder.Store) recorder.Store {
 	return recorder.Store{
 		Append: func(ctx context.Context, topic string, at int64, items []recorder.Item) (int64, error) {
-			if p.stopped(ctx) {
+			if p.storeless(ctx) {
 				return 0, recorder.ErrUnclear
 			}
 			return s.Append(ctx, topic, at, items)
 		},
 		Read: func(ctx context.Context, topic string, from int64, wait clock.Millis) ([]recorder.Item, int64, error) {
-			if p.stopped(ctx) {
+			if p.storeless(ctx) {
 				return nil, 0, recorder.ErrUnclear
 			}
 			return s.Read(ctx, topic, from, wait)
 		},
 		ReadNewest: func(ctx context.Context, topic, after string) (recorder.Page, error) {
-			if p.stopped(ctx) {
+			if p.storeless(ctx) {
 				return recorder.Page{}, recorder.ErrUnclear
 			}
 			return s.ReadNewest(ctx, topic, after)
@@ -251,6 +295,15 @@
 	}
 }
 
+// storeless reports whether the process does not reach the store, as stopped.
+func (p *process) storeless(ctx context.Context) bool {
+	if p.cutOff.Load() {
+		<-ctx.Done()
+		return true
+	}
+	return p.stopped(ctx)
+}
+
 // stopped reports whether the process was killed. It then waits for the end of the call, so that the
 // caller does not go on at once.
 func (p *process) stopped(ctx context.Context) bool {
@@ -271,6 +324,9 @@
 				return scheduler.Unclear
 			case s.refuses(o.Worker) && recorder.Sleep(ctx, 1):
 				return scheduler.ConnectionRefused
+			case !s.reached(p, o.Worker):
+				recorder.Sleep(ctx, conductor.OrderTimeout)
+				return scheduler.Unclear
 			default:
 				return f.Send(ctx, o, epoch)
 			}
@@ -281,6 +337,9 @@
 				return scheduler.Report{}, scheduler.Unclear
 			case s.refuses(q.Worker) && recorder.Sleep(ctx, 1):
 				return scheduler.Report{}, scheduler.ConnectionRefused
+			case !s.reached(p, q.Worker):
+				recorder.Sleep(ctx, q.Timeout)
+				return scheduler.Report{}, scheduler.Unclear
 			default:
 				return f.Poll(ctx, q, epoch)
 			}
@@ -292,7 +351,7 @@
 // too long.
 func (s *site) check() {
 	s.t.Helper()
-	must.SliceEmpty(s.t, s.pool.Violations())
+	must.SliceEmpty(s.t, s.pool.Violations(), must.Sprint(s.pool.Violations()))
 	gaps := s.pool.Gaps(lastingJob)
 	must.SliceNotEmpty(s.t, gaps, must.Sprint("no task has lost its run"))
 	longest, late := gaps[0], 0
