scheduler, conductor, elector: a takeover does not begin the wait for a lease anew

Callers saw: tasks that last were without a run for 11 s after each takeover, and for as long as takeovers followed each other, if their workers were gone. Cause: a new leader counted the end of all leases that a former leader may have granted from its own load. The class: a bound counted from when the observer began, not from the evidence. Change: leaders hand on a clock with their claims (clock.Relay), whose readings never run ahead of the time that has passed. Each append of a leader has a reading, and it extends leases only for leaseGrantLimit after the newest stored one, so a successor counts from that reading. The silence of a worker with runs is stored with the end of its lease; from then on no leader extends it until the deletion of the record is stored. submitJobs in the tests asks the same leader again after an error that does not end its term: it waited for another leader, which need not come, and jobs passed their retention. Why it is safe: readings are taken before they are stored, gaps between leaders are not counted, and a leader that was replaced can't store the deletion.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -41,6 +41,7 @@
 		lastRenewal func() clock.Millis
 		decode      func(recorder.Item) (scheduler.WorkerInfo, bool)
 		lease       clock.Millis
+		relay       *clock.Relay
 		metrics     Metrics
 		cloud       Cloud
 
@@ -72,6 +73,8 @@
 		regulator *regulator.Regulator
 		// startsInFlight is the number of orders of batches that are not answered.
 		startsInFlight atomic.Int64
+		// provenAt is the time of the newest time record that is stored, in ms.
+		provenAt atomic.Int64
 		// slowAppendAt is when an append of a batch last took longer than slowAppend, in ms.
 		slowAppendAt atomic.Int64
 		// nextRound is the earliest time of the next round of placing.
@@ -104,6 +107,13 @@
 		PredecessorStopped bool
 		// LastRenewal returns when this daemon last renewed its claim to lead.
 		LastRenewal func() clock.Millis
+		// Relay is the clock that leaders hand on; nil if there is none.
+		Relay *clock.Relay
+		// PredecessorRenewal is when the previous leader renewed its claim for the last time,
+		// as a reading of Relay; 0 if it is not known. PredecessorResigned is whether it
+		// resigned then.
+		PredecessorRenewal  clock.Millis
+		PredecessorResigned bool
 	}
 )
 
@@ -112,6 +122,9 @@
 	registryTopic = "servers"
 	// epochKey is the key of the record by which a new leader takes over the topic.
 	epochKey = "epoch"
+	// timeKey is the key of the record with a reading of the clock that leaders hand on. Each
+	// append of a leader has one: it may extend leases for leaseGrantLimit after that.
+	timeKey = "time"
 	// flushInterval is the minimum time between two batches. An append takes the store 4
 	// ms; waiting a little longer collects more changes in each batch.
 	flushInterval = 12 * clock.Millis(1)
@@ -158,13 +171,14 @@
 func New(ctx context.Context, t Term, s recorder.Store, f Fleet, sched *scheduler.Scheduler, lease clock.Millis,
 	decode func(recorder.Item) (scheduler.WorkerInfo, bool), opts ...Option) (*Conductor, error) {
 	c := &Conductor{
-		store: s, fleet: f, sched: sched, epoch: t.Epoch, lastRenewal: t.LastRenewal, decode: decode, lease: lease,
+		store: s, fleet: f, sched: sched, epoch: t.Epoch, lastRenewal: t.LastRenewal, decode: decode, lease: lease, relay: t.Relay,
 		now: clock.System, emit: func(logger.Event, ...logger.Field) {}, metrics: noMetrics(), operatorRead: func() clock.Millis { return clock.Never },
 		events: make(chan func(), eventQueueSize), sessions: map[sessionKey]*session{}, batches: make(chan *scheduler.Batch, 1),
 	}
 	for _, o := range opts {
 		o(c)
 	}
+	sched.SetRelay(t.Relay)
 	c.timekeeper, c.regulator = timekeeper.New(sweepInterval, c.now), regulator.New(c.now)
 	c.ctx, c.cancel = context.WithCancel(ctx)
 	if err := c.load(t); err != nil {
@@ -230,7 +244,7 @@
 	for {
 		// No record counts as own here, so every conflict is reported and resolved below.
 		c.writer = recorder.NewWriter(c.store, jobsTopic, end, func(recorder.Item) bool { return false }, recorder.WithClock(c.now))
-		err := c.writer.Append(c.ctx, []recorder.Item{{Key: epochKey, Value: []byte(formatInt(c.epoch))}})
+		err := c.append([]recorder.Item{{Key: epochKey, Value: []byte(formatInt(c.epoch))}})
 		if err == nil {
 			break
 		}
@@ -242,7 +256,7 @@
 		if end, err = recorder.CatchUp(c.ctx, c.store, jobsTopic, end, items); err != nil {
 			return err
 		}
-		switch e := parseEpoch(items[epochKey]); {
+		switch e := parseInt(items[epochKey]); {
 		case e > c.epoch:
 			return recorder.ErrDeposed
 		case e == c.epoch:
@@ -266,6 +280,37 @@
 	return l
 }
 
+// append appends items to the jobs topic, with a time record.
+func (c *Conductor) append(items []recorder.Item) error {
+	now := c.now()
+	if c.relay != nil {
+		items = append(items, recorder.Item{Key: timeKey, Value: []byte(formatInt(int64(c.relay.At(now))))})
+	}
+	if err := c.writer.Append(c.ctx, items); err != nil {
+		return err
+	}
+	c.provenAt.Store(int64(now))
+	return nil
+}
+
+// inheritedLeases returns when the leases that former leaders may have granted have ended, and the
+// same as a reading of the clock that leaders hand on, clock.Never if that can't tell.
+func (c *Conductor) inheritedLeases(t Term, items map[string][]byte) (until, reading clock.Millis) {
+	until = scheduler.LeaseBound(c.now(), c.lease) + OrderTimeout
+	if !t.PredecessorStopped {
+		until += leaseGrantLimit
+	}
+	if t.Relay == nil || t.PredecessorRenewal == 0 {
+		return until, clock.Never
+	}
+	lastGrant := max(t.PredecessorRenewal, clock.Millis(parseInt(items[timeKey])))
+	if !t.PredecessorStopped || !t.PredecessorResigned {
+		lastGrant += leaseGrantLimit
+	}
+	reading = scheduler.LeaseBound(lastGrant, c.lease)
+	return min(until, t.Relay.Local(reading)), reading
+}
+
 // restore passes the loaded topics to the scheduler. Leases that the previous leader may
 // have granted are assumed to last as long as they possibly can.
 func (c *Conductor) restore(t Term, items map[string][]byte, registry, deposits topicItems) error {
@@ -275,10 +320,7 @@
 	if deposits.err != nil {
 		return deposits.err
 	}
-	until := scheduler.LeaseBound(c.now(), c.lease) + OrderTimeout
-	if !t.PredecessorStopped {
-		until += leaseGrantLimit
-	}
+	until, reading := c.inheritedLeases(t, items)
 	for k, v := range registry.items {
 		c.applyRegistryItem(recorder.Item{Key: k, Value: v})
 	}
@@ -292,6 +334,7 @@
 			}
 		})
 	}
+	c.sched.LimitInherited(reading)
 	// Jobs that were deposited while there was no leader have to be known before the
 	// first request for them arrives.
 	for k, v := range deposits.items {
--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/shoenig/test/must"
 
 	"galenawharf.example/galenawharf/adviser"
@@ -54,8 +55,10 @@
 func startProcess(host, instance string, now func() clock.Millis, s recorder.Store, f conductor.Fleet, y *imitator.Policy) *daemon {
 	d := &daemon{leading: make(chan *conductor.Conductor, 8)}
 	d.elector = elector.New(s, host, host, instance, func(ctx context.Context, t elector.Term) {
-		c, err := conductor.New(ctx, conductor.Term{Epoch: t.Epoch, PredecessorStopped: t.PredecessorStopped, LastRenewal: t.LastRenewal},
-			s, f, scheduler.New(scheduler.WithLease(testLease), scheduler.WithClocks(now, clock.System)), testLease, imitator.DecodeEntry, conductor.WithClock(now))
+		c, err := conductor.New(ctx, conductor.Term{
+			Epoch: t.Epoch, PredecessorStopped: t.PredecessorStopped, LastRenewal: t.LastRenewal,
+			Relay: t.Relay, PredecessorRenewal: t.Predecessor.Time, PredecessorResigned: t.Predecessor.Resigned,
+		}, s, f, scheduler.New(scheduler.WithLease(testLease), scheduler.WithClocks(now, clock.System)), testLease, imitator.DecodeEntry, conductor.WithClock(now))
 		if err != nil {
 			return
 		}
@@ -107,9 +110,16 @@
 			ID: fmt.Sprintf("%016x", i), Queue: scheduler.Queue{Name: "q", Service: "pool", MaxAttempts: 3, Slack: 2, Advice: advice},
 			Steps: []scheduler.Step{{Count: 3, CPU: 1000}, {Count: 2, CPU: 1000, After: []int{0}}},
 		}
-		for c.Submit(t.Context(), spec) != nil {
+		for {
 			// Callers submit the same job again if they don't know the outcome.
-			c = awaitLeader(ds...)
+			err := c.Submit(t.Context(), spec)
+			if err == nil {
+				break
+			}
+			if errors.Is(err, conductor.ErrTermEnded) {
+				c = awaitLeader(ds...)
+			}
+			time.Sleep(100 * time.Millisecond)
 		}
 	}
 	return c
--- a/conductor/loop.go
+++ b/conductor/loop.go
@@ -150,7 +150,7 @@
 func (c *Conductor) storeBatch(b *scheduler.Batch) bool {
 	for chunk := range splitRecords(b.Records) {
 		sent := c.now()
-		err := c.writer.Append(c.ctx, chunk)
+		err := c.append(chunk)
 		c.metrics.Append(c.now() - sent)
 		c.appended(c.now() - sent)
 		if err != nil {
@@ -190,6 +190,9 @@
 		c.wakeSession(id)
 		c.sched.SessionOf(id, c.updateSession)
 	}
+	for _, id := range b.Heard {
+		c.wakeSession(id)
+	}
 	for _, o := range b.Orders {
 		c.sched.SessionOf(o.Worker, c.updateSession)
 	}
@@ -331,10 +334,10 @@
 	return d, ok && c.mayExtendLeases()
 }
 
-// mayExtendLeases reports whether the daemon's last renewal of its claim, or its last append,
-// is at most leaseGrantLimit ago.
+// mayExtendLeases reports whether the newest stored claim or time record of this term is at most
+// leaseGrantLimit old. The next leader counts on it.
 func (c *Conductor) mayExtendLeases() bool {
-	return c.now()-max(c.writer.LastSuccess(), c.lastRenewal()) <= leaseGrantLimit
+	return c.now()-max(clock.Millis(c.provenAt.Load()), c.lastRenewal()) <= leaseGrantLimit
 }
 
 func (c *Conductor) closeSessions() {
--- /dev/null
+++ b/conductor/number.go
@@ -0,0 +1,15 @@
+package conductor
+
+import "strconv"
+
+func formatInt(e int64) string { return strconv.FormatInt(e, 10) }
+
+// parseInt parses the value of a record with a number, such as an epoch. It returns 0, which is
+// lower than every number in use, if the value is missing or malformed.
+func parseInt(b []byte) int64 {
+	e, err := strconv.ParseInt(string(b), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return e
+}
--- a/elector/claim.go
+++ b/elector/claim.go
@@ -9,6 +9,8 @@
 	"encoding/json"
 
 	"github.com/pkg/errors"
+
+	"galenawharf.example/galenawharf/clock"
 )
 
 type (
@@ -29,6 +31,9 @@
 		// Unsettled is whether an earlier leader is not known to have stopped, so that it
 		// may still send orders after this one has stopped.
 		Unsettled bool `json:"unsettled,omitempty"`
+		// Time is a reading of the clock that leaders hand on (clock.Relay), taken before the
+		// claim was sent; 0 if there is none.
+		Time clock.Millis `json:"time,omitempty"`
 	}
 )
 
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 
 	"github.com/pkg/errors"
 
@@ -19,8 +20,14 @@
 		Epoch int64
 		// PredecessorStopped is whether all previous leaders are known to have stopped.
 		PredecessorStopped bool
-		claimedAt          clock.Millis
-		writer             *recorder.Writer
+		// Predecessor is the claim of the previous leader, with the time of its last renewal.
+		Predecessor Claim
+		// Relay continues the clock that the previous leaders have handed on.
+		Relay     *clock.Relay
+		claimedAt clock.Millis
+		// renewedAt is when the newest stored claim of this term was encoded, in ms.
+		renewedAt *atomic.Int64
+		writer    *recorder.Writer
 	}
 
 	// Elector takes part in the election for one daemon until Close.
@@ -247,13 +254,20 @@
 	e.mu.Lock()
 	e.monitor.Observe(previous, e.now())
 	due, stopped := e.monitor.Due(e.now()), e.monitor.PredecessorStopped()
+	_, seenAt := e.monitor.Newest()
 	e.mu.Unlock()
 	if !due {
 		return Term{}, false
 	}
-	c := Claim{Epoch: previous.Epoch + 1, Host: e.host, Address: e.address, Instance: e.instance, Unsettled: !stopped}
-	w := recorder.NewWriter(e.store, topic, end, e.ownClaim(c.Epoch), recorder.WithClock(e.now))
-	if err := w.Append(ctx, []recorder.Item{{Key: Key, Value: c.Encode()}}); err != nil {
+	t := Term{Epoch: previous.Epoch + 1, PredecessorStopped: stopped, Predecessor: previous, claimedAt: e.now(), renewedAt: &atomic.Int64{}}
+	if previous.Time != 0 {
+		t.Relay = clock.NewRelay(e.now, previous.Time, seenAt)
+	} else {
+		t.Relay = clock.NewRelay(e.now, clock.System(), e.now())
+	}
+	c := e.claimOf(t)
+	t.writer = recorder.NewWriter(e.store, topic, end, e.ownClaim(c.Epoch), recorder.WithClock(e.now))
+	if err := t.writer.Append(ctx, []recorder.Item{{Key: Key, Value: c.Encode()}}); err != nil {
 		if !errors.Is(err, recorder.ErrDeposed) {
 			// A claim that lost to another daemon is not logged here, but when the other
 			// claim is read.
@@ -264,7 +278,9 @@
 	e.mu.Lock()
 	e.newestClaim = c
 	e.mu.Unlock()
-	return Term{Epoch: c.Epoch, PredecessorStopped: stopped, claimedAt: e.now(), writer: w}, true
+	t.renewedAt.Store(int64(t.claimedAt))
+	t.claimedAt = e.now()
+	return t, true
 }
 
 // ownClaim returns a function that reports whether an item is a claim of this process with
@@ -278,22 +294,31 @@
 
 // claimOf returns the current claim of a term, without its renewal number.
 func (e *Elector) claimOf(t Term) Claim {
+	now := e.now()
 	return Claim{
 		Epoch: t.Epoch, Host: e.host, Address: e.address, Instance: e.instance,
-		Unsettled: !t.PredecessorStopped && e.now()-t.claimedAt < settleTime,
+		Unsettled: !t.PredecessorStopped && now-t.claimedAt < settleTime,
+		Time:      t.Relay.At(now),
 	}
 }
 
 // renew renews the claim until the context ends or another daemon claims.
 func (e *Elector) renew(ctx context.Context, t Term) {
-	renewal := int64(0)
-	for recorder.Sleep(ctx, renewInterval) {
+	renewal, wait := int64(0), renewInterval
+	for recorder.Sleep(ctx, wait) {
+		encodedAt := e.now()
 		c := e.claimOf(t)
 		renewal++
 		c.Renewal = renewal
-		if err := t.writer.Append(ctx, []recorder.Item{{Key: Key, Value: c.Encode()}}); errors.Is(err, recorder.ErrDeposed) {
+		err := t.writer.Append(ctx, []recorder.Item{{Key: Key, Value: c.Encode()}})
+		if errors.Is(err, recorder.ErrDeposed) {
 			return
 		}
+		if err == nil {
+			t.renewedAt.Store(int64(encodedAt))
+		}
+		// A renewal that the store took long to take is old by now.
+		wait = max(renewInterval-max(e.now()-encodedAt-renewInterval, 0), 0)
 	}
 }
 
@@ -309,5 +334,6 @@
 	}
 }
 
-// LastRenewal returns when this daemon last renewed its claim.
-func (t Term) LastRenewal() clock.Millis { return t.writer.LastSuccess() }
+// LastRenewal returns a time no later than the one that this daemon's newest stored claim
+// tells, on its own clock.
+func (t Term) LastRenewal() clock.Millis { return clock.Millis(t.renewedAt.Load()) }
--- a/elector/monitor.go
+++ b/elector/monitor.go
@@ -16,6 +16,8 @@
 		// changedAt is when the newest claim was first seen, or when reads succeeded
 		// again after a failure.
 		changedAt clock.Millis
+		// seenAt is when the newest claim was first seen.
+		seenAt clock.Millis
 		// failing is whether the last read failed.
 		failing bool
 	}
@@ -30,7 +32,7 @@
 // Observe records the newest claim; an epoch of 0 means that there is none.
 func (w *Monitor) Observe(c Claim, now clock.Millis) {
 	if !w.loaded || c != w.newest {
-		w.changedAt = now
+		w.changedAt, w.seenAt = now, now
 	}
 	w.newest, w.loaded = c, true
 }
@@ -61,6 +63,9 @@
 	}
 }
 
+// Newest returns the newest claim and when it was first seen.
+func (w *Monitor) Newest() (Claim, clock.Millis) { return w.newest, w.seenAt }
+
 // NeverClaimed reports whether the topic has been read and holds no claim.
 func (w *Monitor) NeverClaimed() bool { return w.loaded && w.newest.Epoch == 0 }
 
--- a/scheduler/lease.go
+++ b/scheduler/lease.go
@@ -30,7 +30,7 @@
 		return 0, false
 	}
 	now := s.now()
-	if len(w.doubtful) > 0 {
+	if len(w.doubtful) > 0 || s.isRecordedSilent(w) {
 		return 0, false
 	}
 	if w.silentSince != 0 {
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -51,6 +51,8 @@
 		replies []reply
 		// phases are the job phases that the batch stores.
 		phases map[*job]Phase
+		// Heard are the workers whose records of silence the batch deletes, by ID.
+		Heard []string
 	}
 )
 
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -163,7 +163,7 @@
 func (s *Scheduler) availableWorkers(now clock.Millis) []*worker {
 	var ws []*worker
 	for _, w := range s.sortedWorkers() {
-		if !w.registered || w.info.Draining || w.leaseExpired || w.silentSince != 0 || w.unreconciled || len(w.doubtful) > 0 || w.upkeepStarted ||
+		if !w.registered || w.info.Draining || w.leaseExpired || w.silentSince != 0 || w.unreconciled || len(w.doubtful) > 0 || s.isRecordedSilent(w) || w.upkeepStarted ||
 			now < w.blockedUntil || s.evacuatedDataCentres[w.info.DataCentre] {
 			continue
 		}
--- a/scheduler/record.go
+++ b/scheduler/record.go
@@ -109,6 +109,8 @@
 		return s.loadModels(value)
 	case strings.HasPrefix(key, chunkPrefix):
 		return s.loadChunk(key, value)
+	case strings.HasPrefix(key, silencePrefix):
+		return s.loadSilence(key, value)
 	case !strings.HasPrefix(key, jobPrefix):
 		return nil
 	}
--- a/scheduler/reporting.go
+++ b/scheduler/reporting.go
@@ -189,6 +189,7 @@
 	}
 	w.leaseExpired, w.connRefused, w.silentSince = false, false, 0
 	w.clockReading, w.clockReadAt = r.Clock, s.now()
+	s.deleteSilence(w.info.ID)
 }
 
 // completedByAbandonedRun reports whether the end of an abandoned run shows that the task
@@ -314,6 +315,7 @@
 		s.markSilent(w, out == ConnectionRefused)
 	default:
 		w.silentSince, w.leaseExpired, w.connRefused = 0, false, false
+		s.deleteSilence(w.info.ID)
 	}
 	if o.Kind == Stop {
 		w.stopAnswered(o, out.confirmsStop())
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -81,6 +81,11 @@
 		// consultations are the requests to the policy service that the last round of
 		// placing queued, the most urgent first.
 		consultations []Consultation
+		// relay is the clock that leaders hand on, silences are the workers whose silence is
+		// stored, by ID; silenceRecords are part of the next batch.
+		relay          *clock.Relay
+		silences       map[string]*silence
+		silenceRecords []Record
 		// delayedAt is when the daemon was last delayed, 0 if it was not.
 		delayedAt clock.Millis
 		// upkeepLength is how long a machine is down for its upkeep.
@@ -155,6 +160,7 @@
 		jobs: map[string]*job{}, active: map[*job]struct{}{}, workers: map[string]*worker{},
 		evacuatedDataCentres: map[string]bool{}, sensitivities: map[string]*sensitivity{}, periodSelector: newPeriodSelector(), meanWorkByQueue: map[string]float64{},
 		dirty: map[*job]struct{}{}, acks: map[string]Ack{}, upkeepLength: defaultUpkeepLength, waves: map[string]*wave{},
+		silences: map[string]*silence{},
 	}
 	for _, o := range opts {
 		o(s)
@@ -177,15 +183,16 @@
 // TakeBatch removes and returns the changes since the last call as a batch to store, or nil if
 // there are none.
 func (s *Scheduler) TakeBatch() *Batch {
-	if len(s.dirty) == 0 && len(s.deletedKeys) == 0 && len(s.orders) == 0 && len(s.replies) == 0 && len(s.acks) == 0 {
+	if len(s.dirty) == 0 && len(s.deletedKeys) == 0 && len(s.silenceRecords) == 0 && len(s.orders) == 0 && len(s.replies) == 0 && len(s.acks) == 0 {
 		return nil
 	}
-	b := &Batch{Orders: s.orders, Acks: s.acks, replies: s.replies, phases: make(map[*job]Phase, len(s.dirty))}
+	b := &Batch{Orders: s.orders, Acks: s.acks, replies: s.replies, phases: make(map[*job]Phase, len(s.dirty)), Heard: s.deletedSilences()}
 	for _, j := range slices.SortedFunc(maps.Keys(s.dirty), func(a, b *job) int { return cmp.Compare(a.spec.ID, b.spec.ID) }) {
 		b.Records = s.appendRecords(b.Records, j)
 		b.phases[j] = j.phase
 		j.sent = true
 	}
+	b.Records = append(b.Records, s.silenceRecords...)
 	for _, k := range s.deletedKeys {
 		b.Records = append(b.Records, Record{Key: k})
 	}
@@ -198,7 +205,7 @@
 		}
 	}
 	clear(s.dirty)
-	s.deletedKeys, s.orders, s.replies, s.acks = nil, nil, nil, map[string]Ack{}
+	s.deletedKeys, s.silenceRecords, s.orders, s.replies, s.acks = nil, nil, nil, nil, map[string]Ack{}
 	return b
 }
 
@@ -222,6 +229,9 @@
 		}
 		j.storedPhase = p
 	}
+	for _, id := range b.Heard {
+		delete(s.silences, id)
+	}
 	b.Orders = slices.DeleteFunc(b.Orders, func(o Order) bool { return !s.markRecorded(o) })
 	for _, r := range b.replies {
 		r.notify(nil)
@@ -330,6 +340,7 @@
 	s.moveStalledRuns()
 	s.moveOffDraining()
 	s.expireLeases()
+	s.recordSilences()
 	s.paceAllFillers()
 }
 
--- a/scheduler/session.go
+++ b/scheduler/session.go
@@ -23,23 +23,24 @@
 		Silent bool
 		// ServingWithFillers is whether serving tasks share the worker with fillers.
 		ServingWithFillers bool
-		// Blocked is whether ended runs are not stored yet, so that the next report would
-		// only repeat them.
+		// Blocked is whether something has to be stored before the next poll is of use: the
+		// results of ended runs, which the next report would only repeat, or that a worker
+		// which was silent is heard again, before which its lease can't be extended.
 		Blocked bool
 	}
 )
 
 // Sessions calls f for every worker that is registered or may have runs.
 func (s *Scheduler) Sessions(f func(Session)) {
-	for id, w := range s.workers {
-		f(w.session(id))
+	for _, w := range s.workers {
+		f(s.sessionOf(w))
 	}
 }
 
 // SessionOf calls f with the session of a worker's newest process, if there is one.
 func (s *Scheduler) SessionOf(id string, f func(Session)) {
 	if w := s.workers[id]; w != nil {
-		f(w.session(id))
+		f(s.sessionOf(w))
 	}
 }
 
@@ -49,15 +50,16 @@
 	if w == nil || w.info.Born != born {
 		return Session{}, false
 	}
-	return w.session(id), true
+	return s.sessionOf(w), true
 }
 
-func (w *worker) session(id string) Session {
+func (s *Scheduler) sessionOf(w *worker) Session {
+	silence := s.silences[w.info.ID]
 	return Session{
-		Worker: id, Address: w.info.Address, Born: w.info.Born, Acked: w.storedEnd,
+		Worker: w.info.ID, Address: w.info.Address, Born: w.info.Born, Acked: w.storedEnd,
 		Busy:               len(w.tasks) > 0 || w.lastEnd > w.storedEnd || w.unreconciled || w.registered && (len(w.doubtful) > 0 || w.silentSince != 0) || w.storedEnd > w.ackedEnd,
 		ServingWithFillers: w.serving > 0 && w.fillerCPU > 0,
-		Blocked:            w.lastEnd > w.storedEnd, Silent: w.silentSince != 0,
+		Blocked:            w.lastEnd > w.storedEnd || silence != nil && silence.deleting, Silent: w.silentSince != 0,
 		Idle: len(w.tasks) == 0 && len(w.doubtful) == 0, Inherited: w.unreconciled,
 	}
 }
