scheduler: name the reason why a worker can't get a run

Cause: the checks of placing only say yes or no, so nothing can tell why a task finds no worker. Change: the checks of availableWorkers and canRun move to exclusion.go and return the reason, in the same order as before; placing asks whether there is one. No decision changes.

--- /dev/null
+++ b/scheduler/exclusion.go
@@ -0,0 +1,111 @@
+package scheduler
+
+import "galenawharf.example/galenawharf/clock"
+
+// exclusion is the reason why a worker can't get a run of a task.
+type exclusion int
+
+const (
+	notExcluded exclusion = iota
+	// Properties of the worker for any task.
+	notRegistered
+	draining
+	leaseExpired
+	silent
+	// notHeard: it may have runs of a former leader, or of its former process, and has not
+	// reported since.
+	notHeard
+	// stopsUnconfirmed: it has to confirm the stops of its doubtful runs first.
+	stopsUnconfirmed
+	inUpkeep
+	// backingOff: it has refused a run or was not reached a moment ago.
+	backingOff
+	evacuated
+	quarantined
+	// Properties of the worker for one task.
+	otherService
+	otherLabel
+	noRoom
+	ticketDenied
+	perWorkerLimit
+	// otherRack: the task still waits for a worker in the rack of its data.
+	otherRack
+	// probing: it is quarantined, and its one probe run has started.
+	probing
+	interfering
+	noTicket
+	// reserved: it is kept for a long-running task that needs more room.
+	reserved
+	exclusionCount
+)
+
+var exclusionNames = [exclusionCount]string{
+	notExcluded: "suitable", notRegistered: "not-registered", draining: "draining", leaseExpired: "lease-expired", silent: "silent",
+	notHeard: "not-heard", stopsUnconfirmed: "stops-unconfirmed", inUpkeep: "upkeep", backingOff: "backoff", evacuated: "evacuated",
+	quarantined: "quarantined", otherService: "other-service", otherLabel: "other-label", noRoom: "no-room", ticketDenied: "ticket-denied",
+	perWorkerLimit: "per-worker-limit", otherRack: "other-rack", probing: "probing", interfering: "interference", noTicket: "no-ticket",
+	reserved: "reserved",
+}
+
+// String returns the reason as it appears in the log.
+func (e exclusion) String() string { return exclusionNames[e] }
+
+// unavailability returns why a worker may not get a new run of any task.
+func (s *Scheduler) unavailability(w *worker, now clock.Millis) exclusion {
+	switch {
+	case !w.registered:
+		return notRegistered
+	case w.info.Draining:
+		return draining
+	case w.leaseExpired:
+		return leaseExpired
+	case w.silentSince != 0:
+		return silent
+	case w.unreconciled:
+		return notHeard
+	case len(w.doubtful) > 0:
+		return stopsUnconfirmed
+	case w.upkeepStarted:
+		return inUpkeep
+	case now < w.blockedUntil:
+		return backingOff
+	case s.evacuatedDataCentres[w.info.DataCentre]:
+		return evacuated
+	case w.failures >= quarantineScore && now-w.failedAt < quarantineTime:
+		return quarantined
+	default:
+		return notExcluded
+	}
+}
+
+// unsuitability returns why a worker does not meet the requirements of a task or has no room
+// for it.
+func (s *Scheduler) unsuitability(t *task, step *Step, w *worker, tolerance float64) exclusion {
+	switch {
+	case w.info.Service != t.job().spec.Queue.Service:
+		return otherService
+	case !w.hasLabel(step.Label):
+		return otherLabel
+	case !w.fits(step):
+		return noRoom
+	case t.denied(w):
+		return ticketDenied
+	case step.PerWorker > 0 && w.countOfStep(t) >= step.PerWorker:
+		return perWorkerLimit
+	case step.Rack != "" && !w.hasLabel(step.Rack) && s.racks[step.Rack] && !s.mayRunRemote(t, step):
+		return otherRack
+	case w.failures >= quarantineScore && w.probedAt >= w.failedAt:
+		// A quarantined worker gets one probe run at a time.
+		return probing
+	case !step.Filler || !s.servingOverObjective(w) && s.interference(step, w) <= tolerance:
+		return notExcluded
+	default:
+		return interfering
+	}
+}
+
+// reservedForOthers reports whether the current round of placing reserves a worker for a
+// long-running task, so that tasks of a step which would take its processors are not placed.
+func (s *Scheduler) reservedForOthers(w *worker, step *Step) bool {
+	return w.reservedIn == s.round && !step.Filler
+}
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -163,15 +163,10 @@
 func (s *Scheduler) availableWorkers(now clock.Millis) []*worker {
 	var ws []*worker
 	for _, w := range s.sortedWorkers() {
-		if !w.registered || w.info.Draining || w.leaseExpired || w.silentSince != 0 || w.unreconciled || len(w.doubtful) > 0 || w.upkeepStarted ||
-			now < w.blockedUntil || s.evacuatedDataCentres[w.info.DataCentre] {
-			continue
-		}
-		if w.failures >= quarantineScore && now-w.failedAt < quarantineTime {
-			continue
+		if s.unavailability(w, now) == notExcluded {
+			w.availableIn = s.round
+			ws = append(ws, w)
 		}
-		w.availableIn = s.round
-		ws = append(ws, w)
 	}
 	return ws
 }
@@ -278,7 +273,7 @@
 	s.searchOffset++
 	for i := range ws {
 		w := ws[(i+s.searchOffset)%len(ws)]
-		if w.availableIn != s.round || w.reservedIn == s.round && !step.Filler || !s.admitted(t, w) || !s.canRun(t, step, w, tolerance) {
+		if w.availableIn != s.round || s.reservedForOthers(w, step) || !s.admitted(t, w) || !s.canRun(t, step, w, tolerance) {
 			continue
 		}
 		if score := s.score(t, step, w); best == nil || score > bestScore {
--- a/scheduler/scoring.go
+++ b/scheduler/scoring.go
@@ -36,19 +36,7 @@
 
 // canRun reports whether a worker meets the requirements of a task and has room for it.
 func (s *Scheduler) canRun(t *task, step *Step, w *worker, tolerance float64) bool {
-	switch {
-	case w.info.Service != t.job().spec.Queue.Service, !w.hasLabel(step.Label), !w.fits(step), t.denied(w):
-		return false
-	case step.PerWorker > 0 && w.countOfStep(t) >= step.PerWorker:
-		return false
-	case step.Rack != "" && !w.hasLabel(step.Rack) && s.racks[step.Rack] && !s.mayRunRemote(t, step):
-		return false
-	case w.failures >= quarantineScore && w.probedAt >= w.failedAt:
-		// A quarantined worker gets one probe run at a time.
-		return false
-	default:
-		return !step.Filler || !s.servingOverObjective(w) && s.interference(step, w) <= tolerance
-	}
+	return s.unsuitability(t, step, w, tolerance) == notExcluded
 }
 
 // mayRunRemote reports whether a task has waited for a worker in its rack for at least
