scheduler: log long-running tasks without a run, and what they wait for

GE6067 names a task that has waited for 3 s, and again each time its wait has doubled: on a worker that is not heard, not confirmed, or without a worker, with the workers counted by what rules them out, by the checks of placing. GE6068 when it has a run again, GE6069 the number of those that wait. At most five lines of each kind a check, of different workers and steps first; workers are counted once a step. New gauge long_running_tasks_waiting. The tests of the conductor that pass Totals take its fourth number.

--- a/conductor/delay_test.go
+++ b/conductor/delay_test.go
@@ -56,7 +56,7 @@
 	}
 	m := conductor.Metrics{
 		Order: func(clock.Millis, bool) {}, Poll: func(clock.Millis) {}, Append: func(clock.Millis) {},
-		Totals: func(int, int, int) { l.await(0, 0) }, Delay: func(clock.Millis) {},
+		Totals: func(int, int, int, int) { l.await(0, 0) }, Delay: func(clock.Millis) {},
 	}
 	c, err := conductor.New(t.Context(), conductor.Term{Epoch: 1, PredecessorStopped: true, LastRenewal: clock.System},
 		l.log.Client("a"), f(fleet), scheduler.New(scheduler.WithLease(testLease)), testLease, imitator.DecodeEntry,
--- a/conductor/guarding_test.go
+++ b/conductor/guarding_test.go
@@ -52,7 +52,7 @@
 				var failing atomic.Bool
 				m := conductor.Metrics{
 					Order: func(clock.Millis, bool) {}, Poll: func(clock.Millis) {}, Append: func(clock.Millis) {}, Delay: func(clock.Millis) {},
-					Totals: func(int, int, int) {
+					Totals: func(int, int, int, int) {
 						if failing.Load() {
 							panic("unexpected")
 						}
--- a/conductor/metrics.go
+++ b/conductor/metrics.go
@@ -11,8 +11,9 @@
 		Poll   func(took clock.Millis)
 		Append func(took clock.Millis)
 		// Totals is called several times a second with the number of jobs that have not
-		// started, of jobs that have not ended, and of workers that do not answer.
-		Totals func(queued, active, silent int)
+		// started, of jobs that have not ended, of workers that do not answer, and of
+		// long-running tasks without a run.
+		Totals func(queued, active, silent, waiting int)
 		// Delay is called several times a second with how late the scheduler's goroutine
 		// got its turn.
 		Delay func(clock.Millis)
@@ -24,7 +25,7 @@
 
 func noMetrics() Metrics {
 	return Metrics{
-		Order: func(clock.Millis, bool) {}, Poll: func(clock.Millis) {}, Append: func(clock.Millis) {}, Totals: func(int, int, int) {},
+		Order: func(clock.Millis, bool) {}, Poll: func(clock.Millis) {}, Append: func(clock.Millis) {}, Totals: func(int, int, int, int) {},
 		Delay: func(clock.Millis) {},
 	}
 }
--- a/logger/events.go
+++ b/logger/events.go
@@ -80,6 +80,9 @@
 	WorkerGone     = Event{6034, log.InfoLevel, "worker process is gone"}
 	EndsMissing    = Event{6035, log.ErrorLevel, "report lacks ended runs that were not acknowledged"}
 	RunAbandoned   = Event{6036, log.InfoLevel, "run was given up before its end was reported"}
+	TaskWaiting    = Event{6067, log.WarnLevel, "long-running task is without a run"}
+	TaskResumed    = Event{6068, log.InfoLevel, "long-running task has a run after a wait"}
+	TasksWaiting   = Event{6069, log.InfoLevel, "number of long-running tasks without a run changed"}
 	ReportInvalid  = Event{6038, log.WarnLevel, "report of a worker can't be decoded"}
 	StoreLost      = Event{6040, log.WarnLevel, "store does not answer"}
 	StoreBack      = Event{6041, log.InfoLevel, "store answers again"}
--- a/measurer/names.go
+++ b/measurer/names.go
@@ -67,6 +67,9 @@
 	// SilentWorkers is the number of workers that do not answer the leader's polls. Only
 	// the leader reports it.
 	SilentWorkers Gauge = "silent_workers"
+	// LongRunningWaiting is the number of long-running tasks without a run that their worker
+	// has confirmed. Only the leader reports it.
+	LongRunningWaiting Gauge = "long_running_tasks_waiting"
 	// ProcessDelay is how late the leader's scheduler got its last turn, in seconds.
 	ProcessDelay Gauge = "process_delay_seconds"
 	// ConfigVersion is the version of the configuration in force.
@@ -103,6 +106,6 @@
 	// counters doesn't contain Results, which has a counter for each result code.
 	counters = []Counter{Appends, AppendedBytes, ReadBytes, LogErrors, CorruptRecords, PeerErrors, Orders, OrderErrors, Starts, Evictions,
 		RequestsServed, RequestsUnknown, RequestsInvalid, RequestsRefused, RequestsUnclear, OrdersUnclear, WorkerPolls, Terms}
-	gauges = []Gauge{OwnedShards, RunningTasks, WaitingTasks, ConfigOffset, ReadyGauge, InFlight, Leading, QueuedJobs, ActiveJobs, SilentWorkers, ProcessDelay, ConfigVersion}
+	gauges = []Gauge{OwnedShards, RunningTasks, WaitingTasks, ConfigOffset, ReadyGauge, InFlight, Leading, QueuedJobs, ActiveJobs, SilentWorkers, LongRunningWaiting, ProcessDelay, ConfigVersion}
 	timers = []Timer{CheckTime, OrderTime, AppendTime, RequestTime, FirstStartTime, WorkerPollTime, StepTime}
 )
--- a/runner/metrics.go
+++ b/runner/metrics.go
@@ -58,10 +58,11 @@
 			r.metrics.Record(measurer.AppendTime, took.Duration())
 		},
 		Delay: func(late clock.Millis) { r.metrics.Set(measurer.ProcessDelay, late.Duration().Seconds()) },
-		Totals: func(queued, active, silent int) {
+		Totals: func(queued, active, silent, waiting int) {
 			r.metrics.Set(measurer.QueuedJobs, float64(queued))
 			r.metrics.Set(measurer.ActiveJobs, float64(active))
 			r.metrics.Set(measurer.SilentWorkers, float64(silent))
+			r.metrics.Set(measurer.LongRunningWaiting, float64(waiting))
 		},
 	}
 }
--- a/scheduler/bench_test.go
+++ b/scheduler/bench_test.go
@@ -72,3 +72,47 @@
 		running = append(running, placeAndConfirm()...)
 	}
 }
+
+// BenchmarkWaitCheck measures a check of 2,240 long-running tasks of which each is due for a line.
+func BenchmarkWaitCheck(b *testing.B) {
+	tests := map[string]func(s *Scheduler, w string){
+		"unheard":  func(s *Scheduler, w string) { s.CallFailed(w, 1, false) },
+		"unplaced": func(s *Scheduler, w string) { s.workers[w].info.CPU = 1 },
+		"running":  func(*Scheduler, string) {},
+	}
+	for name, lose := range tests {
+		b.Run(name, func(b *testing.B) {
+			c := clock.NewManual(1_000_000)
+			s := New(WithClocks(c.Now, c.Now))
+			for i := range 490 {
+				w := testWorker(i)
+				w.CPU, w.Memory = 16000, 64000
+				s.UpdateWorker(w)
+				if name == "unplaced" {
+					lose(s, w.ID)
+				}
+			}
+			for i := range 160 {
+				if err := s.Submit(Spec{ID: fmt.Sprint("l", i), Queue: Queue{Name: "l", Service: testService}, Steps: []Step{{Count: 14, CPU: 3200, Memory: 6000, LongRunning: true}}}, func(error) {}); err != nil {
+					b.Fatal(err)
+				}
+			}
+			s.Place()
+			t := s.TakeBatch()
+			s.Stored(t)
+			for _, o := range t.Orders {
+				s.OrderAnswered(o, Done)
+			}
+			for id := range s.workers {
+				lose(s, id)
+			}
+			for b.Loop() {
+				c.Advance(waitCheckInterval)
+				for j := range s.active {
+					j.eachTask(func(t *task) { t.nextWaitLine = 0 })
+				}
+				s.checkWaits()
+			}
+		})
+	}
+}
--- a/scheduler/exclusion.go
+++ b/scheduler/exclusion.go
@@ -109,3 +109,34 @@
 func (s *Scheduler) reservedForOthers(w *worker, step *Step) bool {
 	return w.reservedIn == s.round && !step.Filler
 }
+
+// countExclusions returns how many workers each reason excludes from getting a task. Each worker
+// counts once; that it is of another kind than the task needs comes before its own state.
+func (s *Scheduler) countExclusions(t *task, now clock.Millis) *[exclusionCount]int {
+	counts := &[exclusionCount]int{}
+	step, tolerance := t.spec(), s.tolerance(t)
+	for _, w := range s.workers {
+		counts[s.exclusionOf(t, step, w, tolerance, now)]++
+	}
+	return counts
+}
+
+func (s *Scheduler) exclusionOf(t *task, step *Step, w *worker, tolerance float64, now clock.Millis) exclusion {
+	unsuitable := s.unsuitability(t, step, w, tolerance)
+	if unsuitable == otherService || unsuitable == otherLabel {
+		return unsuitable
+	}
+	if e := s.unavailability(w, now); e != notExcluded {
+		return e
+	}
+	switch {
+	case unsuitable != notExcluded:
+		return unsuitable
+	case !s.admitted(t, w):
+		return noTicket
+	case s.reservedForOthers(w, step):
+		return reserved
+	default:
+		return notExcluded
+	}
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -55,7 +55,8 @@
 		meanWorkByQueue map[string]float64
 		// fillersWaiting is whether fillers found no room in the last round of placing.
 		fillersWaiting bool
-		// round is the number of the current round of placing.
+		// round is the number of the current round of placing. It starts at 1, so that 0 is none
+		// in a worker's availableIn and reservedIn.
 		round    int
 		searches searchCache
 		// searchOffset is the index of the first worker to consider for a task. It
@@ -87,6 +88,7 @@
 		upkeepLength clock.Millis
 		waves        map[string]*wave
 		upkeepOrders []UpkeepOrder
+		waits        waitChecks
 	}
 
 	// reply is a pending call of notify: with nil once the job's change is stored, or
@@ -154,7 +156,7 @@
 		leaseLength: defaultLease, retention: defaultRetention, violationLimit: defaultViolationLimit, remoteFactor: defaultRemoteFactor,
 		jobs: map[string]*job{}, active: map[*job]struct{}{}, workers: map[string]*worker{},
 		evacuatedDataCentres: map[string]bool{}, sensitivities: map[string]*sensitivity{}, periodSelector: newPeriodSelector(), meanWorkByQueue: map[string]float64{},
-		dirty: map[*job]struct{}{}, acks: map[string]Ack{}, upkeepLength: defaultUpkeepLength, waves: map[string]*wave{},
+		dirty: map[*job]struct{}{}, acks: map[string]Ack{}, upkeepLength: defaultUpkeepLength, waves: map[string]*wave{}, round: 1,
 	}
 	for _, o := range opts {
 		o(s)
@@ -311,8 +313,8 @@
 
 // Sweep does the periodic work: it creates due occurrences, drops ended jobs after their
 // retention, stops stalled runs and runs on draining workers so that they start
-// elsewhere, abandons the runs of workers whose lease has expired, and adjusts the paces
-// of fillers. Call it several times a second.
+// elsewhere, abandons the runs of workers whose lease has expired, adjusts the paces of
+// fillers, and logs which long-running tasks wait for a run. Call it several times a second.
 func (s *Scheduler) Sweep() {
 	for j := range s.active {
 		if j.spec.Repeat > 0 {
@@ -331,6 +333,7 @@
 	s.moveOffDraining()
 	s.expireLeases()
 	s.paceAllFillers()
+	s.checkWaits()
 }
 
 func (j *job) hasRuns() bool {
--- a/scheduler/submission.go
+++ b/scheduler/submission.go
@@ -112,8 +112,9 @@
 }
 
 // Counts returns the number of jobs that have not started, the number of jobs that have
-// not ended, and the number of workers that do not answer.
-func (s *Scheduler) Counts() (queued, active, silent int) {
+// not ended, the number of workers that do not answer, and the number of long-running
+// tasks that were without a run at the last check of a Sweep.
+func (s *Scheduler) Counts() (queued, active, silent, waiting int) {
 	for j := range s.active {
 		if j.phase == Queued {
 			queued++
@@ -124,7 +125,7 @@
 			silent++
 		}
 	}
-	return queued, len(s.active), silent
+	return queued, len(s.active), silent, s.waits.withoutRun
 }
 
 // DropUnsent drops the jobs that were never part of a batch, during an outage of the store,
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -84,6 +84,11 @@
 		pacedAt clock.Millis
 		// overSince is when the task began to violate its objective; 0 if it meets it.
 		overSince clock.Millis
+		// withoutRunSince is since when a long-running task is without a run that its worker
+		// has confirmed; 0 if the last check found one.
+		withoutRunSince clock.Millis
+		// nextWaitLine is when the wait of a long-running task is to be logged next.
+		nextWaitLine clock.Millis
 	}
 )
 
