--- a/scheduler/silence.go
+++ b/scheduler/silence.go
@@ -12,8 +12,9 @@
 
 type (
 	// silence is a stored record that the lease of a worker process is not extended. From the
-	// batch that stores it until one that deletes it is stored, neither this leader nor a former
-	// one extends that lease, so the next leader need not wait any longer for its end.
+	// batch that stores it until one that deletes it is stored, no leader extends that lease, or
+	// one of another process of the worker, so the next leader need not wait any longer for its
+	// end.
 	silence struct {
 		born int64
 		// deleting is whether the batch that deletes the record has been taken.
@@ -78,12 +79,8 @@
 	return nil
 }
 
-// isRecordedSilent reports whether a record says that the lease of a worker process is not
-// extended.
-func (s *Scheduler) isRecordedSilent(w *worker) bool {
-	r := s.silences[w.info.ID]
-	return r != nil && r.born == w.info.Born
-}
+// isRecordedSilent reports whether a stored record says that the lease of a worker is not extended.
+func (s *Scheduler) isRecordedSilent(w *worker) bool { return s.silences[w.info.ID] != nil }
 
 // isUnheard reports whether nothing was heard of a worker for silenceDelay, or since the start of
 // the term if it can't be polled.
