scheduler, conductor, elector: leases that ended while no daemon ran are not waited for

Callers saw: after a loss of power of all hosts, tasks that last whose workers had left meanwhile were without a run for 11 s more. The users' record fits it: 14.97 s without a run. Cause: no daemon saw the time of the outage pass, so the first leader after it counted the whole wait from its own start. The class is that of the takeovers. Change: a claim has readings of the clocks of five workers, from as many data centres as possible. The next leader compares them with the clocks of those that answer and counts what three of them show. The conductor's term of an election is made in one place, runner.TermOf. Why it is safe: readings are counted up from the time at which the worker was asked, with the drift that the platform allows; three clocks have to agree. A bound that was counted from the new leader's own start is not moved. A process that restarts after the takeover gets the bound of all workers, not that of its predecessor's silence.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -42,6 +42,7 @@
 		decode      func(recorder.Item) (scheduler.WorkerInfo, bool)
 		lease       clock.Millis
 		relay       *clock.Relay
+		leaveClocks func(clock.Millis, []scheduler.ClockReading)
 		metrics     Metrics
 		cloud       Cloud
 
@@ -58,6 +59,8 @@
 		firstPolls     int
 		// pendingBatch is the batch that is being stored, nil if none is.
 		pendingBatch *scheduler.Batch
+		// clocksLeftAt is when clock readings were last left to the next leader.
+		clocksLeftAt clock.Millis
 		// lastFlush is when the last batch was taken from the scheduler; flushScheduled
 		// is whether a timer for the next one runs.
 		lastFlush      clock.Millis
@@ -97,24 +100,6 @@
 
 	// Option configures a Conductor.
 	Option func(*Conductor)
-
-	// Term describes the term that this daemon was elected for.
-	Term struct {
-		// Epoch is the number of the term, which is also the fencing token.
-		Epoch int64
-		// PredecessorStopped is whether the previous leader is known to have stopped. If it
-		// isn't, it may still send orders and extend leases.
-		PredecessorStopped bool
-		// LastRenewal returns when this daemon last renewed its claim to lead.
-		LastRenewal func() clock.Millis
-		// Relay is the clock that leaders hand on; nil if there is none.
-		Relay *clock.Relay
-		// PredecessorRenewal is when the previous leader renewed its claim for the last time,
-		// as a reading of Relay; 0 if it is not known. PredecessorResigned is whether it
-		// resigned then.
-		PredecessorRenewal  clock.Millis
-		PredecessorResigned bool
-	}
 )
 
 const (
@@ -141,6 +126,9 @@
 	leaseGrantLimit = 2 * clock.Second
 	// OrderTimeout bounds an order to a worker. Workers answer within a few milliseconds.
 	OrderTimeout = 800 * clock.Millis(1)
+	// clockInterval is the time between two sets of clock readings for the next leader, as long
+	// as between two renewals of the claim that has them.
+	clockInterval = 500 * clock.Millis(1)
 	// orderQueueLimit is how long the start of a task may wait for earlier orders to the
 	// same worker before its lease deadline has to be computed anew. It is half the
 	// timeout of one order.
@@ -173,7 +161,7 @@
 func New(ctx context.Context, t Term, s recorder.Store, f Fleet, sched *scheduler.Scheduler, lease clock.Millis,
 	decode func(recorder.Item) (scheduler.WorkerInfo, bool), opts ...Option) (*Conductor, error) {
 	c := &Conductor{
-		store: s, fleet: f, sched: sched, epoch: t.Epoch, lastRenewal: t.LastRenewal, decode: decode, lease: lease, relay: t.Relay,
+		store: s, fleet: f, sched: sched, epoch: t.Epoch, lastRenewal: t.LastRenewal, decode: decode, lease: lease, relay: t.Relay, leaveClocks: t.LeaveClocks,
 		now: clock.System, emit: func(logger.Event, ...logger.Field) {}, metrics: noMetrics(), operatorRead: func() clock.Millis { return clock.Never },
 		events: make(chan func(), eventQueueSize), sessions: map[sessionKey]*session{}, batches: make(chan *scheduler.Batch, 1),
 	}
@@ -337,6 +325,7 @@
 		})
 	}
 	c.sched.LimitInherited(reading)
+	c.sched.ExpectClocks(t.PredecessorClocksAt, t.PredecessorClocks)
 	// Jobs that were deposited while there was no leader have to be known before the
 	// first request for them arrives.
 	for k, v := range deposits.items {
--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -18,6 +18,7 @@
 	"galenawharf.example/galenawharf/elector"
 	"galenawharf.example/galenawharf/imitator"
 	"galenawharf.example/galenawharf/recorder"
+	"galenawharf.example/galenawharf/runner"
 	"galenawharf.example/galenawharf/scheduler"
 )
 
@@ -55,10 +56,7 @@
 func startProcess(host, instance string, now func() clock.Millis, s recorder.Store, f conductor.Fleet, y *imitator.Policy) *daemon {
 	d := &daemon{leading: make(chan *conductor.Conductor, 8)}
 	d.elector = elector.New(s, host, host, instance, func(ctx context.Context, t elector.Term) {
-		c, err := conductor.New(ctx, conductor.Term{
-			Epoch: t.Epoch, PredecessorStopped: t.PredecessorStopped, LastRenewal: t.LastRenewal,
-			Relay: t.Relay, PredecessorRenewal: t.Predecessor.Time, PredecessorResigned: t.Predecessor.Resigned,
-		}, s, f, scheduler.New(scheduler.WithLease(testLease), scheduler.WithClocks(now, clock.System)), testLease, imitator.DecodeEntry, conductor.WithClock(now))
+		c, err := conductor.New(ctx, runner.TermOf(t), s, f, scheduler.New(scheduler.WithLease(testLease), scheduler.WithClocks(now, clock.System)), testLease, imitator.DecodeEntry, conductor.WithClock(now))
 		if err != nil {
 			return
 		}
--- a/conductor/loop.go
+++ b/conductor/loop.go
@@ -65,10 +65,21 @@
 	if c.storeUnavailable() {
 		c.sched.DropUnsent(ErrStoreUnavailable)
 	}
+	c.leaveClockReadings()
 	c.updateSessions()
 	c.metrics.Totals(c.sched.Counts())
 }
 
+// leaveClockReadings leaves readings of workers' clocks to the next leader.
+func (c *Conductor) leaveClockReadings() {
+	now := c.now()
+	if c.relay == nil || c.leaveClocks == nil || now-c.clocksLeftAt < clockInterval {
+		return
+	}
+	c.clocksLeftAt = now
+	c.leaveClocks(c.relay.At(now), c.sched.ClockReadings())
+}
+
 // runQueued runs the functions that are already queued, so that their changes share a
 // batch.
 func (c *Conductor) runQueued() {
--- a/elector/claim.go
+++ b/elector/claim.go
@@ -34,11 +34,33 @@
 		// Time is a reading of the clock that leaders hand on (clock.Relay), taken before the
 		// claim was sent; 0 if there is none.
 		Time clock.Millis `json:"time,omitempty"`
+		// Sighting has readings of other clocks, for an outage of all daemons.
+		Sighting Sighting `json:"sighting,omitzero"`
+	}
+
+	// Sighting is a set of readings of workers' clocks.
+	Sighting struct {
+		// Time is when they were taken, as a reading of the clock that leaders hand on.
+		Time   clock.Millis                   `json:"time"`
+		Clocks [MaxClockReadings]ClockReading `json:"clocks"`
+	}
+
+	// ClockReading is a reading of the clock of a worker process. Entries without a worker are
+	// not in use.
+	ClockReading struct {
+		Worker string `json:"worker,omitempty"`
+		// Born is the start time of the process, in Unix milliseconds.
+		Born  int64        `json:"born,omitempty"`
+		Clock clock.Millis `json:"clock,omitempty"`
 	}
 )
 
-// Key is the key of the claim in its topic.
-const Key = "leader"
+const (
+	// Key is the key of the claim in its topic.
+	Key = "leader"
+	// MaxClockReadings is the maximum number of clock readings in a claim.
+	MaxClockReadings = 5
+)
 
 // Encode returns the claim as JSON.
 func (c Claim) Encode() []byte {
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -27,7 +27,9 @@
 		claimedAt clock.Millis
 		// renewedAt is when the newest stored claim of this term was encoded, in ms.
 		renewedAt *atomic.Int64
-		writer    *recorder.Writer
+		// sighting is added to each renewal.
+		sighting *atomic.Pointer[Sighting]
+		writer   *recorder.Writer
 	}
 
 	// Elector takes part in the election for one daemon until Close.
@@ -259,7 +261,7 @@
 	if !due {
 		return Term{}, false
 	}
-	t := Term{Epoch: previous.Epoch + 1, PredecessorStopped: stopped, Predecessor: previous, claimedAt: e.now(), renewedAt: &atomic.Int64{}}
+	t := Term{Epoch: previous.Epoch + 1, PredecessorStopped: stopped, Predecessor: previous, claimedAt: e.now(), renewedAt: &atomic.Int64{}, sighting: &atomic.Pointer[Sighting]{}}
 	if previous.Time != 0 {
 		t.Relay = clock.NewRelay(e.now, previous.Time, seenAt)
 	} else {
@@ -295,10 +297,15 @@
 // claimOf returns the current claim of a term, without its renewal number.
 func (e *Elector) claimOf(t Term) Claim {
 	now := e.now()
+	var s Sighting
+	if p := t.sighting.Load(); p != nil {
+		s = *p
+	}
 	return Claim{
 		Epoch: t.Epoch, Host: e.host, Address: e.address, Instance: e.instance,
 		Unsettled: !t.PredecessorStopped && now-t.claimedAt < settleTime,
 		Time:      t.Relay.At(now),
+		Sighting:  s,
 	}
 }
 
@@ -334,6 +341,9 @@
 	}
 }
 
+// SetSighting sets the clock readings that the next renewals have.
+func (t Term) SetSighting(s Sighting) { t.sighting.Store(&s) }
+
 // LastRenewal returns a time no later than the one that this daemon's newest stored claim
 // tells, on its own clock.
 func (t Term) LastRenewal() clock.Millis { return clock.Millis(t.renewedAt.Load()) }
--- a/logger/events.go
+++ b/logger/events.go
@@ -76,6 +76,7 @@
 	WorkerSilent    = Event{6030, log.WarnLevel, "worker does not answer"}
 	WorkerBack      = Event{6031, log.InfoLevel, "worker answers again"}
 	SilenceRecorded = Event{6070, log.InfoLevel, "worker that does not answer is recorded; its lease is not extended until it is heard"}
+	OutageMeasured  = Event{6071, log.InfoLevel, "workers' clocks show how long no daemon has led"}
 	WorkerLost      = Event{6032, log.WarnLevel, "lease of a worker that does not answer expired"}
 	WorkerReborn    = Event{6033, log.InfoLevel, "worker was restarted"}
 	WorkerGone      = Event{6034, log.InfoLevel, "worker process is gone"}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -250,7 +250,7 @@
 	if settings.CloudAddress() != "" {
 		cloud = platform.NewCloud(settings.CloudAddress(), settings.Host(), r.store, r.cloudClient).Seam()
 	}
-	c, err := conductor.New(ctx, conductorTerm(t),
+	c, err := conductor.New(ctx, TermOf(t),
 		r.store, r.workers.Fleet(), s, lease, platform.DecodeWorker,
 		conductor.WithClock(r.now), conductor.WithMetrics(r.conductorMetrics()), conductor.WithEvents(r.log.Emit), conductor.WithCloud(cloud),
 		conductor.WithOperatorRead(func() clock.Millis { return clock.Millis(r.operatorReadAt.Load()) }))
@@ -268,14 +268,6 @@
 	r.metrics.Set(measurer.Leading, 0)
 }
 
-// conductorTerm returns the term for the conductor.
-func conductorTerm(t elector.Term) conductor.Term {
-	return conductor.Term{
-		Epoch: t.Epoch, PredecessorStopped: t.PredecessorStopped, LastRenewal: t.LastRenewal,
-		Relay: t.Relay, PredecessorRenewal: t.Predecessor.Time, PredecessorResigned: t.Predecessor.Resigned,
-	}
-}
-
 // Reload applies changed settings: limits on work apply from the next term that this
 // daemon leads, the grace period at once, and addresses from the next start.
 func (r *Runner) Reload(s *platform.Settings) {
--- a/scheduler/record.go
+++ b/scheduler/record.go
@@ -187,6 +187,7 @@
 // expired.
 func (s *Scheduler) Inherit(until clock.Millis) {
 	now := s.now()
+	s.inheritedEnd = max(s.inheritedEnd, until)
 	for _, w := range s.workers {
 		w.inheritedEnd, w.inheritedAt, w.unreconciled = max(w.inheritedEnd, until), now, true
 	}
--- a/scheduler/reporting.go
+++ b/scheduler/reporting.go
@@ -108,8 +108,9 @@
 		logger.Int("former-acked", w.storedEnd), logger.Int("runs", int64(len(w.tasks))))
 	n := &worker{
 		info: i, registered: w.registered, unreconciled: len(w.tasks) > 0, allEndsSeen: true,
-		leaseEnd:     max(w.leaseEnd, LeaseBound(now, s.leaseLength)),
-		inheritedEnd: w.inheritedEnd, inheritedAt: w.inheritedAt,
+		leaseEnd: max(w.leaseEnd, LeaseBound(now, s.leaseLength)),
+		// A bound of the old process's leases need not hold for the new one's.
+		inheritedEnd: s.inheritedEnd, inheritedReading: s.inheritedReading, inheritedAt: w.inheritedAt,
 		clockReading: i.Clock, clockReadAt: now,
 		doubtful: w.doubtful,
 	}
@@ -189,6 +190,8 @@
 	}
 	w.leaseExpired, w.connRefused, w.silentSince = false, false, 0
 	w.clockReading, w.clockReadAt = r.Clock, s.now()
+	w.reportClock, w.reportSentAt = r.Clock, r.Sent
+	s.noteClock(w, r.Clock)
 	s.deleteSilence(w.info.ID)
 }
 
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -87,6 +87,14 @@
 		relay          *clock.Relay
 		silences       map[string]*silence
 		silenceRecords []Record
+		// inheritedEnd is when the leases that former leaders may have granted have ended,
+		// inheritedReading the same on the clock that leaders hand on, 0 if it can't tell.
+		inheritedEnd, inheritedReading clock.Millis
+		// witnesses are the clock readings that the former leader has left, nil if there are
+		// none; unseen is how much time passed before this host saw the former leader's claim,
+		// as far as they show it.
+		witnesses *witnesses
+		unseen    clock.Millis
 		// delayedAt is when the daemon was last delayed, 0 if it was not.
 		delayedAt clock.Millis
 		// upkeepLength is how long a machine is down for its upkeep.
--- a/scheduler/silence.go
+++ b/scheduler/silence.go
@@ -46,6 +46,11 @@
 // may have granted have ended, as a reading of the clock that leaders hand on. It is an upper
 // bound besides that of Inherit.
 func (s *Scheduler) LimitInherited(reading clock.Millis) {
+	if s.relay == nil || reading == clock.Never {
+		return
+	}
+	s.inheritedReading = reading
+	s.inheritedEnd = min(s.inheritedEnd, s.localInherited(reading))
 	for _, w := range s.workers {
 		if w.unreconciled {
 			s.limitInherited(w, reading)
@@ -53,15 +58,21 @@
 	}
 }
 
+// limitInherited limits the leases that former leaders may have granted to a worker.
 func (s *Scheduler) limitInherited(w *worker, reading clock.Millis) {
-	if s.relay == nil || reading == clock.Never {
-		return
+	if w.inheritedReading == 0 || reading < w.inheritedReading {
+		w.inheritedReading = reading
 	}
-	if l := s.relay.Local(reading); l < w.inheritedEnd {
+	if l := s.localInherited(w.inheritedReading); l < w.inheritedEnd {
 		w.inheritedEnd, w.inheritedAt = l, l-LeaseBound(0, s.leaseLength)
 	}
 }
 
+// localInherited returns the time on this host's clock of a reading that a former leader took.
+func (s *Scheduler) localInherited(reading clock.Millis) clock.Millis {
+	return s.relay.Local(reading) - s.unseen
+}
+
 // loadSilence restores a silence that a former leader stored.
 func (s *Scheduler) loadSilence(key string, value []byte) error {
 	if s.relay == nil {
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -61,8 +61,13 @@
 		// leaseEnd is the time by which the leases that this leader has granted have ended
 		// unless they are extended, inheritedEnd the same for those of former leaders.
 		leaseEnd, inheritedEnd clock.Millis
-		// inheritedAt is when inheritedEnd was set.
-		inheritedAt clock.Millis
+		// inheritedReading is a time by which the leases of former leaders have ended, as a
+		// reading of the clock that leaders hand on; 0 if there is none. inheritedAt is when
+		// the lease that inheritedEnd counts on was granted at the latest, or when that was set.
+		inheritedReading, inheritedAt clock.Millis
+		// reportClock is what the worker's clock showed in its last report of this term, which
+		// was requested at reportSentAt, 0 if there was none.
+		reportClock, reportSentAt clock.Millis
 		// lastEnd is the highest number of an ended run that was reported, storedEnd the
 		// highest one whose result is stored.
 		lastEnd, storedEnd int64
--- a/tracer/failures_test.go
+++ b/tracer/failures_test.go
@@ -22,6 +22,7 @@
 	"galenawharf.example/galenawharf/imitator"
 	"galenawharf.example/galenawharf/logger"
 	"galenawharf.example/galenawharf/platform"
+	"galenawharf.example/galenawharf/runner"
 	"galenawharf.example/galenawharf/scheduler"
 	"galenawharf.example/galenawharf/tracer"
 )
@@ -55,7 +56,7 @@
 	must.NoError(t, err)
 	h.ingress.SetConfig(c)
 	h.elector = elector.New(s, name, name, name+"-life", func(ctx context.Context, term elector.Term) {
-		c, err := conductor.New(ctx, conductor.Term{Epoch: term.Epoch, PredecessorStopped: term.PredecessorStopped, LastRenewal: term.LastRenewal},
+		c, err := conductor.New(ctx, runner.TermOf(term),
 			s, p.Fleet(), scheduler.New(scheduler.WithLease(leaseDuration), scheduler.WithEvents(g.Emit)), leaseDuration, imitator.DecodeEntry, conductor.WithEvents(g.Emit))
 		if err != nil {
 			return
