conductor: silent workers do not hold up the first polls of the others

Cause: after a takeover 16 workers are polled at a time, each until it has answered or timed out (0.8 s, up to 2.8 s while the leader is delayed). The wait of a worker that answers was counted from its place in the queue, not from its lease: with a zone silent, leases of workers that answer lapsed before their first poll, and with them all their runs. Each takeover begins the queue anew.

Change: a first poll counts towards the limit for 150 ms. Polls that wait longer go on beside the others; waiting takes no processor time. Workers still get no new runs until they have reported.

--- a/conductor/session.go
+++ b/conductor/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"galenawharf.example/galenawharf/clock"
@@ -55,6 +56,10 @@
 	// maxFirstPolls limits the first polls in flight after a takeover: opening the
 	// connections to all workers at once would keep a small host busy for seconds.
 	maxFirstPolls = 16
+	// firstPollTime is how long an unanswered first poll counts towards maxFirstPolls. Workers
+	// answer within a few milliseconds. A poll that waits longer takes no processor time, and a
+	// third of the workers may be silent while the leases of the others go on.
+	firstPollTime = 150 * clock.Millis(1)
 	// pollMargin is added to the wait for the timeout of a poll.
 	pollMargin = 800 * clock.Millis(1)
 	// silentPollMargin replaces pollMargin for a worker that has not answered: after a
@@ -156,7 +161,8 @@
 }
 
 // startFirstPolls polls workers for the first time in a term. After a takeover all
-// workers are due at once; maxFirstPolls limits how many are polled at a time.
+// workers are due at once; maxFirstPolls limits how many are polled at a time. Silent workers
+// hold up the others for firstPollTime each.
 func (c *Conductor) startFirstPolls() {
 	for c.firstPolls < maxFirstPolls && len(c.firstPollQueue) > 0 {
 		s := c.firstPollQueue[0]
@@ -166,13 +172,18 @@
 		go func() {
 			defer c.group.Done()
 			n := c.nextPoll(s)
+			free := sync.OnceFunc(func() {
+				c.post(func() {
+					c.firstPolls--
+					c.startFirstPolls()
+				})
+			})
+			t := time.AfterFunc(firstPollTime.Duration(), free)
 			if n.due {
 				n, _ = c.poll(s, n.request)
 			}
-			c.post(func() {
-				c.firstPolls--
-				c.startFirstPolls()
-			})
+			t.Stop()
+			free()
 			c.pollWhileDue(s, n)
 		}()
 	}
