scheduler: a quarantined worker gets its next probe run when the last one is over

Cause: "one probe run at a time" was decided by the times of the last probe and the last failure, not by whether the probe still ran. A probe that was done while the failure score stayed above the limit (four failed runs or more), or that was stopped, refused, lapsed or cancelled, was the worker's last run for as long as its process lived: the bound waited for an event that could not come.

The score still halves with each completed run, so a worker with many failures takes several probes in series.

--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -246,7 +246,7 @@
 	w.addTask(t)
 	s.markExploring(t.spec(), w)
 	if w.failures >= quarantineScore {
-		w.probedAt = now
+		w.probedAt, w.probe = now, t
 	}
 	w.leaseEnd = max(w.leaseEnd, LeaseBound(now, s.leaseLength))
 	s.markDirty(t.job())
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -74,8 +74,10 @@
 		failedAt clock.Millis
 		// leavesAt is the earliest time at which a draining worker leaves.
 		leavesAt clock.Millis
-		// probedAt is when a quarantined worker last got a run.
+		// probedAt is when a quarantined worker last got a run, its probe run. probe is the
+		// task of that run, nil once it is over.
 		probedAt clock.Millis
+		probe    *task
 		// availableIn and reservedIn are the last rounds of placing in which the worker could
 		// get a new run, and in which it was reserved for a long-running task.
 		availableIn, reservedIn int
@@ -146,6 +148,9 @@
 		return
 	}
 	w.tasks = slices.Delete(w.tasks, i, i+1)
+	if w.probe == t {
+		w.probe = nil
+	}
 	t.occurrence.runs[t.step]--
 	w.groupsValid = false
 	w.reserveResources(t, -1)
