scheduler: a refused start does not begin a task's wait anew

Cause: the time since when a task waits was reset when a worker was chosen for it, not when its run had begun. After each refused, withheld or lost start a task with data in a full rack waited for that rack the whole remote delay again, a gang for a single rack, and a filler for its tolerance; a series of refusals had no end.

Change: if the run ends unconfirmed, the task has waited all the while. A run that was confirmed, also one whose worker restarted, begins a new wait as before. Nothing is sent sooner than to a task that was not refused.

--- a/scheduler/ending.go
+++ b/scheduler/ending.go
@@ -53,6 +53,10 @@
 		t.worker.removeTask(t)
 		s.searches.noteChange(t.worker)
 	}
+	if t.state == placed && t.confirmedAt == 0 {
+		// The run has not begun, so the task has waited all the while.
+		t.waitingSince = t.waitedSince
+	}
 	t.worker, t.state, t.stopping, t.unresolvedSince, t.confirmedAt, t.overSince = nil, pending, false, 0, 0, 0
 	t.percent, t.cpuUse, t.tailLatency, t.modelledAt = 0, 0, 0, 0
 }
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -65,7 +65,8 @@
 		// avoidWorker is the worker of the last failed or stalled run.
 		avoidWorker string
 		// waitingSince is when the task became ready to start; 0 while it has a worker.
-		waitingSince clock.Millis
+		// waitedSince is waitingSince from before the newest run.
+		waitingSince, waitedSince clock.Millis
 		// retryAt is the earliest time of the next run.
 		retryAt clock.Millis
 		// slowSince is when the pace of a filler became slow; 0 if it is not.
