scheduler, runner: a new leader counts a wave's time limit from its request

Cause: the deadline of a wave was the time at which the leader of the term first knew the wave, plus its limit. Each takeover gave a late wave its whole limit again, and the plan took fewer machines down at a time than the wave needed.

Change: each host keeps when it first read the request, and the leader counts from there. A wave that is past its deadline is planned with as many machines as its bound allows, as before. The bound on machines that are down, the least drain time of a second and the bound on unavailable tasks hold as before, so nothing new can be ordered; only sooner.

--- a/runner/runner.go
+++ b/runner/runner.go
@@ -42,8 +42,9 @@
 		elector *elector.Elector
 		follow  *recorder.Follower
 		// operatorItems has the operator's newest records by key. Only the follower's
-		// goroutine uses it.
+		// goroutine uses it and waveTimes.
 		operatorItems map[string][]byte
+		waveTimes     waveTimes
 		adviser       *adviser.Adviser
 		cloudClient   *http.Client
 		// evacuated are the data centres in which no task may start.
@@ -103,7 +104,7 @@
 // New starts the daemon. The error is that of a server that can't listen on its address.
 func New(s *platform.Settings, l *logger.Logger) (*Runner, error) {
 	r := &Runner{
-		log: l, metrics: measurer.New(s.Host(), s.DataCentre()), now: clock.NewSteady(), operatorItems: map[string][]byte{},
+		log: l, metrics: measurer.New(s.Host(), s.DataCentre()), now: clock.NewSteady(), operatorItems: map[string][]byte{}, waveTimes: waveTimes{},
 		store:       platform.NewStore(s.StoreAddress(), platform.NewClient(storeConnections)).Seam(),
 		workers:     platform.NewWorkers(s.Descriptors(), platform.WithWorkerEvents(l.Emit)),
 		cloudClient: platform.NewClient(cloudConnections),
@@ -224,6 +225,7 @@
 	e := platform.EvacuatedOf(r.operatorItems)
 	r.evacuated.Store(&e)
 	w, invalid := platform.WavesOf(r.operatorItems)
+	r.waveTimes.stamp(w, r.now())
 	for _, k := range invalid {
 		r.log.Emit(logger.EntryInvalid, logger.String("key", k))
 	}
--- a/scheduler/upkeep.go
+++ b/scheduler/upkeep.go
@@ -22,6 +22,9 @@
 		// MaxDown bounds the machines of the wave that may be down at a time. 0 counts as
 		// 1.
 		MaxDown int
+		// SeenAt is when this host has first read the request, on the monotonic clock; 0
+		// counts as now.
+		SeenAt clock.Millis
 	}
 
 	// Machine is the platform's state of a machine.
@@ -144,7 +147,7 @@
 			delete(old, w.ID)
 			continue
 		}
-		n := &wave{spec: w, deadline: s.now() + w.Limit, machines: map[string]*waveMachine{}, state: WaveRunning}
+		n := &wave{spec: w, deadline: cmp.Or(w.SeenAt, s.now()) + w.Limit, machines: map[string]*waveMachine{}, state: WaveRunning}
 		for _, m := range w.Machines {
 			n.machines[m] = &waveMachine{id: m}
 		}
