scheduler: a refused upkeep does not begin the machine's drain anew

Cause: an upkeep that the platform refused for now, or that was withheld because the claim to lead was not renewed in time, set the start of the machine's drain to now. A machine with a run that does not end was drained for up to 6 s again after each refusal.

Change: the drain counts from its beginning; the order is repeated with the next list of machines while the machine is up, as for a machine without runs. The bound on unavailable tasks is checked each time as before.

--- a/scheduler/upkeep.go
+++ b/scheduler/upkeep.go
@@ -71,9 +71,9 @@
 		// was ordered down; worker is an ID.
 		worker       string
 		up, inUpkeep bool
-		// phaseSince is when the phase began, drainTimeout how long the runs on the
+		// drainingSince is when the drain began, drainTimeout how long the runs on the
 		// machine get to end or move before it is taken down.
-		phaseSince, drainTimeout clock.Millis
+		drainingSince, drainTimeout clock.Millis
 		// orderInFlight is whether an order is unanswered; confirmedAt is when the
 		// platform confirmed that the upkeep has begun, 0 before.
 		orderInFlight bool
@@ -261,7 +261,7 @@
 		d.confirmedAt = s.now()
 	case UpkeepBusy:
 		if !d.unclear {
-			d.phase, d.phaseSince = machineDraining, s.now()
+			d.phase = machineDraining
 		}
 	case UpkeepRejected:
 		s.endUpkeep(d)
@@ -320,7 +320,7 @@
 		if !d.up {
 			continue
 		}
-		d.phase, d.phaseSince, d.drainTimeout = machineDraining, now, drainTimeout
+		d.phase, d.drainingSince, d.drainTimeout = machineDraining, now, drainTimeout
 		draining++
 	}
 	available := s.availableWorkers(now)
@@ -332,7 +332,7 @@
 			o.upkeepStarted = o.upkeepStarted || d.phase != machineNotStarted
 		}
 		if d.phase == machineDraining && d.up && s.drainMachine(o, d, available, now) && down < max(w.spec.MaxDown, 1) {
-			d.phase, d.phaseSince = machineDown, now
+			d.phase = machineDown
 			down++
 			s.orderUpkeep(w, d)
 		}
@@ -367,7 +367,7 @@
 	if w == nil || len(w.tasks) == 0 {
 		return true
 	}
-	timedOut := now-d.phaseSince >= d.drainTimeout
+	timedOut := now-d.drainingSince >= d.drainTimeout
 	hasUnavailabilityBound := false
 	for _, t := range w.tasks {
 		step := t.spec()
--- a/scheduler/wavedeadline_test.go
+++ b/scheduler/wavedeadline_test.go
@@ -44,3 +44,27 @@
 		})
 	}
 }
+
+// TestBusyMachineKeepsDrainTimeout guards against a machine that is drained anew after each refused upkeep.
+func TestBusyMachineKeepsDrainTimeout(t *testing.T) {
+	const refusals = 3
+	b := newHarness(1)
+	m := newFakeMachines(b)
+	b.submit(t, "long", Step{Count: 1, CPU: 100, Estimate: clock.Minute})
+	o := b.placeAndStore()[0]
+	b.OrderAnswered(o, Done)
+	setWave(b, 20*clock.Second, 1, 1)
+	begin, refused := b.clock.Now(), 0
+	for m.down == 0 && b.clock.Now() < begin+clock.Minute {
+		b.report("w0", activeRuns(o))
+		m.poll(1, func() UpkeepOutcome {
+			if refused++; refused <= refusals {
+				return UpkeepBusy
+			}
+			return UpkeepBegun
+		})
+		b.clock.Advance(90)
+	}
+	must.Eq(t, refusals+1, refused)
+	must.LessEq(t, 2*plannedDrainTime+clock.Second, b.clock.Now()-begin)
+}
