scheduler: a worker's drain counts from its entry, not from when the entry is read

Cause: the time at which a draining worker leaves was the time of reading its entry plus the time left by the entry. An entry that a new leader, or a leader behind a store that was down, reads seconds late, or reads again, moved it. A run that can continue from a checkpoint was then left on the worker as if it would still end there.

Change: the time left goes by the worker's own clock, of which the entry has a reading. Runs may be moved sooner, never later; a move is a stop that the worker has to confirm.

--- a/scheduler/draining.go
+++ b/scheduler/draining.go
@@ -54,10 +54,20 @@
 		return false
 	default:
 		left := (now - t.confirmedAt) * clock.Millis(100-t.percent) / clock.Millis(t.percent)
-		return now+left > w.leavesAt
+		return left > w.drainLeft(now)
 	}
 }
 
+// drainLeft returns the least time until a draining worker leaves. It goes by the worker's clock, as
+// the entry of the registry may have been written seconds before it was read, if the entry has a
+// reading of it.
+func (w *worker) drainLeft(now clock.Millis) clock.Millis {
+	if w.info.Clock == 0 {
+		return w.info.Remaining
+	}
+	return w.info.Clock + w.info.Remaining - w.leastClock(now)
+}
+
 // seemsDeparted reports whether a worker with runs was draining, has left the registry, and
 // refuses connections. A network partition looks the same.
 func (w *worker) seemsDeparted() bool {
