--- a/scheduler/exclusion.go
+++ b/scheduler/exclusion.go
@@ -98,7 +98,7 @@
 		return perWorkerLimit
 	case step.Rack != "" && !w.hasLabel(step.Rack) && s.racks[step.Rack] && !s.mayRunRemote(t, step):
 		return otherRack
-	case w.failures >= quarantineScore && w.probedAt >= w.failedAt:
+	case w.isProbing():
 		// A quarantined worker gets one probe run at a time.
 		return probing
 	case !step.Filler || !s.servingOverObjective(w) && s.interference(step, w) <= tolerance:
--- a/scheduler/waiting_test.go
+++ b/scheduler/waiting_test.go
@@ -257,7 +257,7 @@
 			want:  map[string]float64{"quarantined": 1},
 		},
 		"probe run started": {
-			setUp: onWorker(func(w *worker) { w.failures, w.failedAt, w.probedAt = quarantineScore, 1, 1 }),
+			setUp: onWorker(func(w *worker) { w.failures, w.failedAt, w.probedAt, w.probe = quarantineScore, 1, 1, &task{} }),
 			want:  map[string]float64{"probing": 1},
 		},
 		"other service comes before the worker's state": {
