scheduler: room for all tasks of a step that last at a time

Cause: of a step with several waiting tasks that last, one worker was reserved in each round, so on workers that are busy with finite tasks they started one after another, each a run time later. Change: a worker is reserved for each of them, those that lack the fewest processors.

--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -187,14 +187,14 @@
 		s.placeGang(d, ws, now)
 		return ws
 	}
-	for _, t := range d.tasks {
+	for i, t := range d.tasks {
 		if s.startsLeft <= 0 {
 			return ws
 		}
 		w := s.chooseWorker(t, ws)
 		if w == nil {
-			if step.LongRunning {
-				return s.reserve(t, ws)
+			if step.LongRunning && !step.Filler {
+				return s.reserve(d.tasks[i:], ws)
 			}
 			return ws
 		}
@@ -203,35 +203,35 @@
 	return ws
 }
 
-// reserve reserves a worker for a long-running task that fits nowhere yet: of the workers
-// where it will fit once the tasks that end by themselves have ended, the one with the
-// most free processors. It returns the other workers.
-func (s *Scheduler) reserve(t *task, ws []*worker) []*worker {
-	best, bestFree := -1, int64(0)
-	for i, w := range ws {
-		step := t.spec()
-		if w.info.Service != t.job().spec.Queue.Service || !w.hasLabel(step.Label) || t.denied(w) || w.memory+step.Memory > w.info.Memory || w.gpu+step.GPU > w.info.GPU {
+// reserve reserves a worker for each of the tasks of a long-running step that fit nowhere yet: of the
+// workers where one will fit once the tasks that end by themselves have ended, those that lack the
+// least room. It returns the other workers.
+func (s *Scheduler) reserve(ts []*task, ws []*worker) []*worker {
+	type candidate struct {
+		worker   *worker
+		shortage float64
+	}
+	t, step := ts[0], ts[0].spec()
+	var cs []candidate
+	for _, w := range ws {
+		if w.info.Service != t.job().spec.Queue.Service || !w.hasLabel(step.Label) || t.denied(w) || w.reservedIn == s.round {
 			continue
 		}
 		if step.PerWorker > 0 && w.countOfStep(t) >= step.PerWorker {
 			continue
 		}
-		finiteCPU := int64(0)
-		for _, o := range w.tasks {
-			if !o.spec().LongRunning && !o.spec().Filler {
-				finiteCPU += o.spec().CPU
-			}
-		}
-		free := w.info.CPU - w.cpu
-		if free+finiteCPU >= step.CPU && (best < 0 || free > bestFree) {
-			best, bestFree = i, free
+		if shortage, ok := w.shortageOf(step); ok {
+			cs = append(cs, candidate{w, shortage})
 		}
 	}
-	if best < 0 {
+	if len(cs) == 0 {
 		return ws
 	}
-	ws[best].reservedIn = s.round
-	return slices.Delete(slices.Clone(ws), best, best+1)
+	slices.SortStableFunc(cs, func(a, b candidate) int { return cmp.Compare(a.shortage, b.shortage) })
+	for _, c := range cs[:min(len(cs), len(ts))] {
+		c.worker.reservedIn = s.round
+	}
+	return slices.DeleteFunc(slices.Clone(ws), func(w *worker) bool { return w.reservedIn == s.round })
 }
 
 // assign creates a new run of a task on a worker. Its record and its order are part of
--- /dev/null
+++ b/scheduler/reserving_test.go
@@ -0,0 +1,101 @@
+package scheduler
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"galenawharf.example/galenawharf/clock"
+)
+
+// busyFleet plays workers that answer each order at once and always have finite tasks to run.
+type busyFleet struct {
+	*harness
+	runTime func(Order) clock.Millis
+	ends    map[string]map[Order]clock.Millis
+	numbers map[string]int64
+	// lasting are the runs of tasks that last.
+	lasting map[TaskName]string
+}
+
+func newBusyFleet(workers int, runTime func(Order) clock.Millis) *busyFleet {
+	f := &busyFleet{harness: newHarness(workers), runTime: runTime, ends: map[string]map[Order]clock.Millis{}, numbers: map[string]int64{}, lasting: map[TaskName]string{}}
+	return f
+}
+
+// play plays the fleet for a time and returns when the last task that lasts has started, since the
+// beginning.
+func (f *busyFleet) play(d clock.Millis) clock.Millis {
+	began, last := f.clock.Now(), clock.Millis(0)
+	for f.clock.Now() < began+d {
+		f.clock.Advance(20)
+		for w := range f.workers {
+			f.reportRuns(w)
+		}
+		f.Sweep()
+		for _, o := range append(f.TakeImmediateOrders(), f.placeAndStore()...) {
+			f.OrderAnswered(o, Done)
+			if o.Kind != Start {
+				continue
+			}
+			if f.ends[o.Worker] == nil {
+				f.ends[o.Worker] = map[Order]clock.Millis{}
+			}
+			f.ends[o.Worker][o] = f.clock.Now() + f.runTime(o)
+			if f.runTime(o) == clock.Hour {
+				f.lasting[o.Task], last = o.Worker, f.clock.Now()-began
+			}
+		}
+	}
+	return last
+}
+
+func (f *busyFleet) reportRuns(w string) {
+	var active []ActiveRun
+	var ended []EndedRun
+	for o, end := range f.ends[w] {
+		if end > f.clock.Now() {
+			active = append(active, ActiveRun{Task: o.Task.String(), Attempt: o.Attempt, Percent: int(f.clock.Now()/20) % 100})
+			continue
+		}
+		f.numbers[w]++
+		ended = append(ended, endedRun(f.numbers[w], o, EndDone))
+		delete(f.ends[w], o)
+	}
+	f.report(w, active, ended...)
+}
+
+// TestTasksThatLastGetRoomOnBusyWorkers guards against tasks that wait while finite ones keep taking
+// the room that others of these leave.
+func TestTasksThatLastGetRoomOnBusyWorkers(t *testing.T) {
+	const finiteRun = 2 * clock.Second
+	tests := map[string]struct {
+		finite, lasting Step
+	}{
+		"one needs processors":    {finite: Step{CPU: 1000, Memory: 100}, lasting: Step{Count: 1, CPU: 6000, Memory: 100}},
+		"several need processors": {finite: Step{CPU: 1000, Memory: 100}, lasting: Step{Count: 12, CPU: 6000, Memory: 100}},
+		"one a worker":            {finite: Step{CPU: 1000, Memory: 100}, lasting: Step{Count: 12, CPU: 2000, Memory: 100, PerWorker: 1}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newBusyFleet(24, func(o Order) clock.Millis {
+				switch {
+				case o.Task.Job == "lasting":
+					return clock.Hour
+				default:
+					return finiteRun + clock.Millis(o.Task.Index%10)*100
+				}
+			})
+			tt.finite.Count = 2000
+			f.submit(t, "finite", tt.finite)
+			f.play(5 * clock.Second)
+			must.Positive(t, f.Waiting())
+			tt.lasting.LongRunning = true
+			f.submit(t, "lasting", tt.lasting)
+			last := f.play(12 * clock.Second)
+			must.Positive(t, f.Waiting())
+			must.MapLen(t, tt.lasting.Count, f.lasting)
+			must.LessEq(t, 2*finiteRun, last)
+		})
+	}
+}
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -178,6 +178,19 @@
 	return w.cpu+s.CPU <= w.info.CPU
 }
 
+// shortageOf returns the processors that the worker lacks for a long-running task of step s, as a
+// share of its own. The second result is whether the tasks that end by themselves use that much.
+func (w *worker) shortageOf(s *Step) (float64, bool) {
+	cpu := w.info.CPU
+	for _, t := range w.tasks {
+		if o := t.spec(); o.LongRunning && !o.Filler {
+			cpu -= o.CPU
+		}
+	}
+	shortage := float64(max(w.cpu+s.CPU-w.info.CPU, 0)) / float64(max(w.info.CPU, 1))
+	return shortage, s.CPU <= cpu && w.memory+s.Memory <= w.info.Memory && w.gpu+s.GPU <= w.info.GPU
+}
+
 // expectedCPU returns the expected processor use of the worker's tasks, in thousandths of
 // a core.
 func (w *worker) expectedCPU() int64 {
