scheduler: reserve memory and GPUs for tasks that last

Cause: a worker was only reserved if its memory and GPUs were free already, and fillers took the memory of a reserved worker. Where memory is short, a task that lasts never got the room that finite tasks left, as others of them took it first. Change: memory and GPUs of tasks that end by themselves count as room to come, and fillers leave room for the task that a worker is reserved for.

--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -229,7 +229,7 @@
 	}
 	slices.SortStableFunc(cs, func(a, b candidate) int { return cmp.Compare(a.shortage, b.shortage) })
 	for _, c := range cs[:min(len(cs), len(ts))] {
-		c.worker.reservedIn = s.round
+		c.worker.reservedIn, c.worker.reservedMemory, c.worker.reservedGPU = s.round, step.Memory, step.GPU
 	}
 	return slices.DeleteFunc(slices.Clone(ws), func(w *worker) bool { return w.reservedIn == s.round })
 }
@@ -278,7 +278,7 @@
 	s.searchOffset++
 	for i := range ws {
 		w := ws[(i+s.searchOffset)%len(ws)]
-		if w.availableIn != s.round || w.reservedIn == s.round && !step.Filler || !s.admitted(t, w) || !s.canRun(t, step, w, tolerance) {
+		if w.availableIn != s.round || w.reservedIn == s.round && !w.fitsBesideReserved(step) || !s.admitted(t, w) || !s.canRun(t, step, w, tolerance) {
 			continue
 		}
 		if score := s.score(t, step, w); best == nil || score > bestScore {
--- a/scheduler/reserving_test.go
+++ b/scheduler/reserving_test.go
@@ -75,6 +75,9 @@
 		"one needs processors":    {finite: Step{CPU: 1000, Memory: 100}, lasting: Step{Count: 1, CPU: 6000, Memory: 100}},
 		"several need processors": {finite: Step{CPU: 1000, Memory: 100}, lasting: Step{Count: 12, CPU: 6000, Memory: 100}},
 		"one a worker":            {finite: Step{CPU: 1000, Memory: 100}, lasting: Step{Count: 12, CPU: 2000, Memory: 100, PerWorker: 1}},
+		"one needs memory":        {finite: Step{CPU: 100, Memory: 2000}, lasting: Step{Count: 1, CPU: 100, Memory: 12_000}},
+		"several need memory":     {finite: Step{CPU: 100, Memory: 2000}, lasting: Step{Count: 12, CPU: 100, Memory: 12_000}},
+		"fillers use the memory":  {finite: Step{CPU: 100, Memory: 2000, Filler: true, Image: "f"}, lasting: Step{Count: 12, CPU: 100, Memory: 12_000}},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -79,6 +79,8 @@
 		// availableIn and reservedIn are the last rounds of placing in which the worker could
 		// get a new run, and in which it was reserved for a long-running task.
 		availableIn, reservedIn int
+		// reservedMemory and reservedGPU are the resources of that task.
+		reservedMemory, reservedGPU int64
 		// blockedUntil is the end of the backoff after a refused or failed start.
 		blockedUntil clock.Millis
 		// clockReading is a reading of the worker's clock that was received at clockReadAt;
@@ -178,17 +180,27 @@
 	return w.cpu+s.CPU <= w.info.CPU
 }
 
-// shortageOf returns the processors that the worker lacks for a long-running task of step s, as a
-// share of its own. The second result is whether the tasks that end by themselves use that much.
+// fitsBesideReserved reports whether a worker that is reserved for a long-running task keeps the room
+// for it beside a task of step s. The CPU of fillers is not reserved.
+func (w *worker) fitsBesideReserved(s *Step) bool {
+	return s.Filler && w.memory+w.reservedMemory+s.Memory <= w.info.Memory && w.gpu+w.reservedGPU+s.GPU <= w.info.GPU
+}
+
+// shortageOf returns the room that the worker lacks for a long-running task of step s, as a share of
+// its own. The second result is whether the tasks that end by themselves use that much.
 func (w *worker) shortageOf(s *Step) (float64, bool) {
-	cpu := w.info.CPU
+	cpu, memory, gpu := w.info.CPU, w.info.Memory, w.info.GPU
 	for _, t := range w.tasks {
-		if o := t.spec(); o.LongRunning && !o.Filler {
-			cpu -= o.CPU
+		if o := t.spec(); o.LongRunning {
+			memory, gpu = memory-o.Memory, gpu-o.GPU
+			if !o.Filler {
+				cpu -= o.CPU
+			}
 		}
 	}
-	shortage := float64(max(w.cpu+s.CPU-w.info.CPU, 0)) / float64(max(w.info.CPU, 1))
-	return shortage, s.CPU <= cpu && w.memory+s.Memory <= w.info.Memory && w.gpu+s.GPU <= w.info.GPU
+	share := func(lacking, total int64) float64 { return float64(max(lacking, 0)) / float64(max(total, 1)) }
+	return max(share(w.cpu+s.CPU-w.info.CPU, w.info.CPU), share(w.memory+s.Memory-w.info.Memory, w.info.Memory), share(w.gpu+s.GPU-w.info.GPU, w.info.GPU)),
+		s.CPU <= cpu && s.Memory <= memory && s.GPU <= gpu
 }
 
 // expectedCPU returns the expected processor use of the worker's tasks, in thousandths of
