scheduler: reserve no worker that is probed after failures

Cause: a quarantined worker gets a single probe run and no other. Nearly empty, it was the one with the most free processors, so it was reserved for a waiting task that lasts until the probe run had ended. Change: such a worker is not reserved.

--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -214,7 +214,7 @@
 	t, step := ts[0], ts[0].spec()
 	var cs []candidate
 	for _, w := range ws {
-		if w.info.Service != t.job().spec.Queue.Service || !w.hasLabel(step.Label) || t.denied(w) || w.reservedIn == s.round {
+		if w.info.Service != t.job().spec.Queue.Service || !w.hasLabel(step.Label) || t.denied(w) || w.isProbing() || w.reservedIn == s.round {
 			continue
 		}
 		if step.PerWorker > 0 && w.countOfStep(t) >= step.PerWorker {
--- a/scheduler/reserving_test.go
+++ b/scheduler/reserving_test.go
@@ -71,6 +71,8 @@
 	const finiteRun = 2 * clock.Second
 	tests := map[string]struct {
 		finite, lasting Step
+		// quarantined is whether a worker runs a probe task and nothing else.
+		quarantined bool
 	}{
 		"one needs processors":    {finite: Step{CPU: 1000, Memory: 100}, lasting: Step{Count: 1, CPU: 6000, Memory: 100}},
 		"several need processors": {finite: Step{CPU: 1000, Memory: 100}, lasting: Step{Count: 12, CPU: 6000, Memory: 100}},
@@ -78,6 +80,7 @@
 		"one needs memory":        {finite: Step{CPU: 100, Memory: 2000}, lasting: Step{Count: 1, CPU: 100, Memory: 12_000}},
 		"several need memory":     {finite: Step{CPU: 100, Memory: 2000}, lasting: Step{Count: 12, CPU: 100, Memory: 12_000}},
 		"fillers use the memory":  {finite: Step{CPU: 100, Memory: 2000, Filler: true, Image: "f"}, lasting: Step{Count: 12, CPU: 100, Memory: 12_000}},
+		"a worker is quarantined": {finite: Step{CPU: 1000, Memory: 100}, lasting: Step{Count: 1, CPU: 6000, Memory: 100}, quarantined: true},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -85,10 +88,16 @@
 				switch {
 				case o.Task.Job == "lasting":
 					return clock.Hour
+				case tt.quarantined && o.Worker == "w0":
+					return 20 * clock.Second
 				default:
 					return finiteRun + clock.Millis(o.Task.Index%10)*100
 				}
 			})
+			if tt.quarantined {
+				w := f.workers["w0"]
+				w.failures, w.failedAt = quarantineScore, f.clock.Now()-quarantineTime
+			}
 			tt.finite.Count = 2000
 			f.submit(t, "finite", tt.finite)
 			f.play(5 * clock.Second)
--- a/scheduler/scoring.go
+++ b/scheduler/scoring.go
@@ -43,8 +43,7 @@
 		return false
 	case step.Rack != "" && !w.hasLabel(step.Rack) && s.racks[step.Rack] && !s.mayRunRemote(t, step):
 		return false
-	case w.failures >= quarantineScore && w.probedAt >= w.failedAt:
-		// A quarantined worker gets one probe run at a time.
+	case w.isProbing():
 		return false
 	default:
 		return !step.Filler || !s.servingOverObjective(w) && s.interference(step, w) <= tolerance
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -203,6 +203,9 @@
 		s.CPU <= cpu && s.Memory <= memory && s.GPU <= gpu
 }
 
+// isProbing reports whether a quarantined worker has a probe run, so that it gets no other.
+func (w *worker) isProbing() bool { return w.failures >= quarantineScore && w.probedAt >= w.failedAt }
+
 // expectedCPU returns the expected processor use of the worker's tasks, in thousandths of
 // a core.
 func (w *worker) expectedCPU() int64 {
