conductor: workers that do not answer hold up no first polls

Cause: a new leader has at most 16 first polls in flight, and one without an answer took its whole time-out of 0.8 s. With a third of 350 workers silent the last of the others was polled after 5.7 s, when the leases of the former leader were over, so sound runs lapsed. Change: a first poll counts as in flight for 200 ms, longer only while this process itself is delayed.

--- a/conductor/session.go
+++ b/conductor/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"galenawharf.example/galenawharf/clock"
@@ -55,6 +56,10 @@
 	// maxFirstPolls limits the first polls in flight after a takeover: opening the
 	// connections to all workers at once would keep a small host busy for seconds.
 	maxFirstPolls = 16
+	// maxFirstPollTime is how long a first poll counts as in flight: ten times the time that a
+	// worker takes to answer on a new connection. One that does not answer is no work for this
+	// host, and the leases of the workers that wait behind it run out.
+	maxFirstPollTime = 200 * clock.Millis(1)
 	// pollMargin is added to the wait for the timeout of a poll.
 	pollMargin = 800 * clock.Millis(1)
 	// silentPollMargin replaces pollMargin for a worker that has not answered: after a
@@ -165,19 +170,42 @@
 		c.group.Add(1)
 		go func() {
 			defer c.group.Done()
+			ended := c.firstPollInFlight()
 			n := c.nextPoll(s)
 			if n.due {
 				n, _ = c.poll(s, n.request)
 			}
-			c.post(func() {
-				c.firstPolls--
-				c.startFirstPolls()
-			})
+			ended()
 			c.pollWhileDue(s, n)
 		}()
 	}
 }
 
+// firstPollInFlight returns a function that must be called when a first poll has ended. If that takes
+// longer than maxFirstPollTime and this process is not delayed itself, the next one starts before.
+func (c *Conductor) firstPollInFlight() (ended func()) {
+	// next is called on the scheduler's goroutine.
+	next := sync.OnceFunc(func() {
+		c.firstPolls--
+		c.startFirstPolls()
+	})
+	var expire func()
+	expire = func() {
+		c.post(func() {
+			if c.timekeeper.Recent() > delayLimit/2 {
+				time.AfterFunc(maxFirstPollTime.Duration(), expire)
+				return
+			}
+			next()
+		})
+	}
+	timer := time.AfterFunc(maxFirstPollTime.Duration(), expire)
+	return func() {
+		timer.Stop()
+		c.post(next)
+	}
+}
+
 // pollWhileDue polls a worker until it needn't be polled any more (see
 // scheduler.Session.Busy).
 func (c *Conductor) pollWhileDue(s *session, n nextPoll) {
