conductor: a run that was taken back is asked for at once

Cause: a run whose start was not answered and whose repetition was refused is stopped, and its task starts elsewhere once a later report lacks it. That report was asked for with a wait of a second for the end of a run, though there is none that could end. Change: while a task waits for such a report, polls are answered at once.

--- a/conductor/session.go
+++ b/conductor/session.go
@@ -263,10 +263,11 @@
 	q := PollRequest{Worker: s.worker, Address: n.Address, Born: s.born, Acked: n.Acked, Wait: pollWait}
 	margin := pollMargin
 	switch {
-	case n.Idle, n.Inherited, n.Silent:
+	case n.Idle, n.Inherited, n.Silent, n.Unresolved:
 		// The worker answers at once. Idle: it has no run whose end it could wait for.
 		// Inherited: its runs are not known until it reports. Silent: its lease is
-		// extended only by the poll after the first one that it answers again.
+		// extended only by the poll after the first one that it answers again. Unresolved: a
+		// task waits for the report.
 		q.Wait = 0
 	case n.ServingWithFillers:
 		q.Wait = colocatedPollWait
--- a/scheduler/session.go
+++ b/scheduler/session.go
@@ -1,5 +1,7 @@
 package scheduler
 
+import "slices"
+
 type (
 	// Session is the state of a worker process that the leader needs for polling it.
 	Session struct {
@@ -19,6 +21,8 @@
 		// Inherited is whether the worker may have runs that were assigned by a former
 		// leader or to its former process, and has not reported since.
 		Inherited bool
+		// Unresolved is whether the next report shows if a run that was taken back is over.
+		Unresolved bool
 		// Silent is whether the last call to the worker failed.
 		Silent bool
 		// ServingWithFillers is whether serving tasks share the worker with fillers.
@@ -59,6 +63,7 @@
 		ServingWithFillers: w.serving > 0 && w.fillerCPU > 0,
 		Blocked:            w.lastEnd > w.storedEnd, Silent: w.silentSince != 0,
 		Idle: len(w.tasks) == 0 && len(w.doubtful) == 0, Inherited: w.unreconciled,
+		Unresolved: slices.ContainsFunc(w.tasks, func(t *task) bool { return t.unresolvedSince != 0 }),
 	}
 }
 
