scheduler: tasks that last go before finite ones of a higher priority

Cause: jobs were ordered by priority before all else, so on busy workers finite tasks of a higher priority took all room as it came, and tasks that last of a lower one had no run for as long as that went on. They may not wait for more than three seconds, however full the service is. Change: jobs that last go first, whatever their priority.

--- a/scheduler/ranking.go
+++ b/scheduler/ranking.go
@@ -10,11 +10,11 @@
 	// rank orders jobs by urgency when not all of them can meet their objective. The
 	// lowest rank goes first.
 	rank struct {
-		priority int
 		// finite is 1 for jobs that end by themselves, 0 for long-running ones.
-		// Long-running jobs go first: they need the most room on one worker, which
-		// shorter tasks would fragment.
-		finite int
+		// Long-running jobs go first, whatever their priority: their tasks may not wait,
+		// and they need the most room on one worker, which shorter tasks would fragment.
+		finite   int
+		priority int
 		// lateness is 0 for jobs that may still meet their objective, 1 for late ones,
 		// and 2 for those that are too late to be of use.
 		lateness int
@@ -61,7 +61,7 @@
 // compare returns a negative number if r goes before o, and a positive one if o goes
 // before r.
 func (r rank) compare(o rank) int {
-	return cmp.Or(cmp.Compare(r.priority, o.priority), cmp.Compare(r.finite, o.finite), cmp.Compare(r.lateness, o.lateness), cmp.Compare(r.workPerValue, o.workPerValue))
+	return cmp.Or(cmp.Compare(r.finite, o.finite), cmp.Compare(r.priority, o.priority), cmp.Compare(r.lateness, o.lateness), cmp.Compare(r.workPerValue, o.workPerValue))
 }
 
 // Objective returns the objective for the time from the acceptance of the job to its end.
--- a/scheduler/reserving_test.go
+++ b/scheduler/reserving_test.go
@@ -71,11 +71,14 @@
 	const finiteRun = 2 * clock.Second
 	tests := map[string]struct {
 		finite, lasting Step
+		// priority is that of the tasks that last; finite ones have 0, which goes first.
+		priority int
 		// quarantined is whether a worker runs a probe task and nothing else.
 		quarantined bool
 	}{
 		"one needs processors":    {finite: Step{CPU: 1000, Memory: 100}, lasting: Step{Count: 1, CPU: 6000, Memory: 100}},
 		"several need processors": {finite: Step{CPU: 1000, Memory: 100}, lasting: Step{Count: 12, CPU: 6000, Memory: 100}},
+		"of a lower priority":     {finite: Step{CPU: 1000, Memory: 100}, lasting: Step{Count: 12, CPU: 6000, Memory: 100}, priority: 2},
 		"one a worker":            {finite: Step{CPU: 1000, Memory: 100}, lasting: Step{Count: 12, CPU: 2000, Memory: 100, PerWorker: 1}},
 		"one needs memory":        {finite: Step{CPU: 100, Memory: 2000}, lasting: Step{Count: 1, CPU: 100, Memory: 12_000}},
 		"several need memory":     {finite: Step{CPU: 100, Memory: 2000}, lasting: Step{Count: 12, CPU: 100, Memory: 12_000}},
@@ -103,7 +106,8 @@
 			f.play(5 * clock.Second)
 			must.Positive(t, f.Waiting())
 			tt.lasting.LongRunning = true
-			f.submit(t, "lasting", tt.lasting)
+			q := Queue{Name: "lasting", Service: testService, MaxAttempts: 2, Slack: 2, Priority: tt.priority}
+			must.NoError(t, f.Submit(Spec{ID: "lasting", Queue: q, Steps: []Step{tt.lasting}}, func(error) {}))
 			last := f.play(12 * clock.Second)
 			must.Positive(t, f.Waiting())
 			must.MapLen(t, tt.lasting.Count, f.lasting)
