scheduler: a task that lasts does not wait for the rack of its data

Cause: a task waited for a worker in the rack of its data for as long as it would lose elsewhere by its estimate. For a task that lasts this is no bound: it has no end that it could reach sooner, and may not be without a run for more than three seconds. Change: it prefers that rack, and starts elsewhere at once if there is no room. Measured: TestRackPreference/full,_lasts fails before the change, where the task waits for its estimate times the loss, and passes with it.

--- a/scheduler/racks_test.go
+++ b/scheduler/racks_test.go
@@ -25,7 +25,9 @@
 		rack string
 		// full is whether the rack has no room.
 		full bool
-		wait clock.Millis
+		// lasts is whether the task runs until its job is cancelled.
+		lasts bool
+		wait  clock.Millis
 		// want are the workers where the task may start; empty if it has to wait.
 		want []string
 	}{
@@ -34,6 +36,8 @@
 		"full, waited for the remote delay":       {rack: "r1", full: true, wait: estimate, want: []string{"w0", "w1"}},
 		"no worker has the rack":                  {rack: "r9", want: []string{"w0", "w1", "w2", "w3"}},
 		"full, but no rack is preferred":          {full: true, want: []string{"w0", "w1"}},
+		"room in the rack, lasts":                 {rack: "r1", lasts: true, want: []string{"w2", "w3"}},
+		"full, lasts":                             {rack: "r1", full: true, lasts: true, want: []string{"w0", "w1"}},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -44,7 +48,7 @@
 					b.OrderAnswered(o, Done)
 				}
 			}
-			b.submit(t, "near", Step{Count: 1, CPU: 1000, Rack: tc.rack, Estimate: estimate})
+			b.submit(t, "near", Step{Count: 1, CPU: 1000, Rack: tc.rack, Estimate: estimate, LongRunning: tc.lasts})
 			placed := b.placeAndStore()
 			if tc.wait > 0 {
 				must.SliceEmpty(t, placed, must.Sprint("the task was placed away from its data"))
--- a/scheduler/scoring.go
+++ b/scheduler/scoring.go
@@ -51,9 +51,10 @@
 }
 
 // mayRunRemote reports whether a task has waited for a worker in its rack for at least
-// the extra run time elsewhere. Until then it may still end sooner by waiting.
+// the extra run time elsewhere. Until then it may still end sooner by waiting. A task that
+// lasts has no end to wait for.
 func (s *Scheduler) mayRunRemote(t *task, step *Step) bool {
-	return t.waitingSince != 0 && s.now()-t.waitingSince >= s.remoteDelay(step)
+	return step.LongRunning || t.waitingSince != 0 && s.now()-t.waitingSince >= s.remoteDelay(step)
 }
 
 // remoteDelay returns the expected extra run time of a task outside the rack of its data,
