--- a/conductor/session.go
+++ b/conductor/session.go
@@ -56,10 +56,10 @@
 	// maxFirstPolls limits the first polls in flight after a takeover: opening the
 	// connections to all workers at once would keep a small host busy for seconds.
 	maxFirstPolls = 16
-	// firstPollTime is how long an unanswered first poll counts towards maxFirstPolls. Workers
-	// answer within a few milliseconds. A poll that waits longer takes no processor time, and a
-	// third of the workers may be silent while the leases of the others go on.
-	firstPollTime = 150 * clock.Millis(1)
+	// maxFirstPollTime is how long a first poll counts as in flight: ten times the time that a
+	// worker takes to answer on a new connection. One that does not answer is no work for this
+	// host, and the leases of the workers that wait behind it run out.
+	maxFirstPollTime = 200 * clock.Millis(1)
 	// pollMargin is added to the wait for the timeout of a poll.
 	pollMargin = 800 * clock.Millis(1)
 	// silentPollMargin replaces pollMargin for a worker that has not answered: after a
@@ -162,7 +162,7 @@
 
 // startFirstPolls polls workers for the first time in a term. After a takeover all
 // workers are due at once; maxFirstPolls limits how many are polled at a time. Silent workers
-// hold up the others for firstPollTime each.
+// hold up the others for maxFirstPollTime each.
 func (c *Conductor) startFirstPolls() {
 	for c.firstPolls < maxFirstPolls && len(c.firstPollQueue) > 0 {
 		s := c.firstPollQueue[0]
@@ -171,24 +171,42 @@
 		c.group.Add(1)
 		go func() {
 			defer c.group.Done()
+			ended := c.firstPollInFlight()
 			n := c.nextPoll(s)
-			free := sync.OnceFunc(func() {
-				c.post(func() {
-					c.firstPolls--
-					c.startFirstPolls()
-				})
-			})
-			t := time.AfterFunc(firstPollTime.Duration(), free)
 			if n.due {
 				n, _ = c.poll(s, n.request)
 			}
-			t.Stop()
-			free()
+			ended()
 			c.pollWhileDue(s, n)
 		}()
 	}
 }
 
+// firstPollInFlight returns a function that must be called when a first poll has ended. If that takes
+// longer than maxFirstPollTime and this process is not delayed itself, the next one starts before.
+func (c *Conductor) firstPollInFlight() (ended func()) {
+	// next is called on the scheduler's goroutine.
+	next := sync.OnceFunc(func() {
+		c.firstPolls--
+		c.startFirstPolls()
+	})
+	var expire func()
+	expire = func() {
+		c.post(func() {
+			if c.timekeeper.Recent() > delayLimit/2 {
+				time.AfterFunc(maxFirstPollTime.Duration(), expire)
+				return
+			}
+			next()
+		})
+	}
+	timer := time.AfterFunc(maxFirstPollTime.Duration(), expire)
+	return func() {
+		timer.Stop()
+		c.post(next)
+	}
+}
+
 // pollWhileDue polls a worker until it needn't be polled any more (see
 // scheduler.Session.Busy).
 func (c *Conductor) pollWhileDue(s *session, n nextPoll) {
@@ -246,10 +264,11 @@
 	q := PollRequest{Worker: s.worker, Address: n.Address, Born: s.born, Acked: n.Acked, Wait: pollWait}
 	margin := pollMargin
 	switch {
-	case n.Idle, n.Inherited, n.Silent:
+	case n.Idle, n.Inherited, n.Silent, n.Unresolved:
 		// The worker answers at once. Idle: it has no run whose end it could wait for.
 		// Inherited: its runs are not known until it reports. Silent: its lease is
-		// extended only by the poll after the first one that it answers again.
+		// extended only by the poll after the first one that it answers again. Unresolved: a
+		// task waits for the report.
 		q.Wait = 0
 	case n.ServingWithFillers:
 		q.Wait = colocatedPollWait
--- a/scheduler/exclusion.go
+++ b/scheduler/exclusion.go
@@ -111,7 +111,7 @@
 // reservedForOthers reports whether the current round of placing reserves a worker for a
 // long-running task, so that tasks of a step which would take its processors are not placed.
 func (s *Scheduler) reservedForOthers(w *worker, step *Step) bool {
-	return w.reservedIn == s.round && !step.Filler
+	return w.reservedIn == s.round && !w.fitsBesideReserved(step)
 }
 
 // countExclusions returns how many workers each reason excludes from getting a task. Each worker
