scheduler: a start that may not be sent again is taken back

Callers saw: a task without a run for as long as a drain or an evacuation lasted. Cause: a start without an answer is repeated after the next report. If its worker drains by then, or its data centre is evacuated, the repetition is withheld, and a run whose first order may still be carried out is not withdrawn either. Change: it is withdrawn there: the worker has to confirm a stop, or list no such run after it, before the task starts elsewhere. A confirmed stop rejects later starts of that run, so no second run can come of it.

--- a/scheduler/reporting.go
+++ b/scheduler/reporting.go
@@ -366,7 +366,8 @@
 		// The order is sent again after the next report.
 		t.unclear = true
 	case Withheld:
-		if !t.unclear {
+		// Where nothing may start any more, the order will not be sent again.
+		if !t.unclear || w.info.Draining || s.evacuatedDataCentres[w.info.DataCentre] {
 			s.withdraw(t)
 		}
 	case Late, Fenced:
