scheduler: a stop that was not confirmed is sent again

Callers saw: a task that lasts stays on a worker that leaves, or on which it stalls, until that is gone. Cause: the run counts as being stopped from the first order on, and nothing repeats a lost one. Change: an unconfirmed stop is sent again after the next report that lists the run.

--- a/scheduler/ending.go
+++ b/scheduler/ending.go
@@ -57,7 +57,7 @@
 		// The run has not begun, so the task has waited all the while.
 		t.waitingSince = t.waitedSince
 	}
-	t.worker, t.state, t.stopping, t.unresolvedSince, t.confirmedAt, t.overSince = nil, pending, false, 0, 0, 0
+	t.worker, t.state, t.stopping, t.stopUnconfirmed, t.unresolvedSince, t.confirmedAt, t.overSince = nil, pending, false, false, 0, 0, 0
 	t.percent, t.cpuUse, t.tailLatency, t.modelledAt = 0, 0, 0, 0
 }
 
--- a/scheduler/reporting.go
+++ b/scheduler/reporting.go
@@ -250,7 +250,7 @@
 	} else {
 		t.cpuUse = a.Measurement
 	}
-	if t.job().phase.final() && t.ordersInFlight < maxOrdersInFlight {
+	if (t.job().phase.final() || t.stopUnconfirmed) && t.ordersInFlight < maxOrdersInFlight {
 		s.stop(t)
 	}
 	return t
@@ -330,7 +330,8 @@
 	case Start:
 		s.applyStartOutcome(w, t, out)
 	case Stop:
-		if !out.confirmsStop() {
+		if t.stopUnconfirmed = t.stopping && !out.confirmsStop(); t.stopUnconfirmed {
+			// The order is sent again after the next report.
 			return
 		}
 		// The next report shows whether the run has ended; a run that never started is
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -295,7 +295,7 @@
 	if t.worker == nil {
 		return
 	}
-	t.stopping = true
+	t.stopping, t.stopUnconfirmed = true, false
 	s.immediate = append(s.immediate, s.newOrder(Stop, t))
 }
 
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -55,6 +55,9 @@
 		stalled bool
 		// stopping is set once a stop was ordered for the newest run.
 		stopping bool
+		// stopUnconfirmed is whether the last stop of the newest run was not confirmed, so that it
+		// has to be sent again.
+		stopUnconfirmed bool
 		// unresolvedSince is when an answer left open whether the worker has the run; 0
 		// if none did. The first report that was requested later shows it.
 		unresolvedSince clock.Millis
