scheduler: a worker that lists the end of a run needs no stop for it

Cause: all runs of a worker that are given up with its lease have to be stopped before it gets runs and leases again, after a takeover each of them by a call, although its list shows most of them ended. Change: a listed end settles the doubt; a worker rejects starts of a run that has ended there. Measured: TestListedEndNeedsNoStop fails before in the case of the abandoned run, passes after.

--- a/scheduler/doubtful.go
+++ b/scheduler/doubtful.go
@@ -19,6 +19,17 @@
 	}
 }
 
+// resolveDoubtful removes the doubtful runs that the worker lists as ended: it rejects later starts of
+// these.
+func (w *worker) resolveDoubtful(ended []EndedRun) {
+	if len(w.doubtful) == 0 {
+		return
+	}
+	for _, e := range ended {
+		w.doubtful = slices.DeleteFunc(w.doubtful, func(d doubtfulRun) bool { return d.attempt == e.Attempt && d.task.String() == e.Task })
+	}
+}
+
 // stopDoubtful orders a worker to stop its doubtful runs, except those for which a stop is
 // in flight.
 func (s *Scheduler) stopDoubtful(w *worker) {
--- a/scheduler/doubtful_test.go
+++ b/scheduler/doubtful_test.go
@@ -87,3 +87,32 @@
 	_, ok := b.Lease("w0", 1)
 	must.False(t, ok, must.Sprint("the worker gets a lease while the former start may be carried out"))
 }
+
+// TestListedEndNeedsNoStop guards against a worker that is out of use until it has confirmed stops of
+// runs that have ended.
+func TestListedEndNeedsNoStop(t *testing.T) {
+	tests := map[string]struct {
+		attempt int
+		// wantStop is whether the abandoned run has to be stopped.
+		wantStop bool
+	}{
+		"end of the abandoned run": {attempt: 1},
+		"end of an earlier run":    {attempt: 0, wantStop: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			r, o := recordOfRun(t, "job", 1)
+			b, until := takeOver(t, registryOf(1), r)
+			b.CallFailed("w0", 1, false)
+			b.clock.Advance(until - b.clock.Now())
+			b.Sweep()
+			again := b.placeAndStore()
+			must.Len(t, 1, again)
+			o.Attempt = tt.attempt
+			b.report("w0", nil, endedRun(1, o, EndLapsed))
+			must.Eq(t, tt.wantStop, len(b.TakeImmediateOrders()) == 1)
+			_, ok := b.Lease("w0", 1)
+			must.Eq(t, tt.wantStop, !ok)
+		})
+	}
+}
--- a/scheduler/reporting.go
+++ b/scheduler/reporting.go
@@ -141,6 +141,7 @@
 		return
 	}
 	s.markResponsive(w, r)
+	w.resolveDoubtful(r.Ended)
 	s.stopDoubtful(w)
 	listed := make(map[*task]struct{}, len(r.Active)+len(r.Ended))
 	if len(r.Ended) > 0 && w.allEndsSeen && r.Ended[0].Number > w.lastEnd+1 {
