scheduler: test of racks as a reason, for tasks that last and finite ones

Change: TestRackIsNoReasonForTasksThatLast asks for both: a finite task is excluded by other racks, one that lasts is not. Measured: the package's tests pass.

--- a/scheduler/waiting_test.go
+++ b/scheduler/waiting_test.go
@@ -194,8 +194,6 @@
 		return func(t *testing.T, h *waitHarness) { h.submit(t, "task", s) }
 	}
 	tests := map[string]struct {
-		// racks is whether there are four workers in two racks, not one.
-		racks bool
 		setUp func(t *testing.T, h *waitHarness)
 		// task is the index of the task that waits.
 		task int
@@ -310,25 +308,10 @@
 			},
 			want: map[string]float64{"ticket-denied": 1},
 		},
-		"rack is full": {
-			racks: true,
-			setUp: func(t *testing.T, h *waitHarness) {
-				h.submit(t, "filling", Step{Count: 2, CPU: 8000, Label: "r1"})
-				for _, o := range h.placeAndStore() {
-					h.OrderAnswered(o, Done)
-				}
-				step(Step{CPU: 1000, Rack: "r1", Estimate: clock.Minute})(t, h)
-			},
-			want: map[string]float64{"other-rack": 2, "no-room": 2},
-		},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
-			b := newHarness(1)
-			if tc.racks {
-				b = newRackHarness()
-			}
-			h := newWaitHarness(t, b)
+			h := newWaitHarness(t, newHarness(1))
 			tc.setUp(t, h)
 			h.run(5 * clock.Second)
 			got := h.wait(t, fmt.Sprint("task.0.0.", tc.task))
@@ -347,6 +330,36 @@
 	}
 }
 
+// TestRackIsNoReasonForTasksThatLast checks which workers a full rack excludes: those of other racks
+// for a task that has an end to wait for, none for one that lasts.
+func TestRackIsNoReasonForTasksThatLast(t *testing.T) {
+	tests := map[string]struct {
+		lasts bool
+		want  map[exclusion]int
+	}{
+		"finite": {want: map[exclusion]int{otherRack: 2, noRoom: 2}},
+		"lasts":  {lasts: true, want: map[exclusion]int{notExcluded: 2, noRoom: 2}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := newRackHarness()
+			b.submit(t, "filling", Step{Count: 2, CPU: 8000, Label: "r1"})
+			for _, o := range b.placeAndStore() {
+				b.OrderAnswered(o, Done)
+			}
+			b.Place()
+			b.submit(t, "task", Step{Count: 1, CPU: 1000, Rack: "r1", Estimate: clock.Minute, LongRunning: tc.lasts})
+			got := map[exclusion]int{}
+			for e, n := range b.countExclusions(b.jobs["task"].openOccurrence(0).steps[0][0], b.clock.Now()) {
+				if n > 0 {
+					got[exclusion(e)] = n
+				}
+			}
+			must.Eq(t, tc.want, got)
+		})
+	}
+}
+
 // TestNoPlacingIsVisible guards against a leader that chooses no worker, with room, without a line that says so.
 func TestNoPlacingIsVisible(t *testing.T) {
 	h := newWaitHarness(t, newHarness(1))
