scheduler, conductor: a leader that is delayed again and again gives up workers that are lost

Callers saw: a task that lasts without a run for over 60 s, if its worker is gone and the leader is late by a second every two seconds. Cause: a call without an answer says nothing of the worker if the leader was delayed meanwhile, so the next one extended the lease again; and a lease that was over was waited for until a call failed without a delay. The bound moved with the observer's own delays. Change: leases are extended for at most 2 s of calls that were not heard for this reason. Once a lease is over, the runs of tasks that last are given up without an answer: they have lapsed, and no end of theirs is final. Tasks that end by themselves are treated as before, as one may have ended done. The test of a run that is confirmed extends the lease, as a leader does.

--- a/conductor/session.go
+++ b/conductor/session.go
@@ -59,7 +59,7 @@
 	// maxFirstPollTime is how long a first poll counts as in flight: ten times the time that a
 	// worker takes to answer on a new connection. One that does not answer is no work for this
 	// host, and the leases of the workers that wait behind it run out.
-	maxFirstPollTime = 200 * clock.Millis(1)
+	maxFirstPollTime = 150 * clock.Millis(1)
 	// pollMargin is added to the wait for the timeout of a poll.
 	pollMargin = 800 * clock.Millis(1)
 	// silentPollMargin replaces pollMargin for a worker that has not answered: after a
@@ -310,6 +310,7 @@
 		c.sched.WorkerReplaced(q.Worker, q.Address, q.Born, r.Born)
 	default:
 		if delayed && out != scheduler.ConnectionRefused {
+			c.sched.CallUnheard(q.Worker, q.Born)
 			return
 		}
 		c.sched.CallFailed(q.Worker, q.Born, out == scheduler.ConnectionRefused)
--- a/scheduler/lease.go
+++ b/scheduler/lease.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"slices"
+
 	"galenawharf.example/galenawharf/clock"
 	"galenawharf.example/galenawharf/logger"
 )
@@ -16,6 +18,10 @@
 	// of its lease if it may still carry out orders. By the platform's description, orders
 	// are carried out seconds late.
 	maxOrderDelay = clock.Minute
+	// maxUnheardTime is how long the lease of a worker is extended that may have answered while
+	// this daemon was delayed: what the platform's bound on the time without a run leaves beside
+	// the lease and a start.
+	maxUnheardTime = 2 * clock.Second
 )
 
 // Lease extends the lease of a worker process for a call that is about to be sent, and
@@ -33,7 +39,7 @@
 	if len(w.doubtful) > 0 || s.isRecordedSilent(w) {
 		return 0, false
 	}
-	if w.silentSince != 0 {
+	if w.silentSince != 0 || w.unheardSince != 0 && now-w.unheardSince > maxUnheardTime {
 		// The current lease lasts for a few more calls. If these fail too, the runs have
 		// to end soon so that their tasks can start elsewhere.
 		return 0, false
@@ -48,6 +54,25 @@
 	return now + lease + clock.Millis(float64(lease)*maxClockDrift) + leaseMargin
 }
 
+// abandonLasting abandons the runs of the long-running tasks of a worker whose lease is over: however
+// they have ended, they have to start again, so no answer of the worker is waited for. It reports
+// whether there were any.
+func (s *Scheduler) abandonLasting(w *worker, now clock.Millis) bool {
+	found := false
+	for _, t := range slices.Clone(w.tasks) {
+		if !t.spec().LongRunning {
+			continue
+		}
+		if !found {
+			s.emitLost(w, now)
+		}
+		found = true
+		w.markDoubtful(t)
+		s.abandonRun(w, t, "its lease has expired")
+	}
+	return found
+}
+
 // expireLeases abandons the runs of workers whose lease has expired, and removes workers
 // that have left the registry.
 func (s *Scheduler) expireLeases() {
@@ -55,7 +80,11 @@
 	for id, w := range s.workers {
 		// A process that only the records name has no address and can't be polled.
 		known := w.registered && w.info.Address != ""
-		if (w.silentSince == 0 && known) || now < w.leaseBound() {
+		if now < w.leaseBound() {
+			continue
+		}
+		logged := s.abandonLasting(w, now)
+		if w.silentSince == 0 && known {
 			continue
 		}
 		if w.silentSince != 0 && w.info.Address != "" && len(w.tasks) > 0 && w.failedCallAt < s.delayedAt {
@@ -63,7 +92,7 @@
 			continue
 		}
 		if w.silentSince != 0 || w.unreconciled {
-			if !w.leaseExpired && len(w.tasks) > 0 {
+			if !w.leaseExpired && !logged && len(w.tasks) > 0 {
 				s.emitLost(w, now)
 			}
 			w.leaseExpired, w.unreconciled = true, false
--- a/scheduler/reporting.go
+++ b/scheduler/reporting.go
@@ -70,14 +70,18 @@
 // ends, so that they start again.
 func (s *Scheduler) abandonRuns(w *worker, reason string) {
 	for _, t := range slices.Clone(w.tasks) {
-		s.emit(logger.RunAbandoned, logger.String("task", t.name().String()), logger.Int("attempt", int64(t.attempt)), logger.String("worker", w.info.ID),
-			logger.Int("born", w.info.Born), logger.String("reason", reason), logger.Text("unclear", t.unclear), logger.Int("unanswered", int64(t.ordersInFlight)),
-			logger.Int("lease-left-ms", int64(w.leaseBound()-s.now())))
-		s.markDirty(t.job())
-		s.release(t)
+		s.abandonRun(w, t, reason)
 	}
 }
 
+func (s *Scheduler) abandonRun(w *worker, t *task, reason string) {
+	s.emit(logger.RunAbandoned, logger.String("task", t.name().String()), logger.Int("attempt", int64(t.attempt)), logger.String("worker", w.info.ID),
+		logger.Int("born", w.info.Born), logger.String("reason", reason), logger.Text("unclear", t.unclear), logger.Int("unanswered", int64(t.ordersInFlight)),
+		logger.Int("lease-left-ms", int64(w.leaseBound()-s.now())))
+	s.markDirty(t.job())
+	s.release(t)
+}
+
 // WorkerReplaced must be called when another process answers at the address of the worker
 // process with this ID and start time old, which is therefore gone. born is the start
 // time of the process that answered, or 0 if it belongs to a worker with another ID.
@@ -189,7 +193,7 @@
 	if w.leaseExpired || w.silentSince != 0 {
 		s.emit(logger.WorkerBack, logger.String("worker", w.info.ID))
 	}
-	w.leaseExpired, w.connRefused, w.silentSince = false, false, 0
+	w.leaseExpired, w.connRefused, w.silentSince, w.unheardSince = false, false, 0, 0
 	w.clockReading, w.clockReadAt = r.Clock, s.now()
 	w.reportClock, w.reportSentAt = r.Clock, r.Sent
 	s.noteClock(w, r.Clock)
@@ -314,11 +318,13 @@
 	switch out {
 	case Superseded:
 		return
-	case Unheard, Withheld:
+	case Unheard:
+		s.markUnheard(w)
+	case Withheld:
 	case Unclear, NotSent, ConnectionRefused:
 		s.markSilent(w, out == ConnectionRefused)
 	default:
-		w.silentSince, w.leaseExpired, w.connRefused = 0, false, false
+		w.silentSince, w.unheardSince, w.leaseExpired, w.connRefused = 0, 0, false, false
 		s.deleteSilence(w.info.ID)
 	}
 	if o.Kind == Stop {
@@ -399,6 +405,20 @@
 	}
 }
 
+// CallUnheard must be called when a call to a worker process had no answer while the daemon itself was
+// delayed.
+func (s *Scheduler) CallUnheard(id string, born int64) {
+	if w := s.workers[id]; w != nil && w.info.Born == born {
+		s.markUnheard(w)
+	}
+}
+
+func (s *Scheduler) markUnheard(w *worker) {
+	if w.unheardSince == 0 {
+		w.unheardSince = s.now()
+	}
+}
+
 func (s *Scheduler) markSilent(w *worker, connRefused bool) {
 	w.connRefused, w.failedCallAt = connRefused, s.now()
 	if w.silentSince == 0 {
--- a/scheduler/waiting_test.go
+++ b/scheduler/waiting_test.go
@@ -396,7 +396,10 @@
 		t.Run(name, func(t *testing.T) {
 			h := newWaitHarness(t, newHarness(1))
 			lose(t, h)
-			h.run(10 * clock.Second)
+			for range 10 {
+				h.Lease("w0", 1)
+				h.run(clock.Second)
+			}
 			must.SliceEmpty(t, h.lines(t, logger.TaskWaiting))
 			must.SliceEmpty(t, h.lines(t, logger.TaskResumed))
 			must.SliceEmpty(t, h.lines(t, logger.TasksWaiting))
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -53,6 +53,9 @@
 		leaseExpired bool
 		// silentSince is when calls began to fail; 0 while they succeed.
 		silentSince clock.Millis
+		// unheardSince is when a call was first without an answer while the daemon was delayed,
+		// since the last answer; 0 if none was.
+		unheardSince clock.Millis
 		// failedCallAt is when a call last failed.
 		failedCallAt clock.Millis
 		// connRefused is whether the last call found nothing listening at the worker's
