soaker: check how long a task that lasts is without a run

Cause: the soak test had no task that lasts, no worker that leaves for good and no calm time in which the rule could be judged. Change: a job with tasks that last, of which some runs fail; closing faults after all others: one to three takeovers by SIGKILL of the leader, and two workers that leave for good after the first. A task that lasts must run again within 9 s after its last run or 7 s after the last fault, as the workers have seen it.

--- a/imitator/pool_test.go
+++ b/imitator/pool_test.go
@@ -59,10 +59,14 @@
 		gaps := p.Gaps("a")
 		must.Len(t, 1, gaps)
 		must.Eq(t, 3*clock.Second, gaps[0].Length())
+		must.True(t, gaps[0].Open())
 		start.Attempt, start.Deadline = 2, clock.Hour
 		must.Eq(t, scheduler.Done, p.Life("w1").Send(start, 1))
 		time.Sleep(time.Second)
-		must.Eq(t, gaps, p.Gaps("a"))
+		gaps = p.Gaps("a")
+		must.Len(t, 1, gaps)
+		must.Eq(t, 3*clock.Second, gaps[0].Length())
+		must.False(t, gaps[0].Open())
 		must.SliceEmpty(t, p.Violations())
 	})
 }
--- a/soaker/counts.go
+++ b/soaker/counts.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 
+	"galenawharf.example/galenawharf/clock"
 	"galenawharf.example/galenawharf/imitator"
 )
 
@@ -20,6 +21,10 @@
 		// themselves with an error.
 		Killed, OwnExits int
 		Faults           int
+		// Gaps are the times that tasks which last were without a run, LongestGap is the
+		// longest.
+		Gaps       int
+		LongestGap clock.Millis
 	}
 
 	// floor is a count, what it counts, and the least that it must be.
@@ -33,8 +38,8 @@
 const minTasks = 2
 
 func (c Counts) String() string {
-	return fmt.Sprintf("%d jobs accepted (%d before the faults), %d refused, %d completed; %d runs started, %d ends acknowledged, %d polls with a stale number, %d leases shortened; %d worker restarts, %d late orders; %d daemons killed, %d ended by themselves; %d faults",
-		c.Accepted, c.CalmAccepted, c.Refused, c.Completed, c.Workers.Starts, c.Workers.AckedEnds, c.Workers.StaleAcks, c.Workers.CappedLeases, c.Workers.Restarts, c.LateOrders, c.Killed, c.OwnExits, c.Faults)
+	return fmt.Sprintf("%d jobs accepted (%d before the faults), %d refused, %d completed; %d runs started, %d ends acknowledged, %d polls with a stale number, %d leases shortened; %d worker restarts, %d late orders; %d daemons killed, %d ended by themselves; %d faults; tasks that last were without a run %d times, for up to %d ms",
+		c.Accepted, c.CalmAccepted, c.Refused, c.Completed, c.Workers.Starts, c.Workers.AckedEnds, c.Workers.StaleAcks, c.Workers.CappedLeases, c.Workers.Restarts, c.LateOrders, c.Killed, c.OwnExits, c.Faults, c.Gaps, c.LongestGap)
 }
 
 // belowFloors returns a violation for each count that is so low that the soak test has not
@@ -52,6 +57,7 @@
 		{"worker restarts", c.Workers.Restarts, cycles},
 		{"late orders", c.LateOrders, min(1, cycles)},
 		{"daemons killed", c.Killed, cycles},
+		{"times that tasks which last were without a run", c.Gaps, lastingTasks + 1},
 	} {
 		if f.count < f.min {
 			violations = append(violations, fmt.Sprintf("below the floor: %s: %d, at least %d expected", f.what, f.count, f.min))
--- a/soaker/counts_test.go
+++ b/soaker/counts_test.go
@@ -11,7 +11,7 @@
 
 // TestFloors checks that a soak test that tested nothing does not pass.
 func TestFloors(t *testing.T) {
-	fine := Counts{Accepted: 90, CalmAccepted: 8, Completed: 90, Workers: imitator.PoolCounts{Starts: 180, AckedEnds: 16, Restarts: 1}, LateOrders: 1, Killed: 1, Faults: 6}
+	fine := Counts{Accepted: 90, CalmAccepted: 8, Completed: 90, Workers: imitator.PoolCounts{Starts: 180, AckedEnds: 16, Restarts: 1}, LateOrders: 1, Killed: 1, Faults: 6, Gaps: 7}
 	tests := map[string]struct {
 		duration clock.Millis
 		change   func(*Counts)
@@ -22,13 +22,15 @@
 		"dead daemons": {duration: clock.Second, change: func(c *Counts) { *c = Counts{} }, want: []string{
 			"below the floor: jobs accepted before the faults: 0, at least 8 expected", "below the floor: jobs completed: 0, at least 8 expected",
 			"below the floor: runs started: 0, at least 16 expected", "below the floor: ends acknowledged: 0, at least 16 expected",
+			"below the floor: times that tasks which last were without a run: 0, at least 7 expected",
 		}},
-		"completed without runs": {duration: clock.Second, change: func(c *Counts) { c.Workers.Starts = 179 }, want: []string{"below the floor: runs started: 179, at least 180 expected"}},
-		"nothing acknowledged":   {duration: clock.Second, change: func(c *Counts) { c.Workers.AckedEnds = 0 }, want: []string{"below the floor: ends acknowledged: 0, at least 16 expected"}},
-		"no restarts":            {duration: 10 * clock.Second, change: func(c *Counts) { c.Workers.Restarts = 0 }, want: []string{"below the floor: worker restarts: 0, at least 1 expected"}},
-		"no late orders":         {duration: 10 * clock.Second, change: func(c *Counts) { c.LateOrders = 0 }, want: []string{"below the floor: late orders: 0, at least 1 expected"}},
-		"no daemons killed":      {duration: 20 * clock.Second, change: func(c *Counts) { c.Faults, c.Workers.Restarts = 12, 2 }, want: []string{"below the floor: daemons killed: 1, at least 2 expected"}},
-		"few faults":             {duration: 10 * clock.Second, change: func(c *Counts) { c.Faults = 5 }, want: []string{"below the floor: faults injected: 5, at least 6 expected"}},
+		"completed without runs":          {duration: clock.Second, change: func(c *Counts) { c.Workers.Starts = 179 }, want: []string{"below the floor: runs started: 179, at least 180 expected"}},
+		"nothing acknowledged":            {duration: clock.Second, change: func(c *Counts) { c.Workers.AckedEnds = 0 }, want: []string{"below the floor: ends acknowledged: 0, at least 16 expected"}},
+		"no restarts":                     {duration: 10 * clock.Second, change: func(c *Counts) { c.Workers.Restarts = 0 }, want: []string{"below the floor: worker restarts: 0, at least 1 expected"}},
+		"no late orders":                  {duration: 10 * clock.Second, change: func(c *Counts) { c.LateOrders = 0 }, want: []string{"below the floor: late orders: 0, at least 1 expected"}},
+		"no daemons killed":               {duration: 20 * clock.Second, change: func(c *Counts) { c.Faults, c.Workers.Restarts = 12, 2 }, want: []string{"below the floor: daemons killed: 1, at least 2 expected"}},
+		"no task that lasts lost its run": {duration: clock.Second, change: func(c *Counts) { c.Gaps = 6 }, want: []string{"below the floor: times that tasks which last were without a run: 6, at least 7 expected"}},
+		"few faults":                      {duration: 10 * clock.Second, change: func(c *Counts) { c.Faults = 5 }, want: []string{"below the floor: faults injected: 5, at least 6 expected"}},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/soaker/host.go
+++ b/soaker/host.go
@@ -26,6 +26,10 @@
 		mu       sync.Mutex
 		process  *os.Process
 		stopping bool
+		// down is the time from the end of the process to the start of the next.
+		down clock.Millis
+		// started is called at each start of a process.
+		started func()
 		// killed counts the signals that ended a process, ownExits the processes that ended
 		// by themselves with an error.
 		killed, ownExits int
@@ -33,7 +37,7 @@
 	}
 )
 
-// restartDelay is the time from the end of a process to the start of the next.
+// restartDelay is the usual time from the end of a process to the start of the next.
 const restartDelay = 100 * clock.Millis(1)
 
 // start writes the settings to a file and starts the process, whose output is appended to a
@@ -61,6 +65,7 @@
 				return
 			}
 			err := c.Start()
+			h.started()
 			h.process = c.Process
 			h.mu.Unlock()
 			if first {
@@ -75,13 +80,22 @@
 			if c.ProcessState.ExitCode() > 0 {
 				h.ownExits++
 			}
+			down := h.down
+			h.down = restartDelay
 			h.mu.Unlock()
-			time.Sleep(restartDelay.Duration())
+			time.Sleep(down.Duration())
 		}
 	}()
 	return errors.Wrap(<-started, "soaker.host.start")
 }
 
+// setDown sets the time from the next end of the process to the start after it.
+func (h *host) setDown(d clock.Millis) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.down = d
+}
+
 // signal sends a signal to the process, if it has been started.
 func (h *host) signal(s syscall.Signal) {
 	h.mu.Lock()
--- a/soaker/injector.go
+++ b/soaker/injector.go
@@ -36,7 +36,13 @@
 	l := log.New(f, "", log.Lmicroseconds|log.LUTC)
 	var group sync.WaitGroup
 	deadline := time.Now().Add(k.settings.FaultDuration.Duration())
-	group.Go(func() { k.starveHosts(deadline, l) })
+	inject := func(f fault) {
+		defer k.disruptions.Begin()()
+		l.Print("begin " + f.name)
+		f.run()
+		l.Print("end " + f.name)
+	}
+	group.Go(func() { k.starveHosts(deadline, inject) })
 	for time.Now().Before(deadline) {
 		for _, i := range k.random.Perm(len(faultKinds)) {
 			if !time.Now().Before(deadline) {
@@ -44,15 +50,12 @@
 			}
 			f := faultKinds[i](k)
 			k.faults++
-			group.Go(func() {
-				l.Print("begin " + f.name)
-				f.run()
-				l.Print("end " + f.name)
-			})
+			group.Go(func() { inject(f) })
 			time.Sleep((minGap + k.millis(int(maxGap-minGap))).Duration())
 		}
 	}
 	group.Wait()
+	k.closingFaults(inject)
 	select {
 	case err := <-k.failed:
 		return err
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -53,6 +53,7 @@
 		done         chan struct{}
 		group        sync.WaitGroup
 		callers      *callers
+		disruptions  imitator.Disruptions
 		faults       int
 		// failed receives the first error that keeps a fault from ending.
 		failed chan error
@@ -98,7 +99,7 @@
 	defer k.close()
 	k.callers.start()
 	r := Result{}
-	if !k.callers.awaitAcceptance() {
+	if !k.callers.awaitAcceptance() || !k.submitLasting() {
 		r.Violations = append(r.Violations, fmt.Sprintf("no job was accepted within %d ms, without a fault", startTimeout))
 		k.finish(&r)
 		return r, nil
@@ -116,7 +117,11 @@
 	k := &Soak{settings: s, random: rand.New(rand.NewPCG(s.Seed, 1)), done: make(chan struct{}), failed: make(chan error, 1)}
 	k.log = imitator.NewKeyedLog(storeLatency, nil)
 	runRandom := rand.New(rand.NewPCG(s.Seed, 2))
-	k.pool = imitator.NewPool(s.Workers, workerSlots, func(scheduler.TaskName, int) (clock.Millis, scheduler.Ending) {
+	lastingRunTime := lastingRunTimes(s.Seed)
+	k.pool = imitator.NewPool(s.Workers, workerSlots, func(n scheduler.TaskName, _ int) (clock.Millis, scheduler.Ending) {
+		if n.Job == k.lastingID() {
+			return lastingRunTime()
+		}
 		ending := scheduler.EndDone
 		if runRandom.IntN(failOneIn) == 0 {
 			ending = scheduler.EndFailed
@@ -207,7 +212,10 @@
 		if err != nil {
 			return err
 		}
-		h := &host{name: fmt.Sprintf("host-%d", i), binary: k.settings.Binary, dir: k.settings.Dir, address: ports[0]}
+		h := &host{
+			name: fmt.Sprintf("host-%d", i), binary: k.settings.Binary, dir: k.settings.Dir, address: ports[0], down: restartDelay,
+			started: func() { k.disruptions.Begin()() },
+		}
 		if err := h.start(hostSettings(h.name, ports, p.address())); err != nil {
 			return err
 		}
@@ -242,6 +250,8 @@
 // finish waits for the accepted jobs to complete and adds the counts and the violations found
 // to r.
 func (k *Soak) finish(r *Result) {
+	gaps, late := k.longGaps()
+	r.Violations = append(r.Violations, late...)
 	pending := k.callers.finish(k.settings.SettleTimeout)
 	r.Violations = append(append(r.Violations, pending...), k.pool.Violations()...)
 	for _, id := range k.callers.refused() {
@@ -253,6 +263,10 @@
 	c.Accepted, c.Refused, c.Faults = len(k.callers.accepted()), len(k.callers.refused()), k.faults
 	c.Completed = c.Accepted - len(pending)
 	c.Workers = k.pool.Counts()
+	c.Gaps = len(gaps)
+	for _, g := range gaps {
+		c.LongestGap = max(c.LongestGap, g.Length())
+	}
 	for _, w := range k.workers {
 		c.LateOrders += w.handler.LateOrders()
 	}
--- a/soaker/starving.go
+++ b/soaker/starving.go
@@ -1,7 +1,7 @@
 package soaker
 
 import (
-	"log"
+	"fmt"
 	"math/rand/v2"
 	"syscall"
 	"time"
@@ -27,7 +27,7 @@
 
 // starveHosts starves one host, or all, at random times until the deadline. A host that is suspended
 // by another fault goes on at the next turn.
-func (k *Soak) starveHosts(deadline time.Time, l *log.Logger) {
+func (k *Soak) starveHosts(deadline time.Time, inject func(fault)) {
 	r := rand.New(rand.NewPCG(k.settings.Seed, starvingStream))
 	between := func(a, b clock.Millis) clock.Millis { return a + clock.Millis(r.Int64N(int64(b-a)+1)) }
 	for {
@@ -41,14 +41,14 @@
 			hosts, name = k.hosts[i:i+1], k.hosts[i].name
 		}
 		d := between(minStarvation, maxStarvation)
-		l.Printf("begin starve %s for %d ms", name, d)
-		for end := time.Now().Add(d.Duration()); time.Now().Before(end); {
-			signalAll(hosts, syscall.SIGSTOP)
-			time.Sleep(between(minStopTime, maxStopTime).Duration())
-			signalAll(hosts, syscall.SIGCONT)
-			time.Sleep(between(1, maxRunTime).Duration())
-		}
-		l.Print("end starve " + name)
+		inject(fault{fmt.Sprintf("starve %s for %d ms", name, d), func() {
+			for end := time.Now().Add(d.Duration()); time.Now().Before(end); {
+				signalAll(hosts, syscall.SIGSTOP)
+				time.Sleep(between(minStopTime, maxStopTime).Duration())
+				signalAll(hosts, syscall.SIGCONT)
+				time.Sleep(between(1, maxRunTime).Duration())
+			}
+		}})
 	}
 }
 
--- a/soaker/worker.go
+++ b/soaker/worker.go
@@ -17,10 +17,12 @@
 
 // worker is a worker of the stand-in, behind a proxy of its own.
 type worker struct {
-	id      string
-	pool    *imitator.Pool
-	handler *imitation.Worker
-	proxy   *proxy
+	id   string
+	pool *imitator.Pool
+	// disruptions has the late orders among the others.
+	disruptions *imitator.Disruptions
+	handler     *imitation.Worker
+	proxy       *proxy
 	// restarting is held during a restart: restarts of one worker follow each other.
 	restarting sync.Mutex
 	// lateFaults is the number of current faults that make orders late.
@@ -37,7 +39,7 @@
 )
 
 func (k *Soak) startWorker(i int) error {
-	w := &worker{id: fmt.Sprintf("w%d", i), pool: k.pool, random: rand.New(rand.NewPCG(k.settings.Seed, uint64(100+i)))}
+	w := &worker{id: fmt.Sprintf("w%d", i), pool: k.pool, disruptions: &k.disruptions, random: rand.New(rand.NewPCG(k.settings.Seed, uint64(100+i)))}
 	w.handler = imitation.NewWorker(k.pool, w.id, imitation.WithOrderDelay(w.orderDelay))
 	address, err := k.serve(&http.Server{Handler: w.handler, ConnContext: w.handler.ConnContext})
 	if err != nil {
@@ -58,7 +60,19 @@
 	if w.lateFaults.Load() == 0 || w.random.IntN(lateOneIn) != 0 {
 		return 0
 	}
-	return clock.Millis(minLateMillis + w.random.IntN(maxLateMillis-minLateMillis))
+	d := clock.Millis(minLateMillis + w.random.IntN(maxLateMillis-minLateMillis))
+	time.AfterFunc(d.Duration(), w.disruptions.Begin())
+	return d
+}
+
+// leave ends the worker for good. Connections to it are refused, or what is sent to it is lost.
+func (w *worker) leave(refused bool) {
+	if refused {
+		w.proxy.refuse()
+	} else {
+		w.proxy.setFault(linkFault{responses: dropped, requests: dropped})
+	}
+	w.pool.Kill(w.id)
 }
 
 // restart kills the worker and starts it again after it was down for a while, during which
