imitator: workers' clocks may run slow

Cause: by the platform's description a worker's clock may be 2% slow, and its lease ends by it; the workers of a Pool had exact clocks. Change: SetClockRate.

--- a/imitator/pool.go
+++ b/imitator/pool.go
@@ -59,7 +59,7 @@
 	}
 	for i := range workers {
 		id := fmt.Sprintf("w%d", i)
-		p.startWorker(id, slots, 1)
+		p.startWorker(id, slots, 1, 1)
 	}
 	return p
 }
@@ -74,12 +74,20 @@
 	p.maxLease = m
 }
 
-func (p *Pool) startWorker(id string, slots int, born int64) {
+// SetClockRate sets how fast the clock of a worker runs, 1 for exact. It has to be called before the
+// worker is in use, and holds for its later processes too.
+func (p *Pool) SetClockRate(id string, rate float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.workers[id].clockRate = rate
+}
+
+func (p *Pool) startWorker(id string, slots int, born int64, clockRate float64) {
 	ctx, cancel := context.WithCancel(context.Background())
 	w := &poolWorker{
 		ctx: ctx, cancel: cancel,
 		info:     scheduler.WorkerInfo{ID: id, Address: id, Service: "pool", DataCentre: "a", CPU: int64(slots) * 1000, Memory: int64(slots) * 1000, Born: born},
-		bootedAt: clock.System(), runs: map[string]*poolRun{}, highestAttempt: map[string]int{}, runEnded: make(chan struct{}), slots: slots,
+		bootedAt: clock.System(), clockRate: clockRate, runs: map[string]*poolRun{}, highestAttempt: map[string]int{}, runEnded: make(chan struct{}), slots: slots,
 	}
 	w.leaseTimer = time.AfterFunc(0, func() {
 		p.mu.Lock()
@@ -147,7 +155,7 @@
 	defer p.mu.Unlock()
 	if w := p.workers[id]; w.dead() {
 		p.counts.Restarts++
-		p.startWorker(id, w.slots, w.info.Born+1)
+		p.startWorker(id, w.slots, w.info.Born+1, w.clockRate)
 	}
 }
 
@@ -268,8 +276,8 @@
 }
 
 func (p *Pool) extend(w *poolWorker, deadline clock.Millis) {
-	until := w.bootedAt + deadline
-	if limit := clock.System() + p.maxLease; p.maxLease > 0 && until > limit {
+	until := w.bootedAt + clock.Millis(float64(deadline)/w.clockRate)
+	if limit := clock.System() + clock.Millis(float64(p.maxLease)/w.clockRate); p.maxLease > 0 && until > limit {
 		until = limit
 		p.counts.CappedLeases++
 	}
--- a/imitator/pool_test.go
+++ b/imitator/pool_test.go
@@ -70,3 +70,20 @@
 		must.SliceEmpty(t, p.Violations())
 	})
 }
+
+// TestSlowClockProlongsLease checks that a lease ends by the worker's own clock.
+func TestSlowClockProlongsLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := NewPool(1, 1, func(scheduler.TaskName, int) (clock.Millis, scheduler.Ending) { return clock.Hour, scheduler.EndDone }, nil)
+		p.SetClockRate("w0", 0.5)
+		start := scheduler.Order{Kind: scheduler.Start, Task: scheduler.TaskName{Job: "a"}, Attempt: 1, Deadline: 5 * clock.Second}
+		must.Eq(t, scheduler.Done, p.Life("w0").Send(start, 1))
+		time.Sleep(9 * time.Second)
+		must.SliceEmpty(t, p.Gaps("a"))
+		must.Eq(t, 4500, p.Life("w0").Clock())
+		time.Sleep(2 * time.Second)
+		gaps := p.Gaps("a")
+		must.Len(t, 1, gaps)
+		must.Eq(t, clock.Second, gaps[0].Length())
+	})
+}
--- a/imitator/poolworker.go
+++ b/imitator/poolworker.go
@@ -13,8 +13,10 @@
 	poolWorker struct {
 		info scheduler.WorkerInfo
 		// ctx is cancelled when the process is killed.
-		ctx          context.Context
-		cancel       context.CancelFunc
+		ctx    context.Context
+		cancel context.CancelFunc
+		// clockRate is how fast the clock runs, 1 for exact.
+		clockRate    float64
 		bootedAt     clock.Millis
 		highestEpoch int64
 		leaseUntil   clock.Millis
@@ -49,4 +51,6 @@
 	return taskRun{worker: w.info.ID, born: w.info.Born, attempt: r.order.Attempt, started: r.started}
 }
 
-func (w *poolWorker) clock() clock.Millis { return clock.System() - w.bootedAt }
+func (w *poolWorker) clock() clock.Millis {
+	return clock.Millis(float64(clock.System()-w.bootedAt) * w.clockRate)
+}
