conductor: slow clocks and more plays in the tests of tasks that last

Cause: ten seeds of takeovers with lost answers did not show all failures, and the clocks of all workers were exact. Change: takeovers with lost answers are a test of their own with 50 seeds; workers that leave up to 1.5 s before the daemons come back, while they are still registered, are one too; each worker's clock is up to 2% slow.

--- a/conductor/lasting_test.go
+++ b/conductor/lasting_test.go
@@ -17,10 +17,10 @@
 
 // playLasting plays a scenario with several seeds and checks that the tasks that last run again
 // in time, and never twice at once.
-func playLasting(t *testing.T, scenarios map[string]func(*site)) {
+func playLasting(t *testing.T, seeds uint64, scenarios map[string]func(*site)) {
 	t.Helper()
 	for name, play := range scenarios {
-		for seed := range uint64(lastingSeeds) {
+		for seed := range seeds {
 			t.Run(fmt.Sprintf("%s/%d", name, seed), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
 					s := newSite(t, seed)
@@ -35,7 +35,7 @@
 
 // TestLastingTaskRestartsUnderOneLeader checks the time without a run if the leader stays.
 func TestLastingTaskRestartsUnderOneLeader(t *testing.T) {
-	playLasting(t, map[string]func(*site){
+	playLasting(t, lastingSeeds, map[string]func(*site){
 		"workers leave": func(s *site) { s.leave() },
 		"workers are cut off, and their runs lapse": func(s *site) {
 			s.cut(7000, 9000)
@@ -53,7 +53,7 @@
 // TestLastingTaskRestartsOverTakeovers guards against a takeover that begins the wait for the end
 // of a lease anew.
 func TestLastingTaskRestartsOverTakeovers(t *testing.T) {
-	playLasting(t, map[string]func(*site){
+	playLasting(t, lastingSeeds, map[string]func(*site){
 		"workers leave after a takeover": func(s *site) {
 			s.takeover()
 			s.sleep(200, 2000)
@@ -78,16 +78,23 @@
 				s.sleep(2400, 6400)
 			}
 		},
-		"answers of the store are lost": func(s *site) {
-			s.loseAnswers(func() {
+		"orders are late": func(s *site) {
+			s.delayOrders(func() {
 				s.takeover()
 				s.sleep(200, 1000)
 				s.leave()
 				s.sleep(1000, 2000)
 			})
 		},
-		"orders are late": func(s *site) {
-			s.delayOrders(func() {
+	})
+}
+
+// TestLastingTaskRestartsOverLostAnswers guards against a wait that begins anew with each answer of
+// the store that is lost during a takeover.
+func TestLastingTaskRestartsOverLostAnswers(t *testing.T) {
+	playLasting(t, 50, map[string]func(*site){
+		"workers leave after the election": func(s *site) {
+			s.loseAnswers(func() {
 				s.takeover()
 				s.sleep(200, 1000)
 				s.leave()
@@ -100,7 +107,7 @@
 // TestLastingTaskRestartsAfterCutAndTakeover checks that runs which have lapsed on workers that live
 // are known to be over as soon as a new leader reaches these.
 func TestLastingTaskRestartsAfterCutAndTakeover(t *testing.T) {
-	playLasting(t, map[string]func(*site){
+	playLasting(t, lastingSeeds, map[string]func(*site){
 		"takeover during the cut": func(s *site) {
 			s.group.Go(func() { s.cut(7000, 9000) })
 			s.sleep(1000, 8000)
@@ -112,16 +119,22 @@
 // TestLastingTaskRestartsAfterOutage guards against leaders that wait for leases that have expired
 // while no daemon ran.
 func TestLastingTaskRestartsAfterOutage(t *testing.T) {
-	outage := func(s *site, hosts []string) {
-		restart := time.After(9500 * time.Millisecond)
-		s.sleep(500, 9000)
-		s.leave()
-		<-restart
-		for _, h := range hosts {
-			s.start(h)
-		}
-	}
-	playLasting(t, map[string]func(*site){
+	outage := func(s *site, hosts []string) { s.outage(hosts, 500, 9000) }
+	playLasting(t, lastingSeeds, map[string]func(*site){
+		"all daemons come back": func(s *site) { outage(s, s.killAll()) },
+		"the former leader stays away": func(s *site) {
+			h := s.leader()
+			s.kill(h)
+			outage(s, s.killAll())
+		},
+	})
+}
+
+// TestLastingTaskRestartsIfWorkersLeaveBeforeStart guards against a wait for workers that have left
+// so shortly before the daemons come back that they are still registered.
+func TestLastingTaskRestartsIfWorkersLeaveBeforeStart(t *testing.T) {
+	outage := func(s *site, hosts []string) { s.outage(hosts, 8050, 9400) }
+	playLasting(t, lastingSeeds, map[string]func(*site){
 		"all daemons come back": func(s *site) { outage(s, s.killAll()) },
 		"the former leader stays away": func(s *site) {
 			h := s.leader()
@@ -134,7 +147,7 @@
 // TestLastingTaskRestartsWithLeaderGone guards against a wait for leases of a leader that ended
 // together with workers.
 func TestLastingTaskRestartsWithLeaderGone(t *testing.T) {
-	playLasting(t, map[string]func(*site){
+	playLasting(t, lastingSeeds, map[string]func(*site){
 		"workers leave with the leader": func(s *site) {
 			s.leave()
 			s.takeover()
--- a/conductor/site_test.go
+++ b/conductor/site_test.go
@@ -59,6 +59,9 @@
 	// siteHeartbeat is the interval at which workers write their registry entries. An entry is
 	// removed after three of silence.
 	siteHeartbeat = 500 * clock.Millis(1)
+	// maxClockSlowness bounds how much slower a worker's clock runs, in thousandths; from the
+	// platform's description of its workers.
+	maxClockSlowness = 20
 	// maxClockOffset bounds the difference between the monotonic clocks of two processes.
 	maxClockOffset = clock.Hour
 )
@@ -81,6 +84,9 @@
 		}
 		return imitator.OrderFine
 	})
+	for i := range siteWorkers {
+		s.pool.SetClockRate(fmt.Sprintf("w%d", i), 1-float64(s.random.intN(maxClockSlowness+1))/1000)
+	}
 	s.pool.Register(s.log)
 	s.group.Go(s.writeEntries)
 	t.Cleanup(s.close)
@@ -154,6 +160,18 @@
 	return hosts
 }
 
+// outage starts hosts 9.5 s after they were killed. Workers leave at a random time within bounds, in ms,
+// after that.
+func (s *site) outage(hosts []string, least, most int) {
+	restart := time.After(9500 * time.Millisecond)
+	s.sleep(least, most)
+	s.leave()
+	<-restart
+	for _, h := range hosts {
+		s.start(h)
+	}
+}
+
 // leader waits until a host leads, and returns it.
 func (s *site) leader() string {
 	for {
