conductor: a lost answer to the epoch record does not begin the wait for leases anew

Cause: after a conflict with its own, unanswered epoch record a new leader read the time record of that append as the former leader's, and counted the end of all leases from its own load. Change: the time record that was read before that append counts.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -243,6 +243,7 @@
 		}
 		// The previous leader, or an unanswered attempt of this daemon, has appended
 		// meanwhile.
+		formerTime := items[timeKey]
 		if end, err = recorder.CatchUp(c.ctx, c.store, jobsTopic, end, items); err != nil {
 			return err
 		}
@@ -250,6 +251,8 @@
 		case e > c.epoch:
 			return recorder.ErrDeposed
 		case e == c.epoch:
+			// The newest time record is this daemon's own.
+			items[timeKey] = formerTime
 			c.writer = recorder.NewWriter(c.store, jobsTopic, end, isOwn, recorder.WithClock(c.now))
 			return c.restore(t, items, <-registry, <-deposits)
 		}
--- a/conductor/site_test.go
+++ b/conductor/site_test.go
@@ -33,6 +33,10 @@
 		done        chan struct{}
 		// losing is whether answers of the store are lost, late whether orders are carried out late.
 		losing, late atomic.Bool
+		// losingEpoch is whether the answer to the next append of a new leader is lost.
+		losingEpoch atomic.Bool
+		// withoutReset is whether connections to workers that leave stay open.
+		withoutReset atomic.Bool
 		mu           sync.Mutex
 		// left has the workers that have left, and whether their addresses refuse connections.
 		left map[string]bool
@@ -69,7 +73,11 @@
 		t: t, random: &lockedRand{random: rand.New(rand.NewPCG(seed, 1))}, processes: map[string]*process{}, done: make(chan struct{}),
 		left: map[string]bool{}, reachedBy: map[string]*process{}, unregistered: map[string]bool{},
 	}
-	s.log = imitator.NewKeyedLog(4, func(_, call, _ string) imitator.StoreFault {
+	s.log = imitator.NewKeyedLog(4, func(_, call, topic string) imitator.StoreFault {
+		if call == "append" && topic == "jobs" && s.losingEpoch.CompareAndSwap(true, false) {
+			s.disruptions.Begin()()
+			return imitator.StoreLosesAnswer
+		}
 		if call == "append" && s.losing.Load() && s.random.intN(3) == 0 {
 			return imitator.StoreLosesAnswer
 		}
@@ -341,7 +349,12 @@
 				recorder.Sleep(ctx, q.Timeout)
 				return scheduler.Report{}, scheduler.Unclear
 			default:
-				return f.Poll(ctx, q, epoch)
+				asked := clock.System()
+				r, out := f.Poll(ctx, q, epoch)
+				if left := q.Timeout - (clock.System() - asked); out == scheduler.Unclear && s.withoutReset.Load() && left > 0 {
+					recorder.Sleep(ctx, left)
+				}
+				return r, out
 			}
 		},
 	}
