--- a/conductor/site_test.go
+++ b/conductor/site_test.go
@@ -35,6 +35,10 @@
 		losing, late atomic.Bool
 		// losingEpoch is whether the answer to the next append of a new leader is lost.
 		losingEpoch atomic.Bool
+		// lateAppends is whether half of the lost answers are those of appends that are stored late.
+		lateAppends atomic.Bool
+		// latePolls is whether polls may be carried out seconds late, without an answer.
+		latePolls atomic.Bool
 		// withoutReset is whether connections to workers that leave stay open.
 		withoutReset atomic.Bool
 		mu           sync.Mutex
@@ -68,7 +72,7 @@
 )
 
 // newSite starts a deployment and waits until all tasks run.
-func newSite(t *testing.T, seed uint64) *site {
+func newSite(t *testing.T, seed uint64, prepare ...func(*imitator.Pool)) *site {
 	s := &site{
 		t: t, random: &lockedRand{random: rand.New(rand.NewPCG(seed, 1))}, processes: map[string]*process{}, done: make(chan struct{}),
 		left: map[string]bool{}, reachedBy: map[string]*process{}, unregistered: map[string]bool{},
@@ -79,6 +83,9 @@
 			return imitator.StoreLosesAnswer
 		}
 		if call == "append" && s.losing.Load() && s.random.intN(3) == 0 {
+			if s.lateAppends.Load() && s.random.intN(2) == 0 {
+				return imitator.StoreLate
+			}
 			return imitator.StoreLosesAnswer
 		}
 		return imitator.StoreFine
@@ -89,6 +96,9 @@
 		}
 		return imitator.OrderFine
 	})
+	for _, f := range prepare {
+		f(s.pool)
+	}
 	s.pool.Register(s.log)
 	s.group.Go(s.writeEntries)
 	t.Cleanup(s.close)
@@ -349,6 +359,11 @@
 				recorder.Sleep(ctx, q.Timeout)
 				return scheduler.Report{}, scheduler.Unclear
 			default:
+				if s.latePolls.Load() && s.random.intN(12) == 0 {
+					time.AfterFunc(time.Duration(s.random.intN(12_000))*time.Millisecond, func() { f.Poll(s.t.Context(), q, epoch) })
+					recorder.Sleep(ctx, q.Timeout)
+					return scheduler.Report{}, scheduler.Unclear
+				}
 				asked := clock.System()
 				r, out := f.Poll(ctx, q, epoch)
 				if left := q.Timeout - (clock.System() - asked); out == scheduler.Unclear && s.withoutReset.Load() && left > 0 {
--- a/imitator/pool.go
+++ b/imitator/pool.go
@@ -31,6 +31,10 @@
 		policy *Policy
 		// maxLease limits leases; 0 if they are unlimited.
 		maxLease clock.Millis
+		// bound is whether orders reach only the process that they are for.
+		bound bool
+		// rates returns the rate of a worker's clock; nil if all are right.
+		rates func(worker string) float64
 	}
 
 	// OrderFault is the fault injected into one order.
@@ -67,6 +71,27 @@
 // SetPolicy makes the workers refuse start orders without a valid ticket of y.
 func (p *Pool) SetPolicy(y *Policy) { p.policy = y }
 
+// BindOrders makes orders reach only the process that they are for.
+func (p *Pool) BindOrders() { p.bound = true }
+
+// SetClockRates sets the rates of the clocks of workers that are started from now on, and of those
+// that run, which must not have been called yet.
+func (p *Pool) SetClockRates(f func(worker string) float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.rates = f
+	for id, w := range p.workers {
+		w.rate = f(id)
+	}
+}
+
+func (p *Pool) rate(worker string) float64 {
+	if p.rates == nil {
+		return 1
+	}
+	return p.rates(worker)
+}
+
 // SetMaxLease makes the workers shorten a lease to m.
 func (p *Pool) SetMaxLease(m clock.Millis) {
 	p.mu.Lock()
@@ -79,7 +104,7 @@
 	w := &poolWorker{
 		ctx: ctx, cancel: cancel,
 		info:     scheduler.WorkerInfo{ID: id, Address: id, Service: "pool", DataCentre: "a", CPU: int64(slots) * 1000, Memory: int64(slots) * 1000, Born: born},
-		bootedAt: clock.System(), runs: map[string]*poolRun{}, highestAttempt: map[string]int{}, runEnded: make(chan struct{}), slots: slots,
+		bootedAt: clock.System(), runs: map[string]*poolRun{}, highestAttempt: map[string]int{}, runEnded: make(chan struct{}), slots: slots, rate: p.rate(id),
 	}
 	w.leaseTimer = time.AfterFunc(0, func() {
 		p.mu.Lock()
@@ -215,6 +240,9 @@
 	if w.dead() {
 		return scheduler.Unclear
 	}
+	if p.bound && o.Born != w.info.Born {
+		return scheduler.WorkerRestarted
+	}
 	p.expireLease(w)
 	if epoch < w.highestEpoch {
 		return scheduler.Fenced
@@ -268,7 +296,7 @@
 }
 
 func (p *Pool) extend(w *poolWorker, deadline clock.Millis) {
-	until := w.bootedAt + deadline
+	until := w.bootedAt + clock.Millis(float64(deadline)/w.rate)
 	if limit := clock.System() + p.maxLease; p.maxLease > 0 && until > limit {
 		until = limit
 		p.counts.CappedLeases++
--- a/imitator/poolworker.go
+++ b/imitator/poolworker.go
@@ -29,6 +29,8 @@
 		listedEnd   int64
 		partitioned bool
 		slots       int
+		// rate is that of its clock.
+		rate float64
 	}
 
 	poolRun struct {
@@ -49,4 +51,6 @@
 	return taskRun{worker: w.info.ID, born: w.info.Born, attempt: r.order.Attempt, started: r.started}
 }
 
-func (w *poolWorker) clock() clock.Millis { return clock.System() - w.bootedAt }
+func (w *poolWorker) clock() clock.Millis {
+	return clock.Millis(float64(clock.System()-w.bootedAt) * w.rate)
+}
