conductor: test of a leader that stores jobs after its last claim

Cause: no test failed if a new leader ignored the time record of the jobs topic. Change: a leader that can't renew its claim, but stores jobs, and a successor that does not reach its workers.

--- a/conductor/site_test.go
+++ b/conductor/site_test.go
@@ -27,14 +27,18 @@
 		pool        *imitator.Pool
 		random      *lockedRand
 		disruptions imitator.Disruptions
-		processes   map[string]*process
-		starts      int
-		group       sync.WaitGroup
-		done        chan struct{}
+		// conductor is that of the first term.
+		conductor *conductor.Conductor
+		processes map[string]*process
+		starts    int
+		group     sync.WaitGroup
+		done      chan struct{}
 		// losing is whether answers of the store are lost, late whether orders are carried out late.
 		losing, late atomic.Bool
 		// losingEpoch is whether the answer to the next append of a new leader is lost.
 		losingEpoch atomic.Bool
+		// claimless is the host that reaches the topic of claims no more.
+		claimless atomic.Value
 		// lateAppends is whether half of the lost answers are those of appends that are stored late.
 		lateAppends atomic.Bool
 		// latePolls is whether polls may be carried out seconds late, without an answer.
@@ -77,7 +81,10 @@
 		t: t, random: &lockedRand{random: rand.New(rand.NewPCG(seed, 1))}, processes: map[string]*process{}, done: make(chan struct{}),
 		left: map[string]bool{}, reachedBy: map[string]*process{}, unregistered: map[string]bool{},
 	}
-	s.log = imitator.NewKeyedLog(4, func(_, call, topic string) imitator.StoreFault {
+	s.log = imitator.NewKeyedLog(4, func(client, call, topic string) imitator.StoreFault {
+		if topic == "leader" && client == s.claimless.Load() {
+			return imitator.StoreSilent
+		}
 		if call == "append" && topic == "jobs" && s.losingEpoch.CompareAndSwap(true, false) {
 			s.disruptions.Begin()()
 			return imitator.StoreLosesAnswer
@@ -106,6 +113,7 @@
 		s.start(fmt.Sprintf("h%d", i))
 	}
 	c := awaitLeader(s.daemons()...)
+	s.conductor = c
 	must.NoError(t, c.Submit(t.Context(), scheduler.Spec{
 		ID: lastingJob, Queue: scheduler.Queue{Name: "q", Service: "pool", MaxAttempts: 3, Slack: 2},
 		Steps: []scheduler.Step{{Count: siteTasks, CPU: 1000, LongRunning: true}},
