--- a/conductor/site_test.go
+++ b/conductor/site_test.go
@@ -27,12 +27,24 @@
 		pool        *imitator.Pool
 		random      *lockedRand
 		disruptions imitator.Disruptions
-		processes   map[string]*process
-		starts      int
-		group       sync.WaitGroup
-		done        chan struct{}
+		// conductor is that of the first term.
+		conductor *conductor.Conductor
+		processes map[string]*process
+		starts    int
+		group     sync.WaitGroup
+		done      chan struct{}
 		// losing is whether answers of the store are lost, late whether orders are carried out late.
 		losing, late atomic.Bool
+		// losingEpoch is whether the answer to the next append of a new leader is lost.
+		losingEpoch atomic.Bool
+		// claimless is the host that reaches the topic of claims no more.
+		claimless atomic.Value
+		// lateAppends is whether half of the lost answers are those of appends that are stored late.
+		lateAppends atomic.Bool
+		// latePolls is whether polls may be carried out seconds late, without an answer.
+		latePolls atomic.Bool
+		// withoutReset is whether connections to workers that leave stay open.
+		withoutReset atomic.Bool
 		mu           sync.Mutex
 		// left has the workers that have left, and whether their addresses refuse connections.
 		left map[string]bool
@@ -67,13 +79,23 @@
 )
 
 // newSite starts a deployment and waits until all tasks run.
-func newSite(t *testing.T, seed uint64) *site {
+func newSite(t *testing.T, seed uint64, prepare ...func(*imitator.Pool)) *site {
 	s := &site{
 		t: t, random: &lockedRand{random: rand.New(rand.NewPCG(seed, 1))}, processes: map[string]*process{}, done: make(chan struct{}),
 		left: map[string]bool{}, reachedBy: map[string]*process{}, unregistered: map[string]bool{},
 	}
-	s.log = imitator.NewKeyedLog(4, func(_, call, _ string) imitator.StoreFault {
+	s.log = imitator.NewKeyedLog(4, func(client, call, topic string) imitator.StoreFault {
+		if topic == "leader" && client == s.claimless.Load() {
+			return imitator.StoreSilent
+		}
+		if call == "append" && topic == "jobs" && s.losingEpoch.CompareAndSwap(true, false) {
+			s.disruptions.Begin()()
+			return imitator.StoreLosesAnswer
+		}
 		if call == "append" && s.losing.Load() && s.random.intN(3) == 0 {
+			if s.lateAppends.Load() && s.random.intN(2) == 0 {
+				return imitator.StoreLate
+			}
 			return imitator.StoreLosesAnswer
 		}
 		return imitator.StoreFine
@@ -87,6 +109,9 @@
 	for i := range siteWorkers {
 		s.pool.SetClockRate(fmt.Sprintf("w%d", i), 1-float64(s.random.intN(maxClockSlowness+1))/1000)
 	}
+	for _, f := range prepare {
+		f(s.pool)
+	}
 	s.pool.Register(s.log)
 	s.group.Go(s.writeEntries)
 	t.Cleanup(s.close)
@@ -94,6 +119,7 @@
 		s.start(fmt.Sprintf("h%d", i))
 	}
 	c := awaitLeader(s.daemons()...)
+	s.conductor = c
 	must.NoError(t, c.Submit(t.Context(), scheduler.Spec{
 		ID: lastingJob, Queue: scheduler.Queue{Name: "q", Service: "pool", MaxAttempts: 3, Slack: 2},
 		Steps: []scheduler.Step{{Count: siteTasks, CPU: 1000, LongRunning: true}},
@@ -359,7 +385,17 @@
 				recorder.Sleep(ctx, q.Timeout)
 				return scheduler.Report{}, scheduler.Unclear
 			default:
-				return f.Poll(ctx, q, epoch)
+				if s.latePolls.Load() && s.random.intN(12) == 0 {
+					time.AfterFunc(time.Duration(s.random.intN(12_000))*time.Millisecond, func() { f.Poll(s.t.Context(), q, epoch) })
+					recorder.Sleep(ctx, q.Timeout)
+					return scheduler.Report{}, scheduler.Unclear
+				}
+				asked := clock.System()
+				r, out := f.Poll(ctx, q, epoch)
+				if left := q.Timeout - (clock.System() - asked); out == scheduler.Unclear && s.withoutReset.Load() && left > 0 {
+					recorder.Sleep(ctx, left)
+				}
+				return r, out
 			}
 		},
 	}
--- a/imitator/pool.go
+++ b/imitator/pool.go
@@ -31,6 +31,8 @@
 		policy *Policy
 		// maxLease limits leases; 0 if they are unlimited.
 		maxLease clock.Millis
+		// bound is whether orders reach only the process that they are for.
+		bound bool
 	}
 
 	// OrderFault is the fault injected into one order.
@@ -67,6 +69,9 @@
 // SetPolicy makes the workers refuse start orders without a valid ticket of y.
 func (p *Pool) SetPolicy(y *Policy) { p.policy = y }
 
+// BindOrders makes orders reach only the process that they are for.
+func (p *Pool) BindOrders() { p.bound = true }
+
 // SetMaxLease makes the workers shorten a lease to m.
 func (p *Pool) SetMaxLease(m clock.Millis) {
 	p.mu.Lock()
@@ -223,6 +228,9 @@
 	if w.dead() {
 		return scheduler.Unclear
 	}
+	if p.bound && o.Born != w.info.Born {
+		return scheduler.WorkerRestarted
+	}
 	p.expireLease(w)
 	if epoch < w.highestEpoch {
 		return scheduler.Fenced
