--- a/elector/claim.go
+++ b/elector/claim.go
@@ -58,8 +58,9 @@
 const (
 	// Key is the key of the claim in its topic.
 	Key = "leader"
-	// MaxClockReadings is the maximum number of clock readings in a claim.
-	MaxClockReadings = 5
+	// MaxClockReadings is the maximum number of clock readings in a claim, as many as a scheduler
+	// leaves.
+	MaxClockReadings = 9
 )
 
 // Encode returns the claim as JSON.
--- a/scheduler/witness.go
+++ b/scheduler/witness.go
@@ -30,10 +30,11 @@
 )
 
 const (
-	// MaxWitnesses is the number of clock readings that a leader leaves. Two may be wrong or
-	// missing.
-	MaxWitnesses = 5
-	// minWitnesses is the number of workers whose clocks must show that a time has passed.
+	// MaxWitnesses is the number of clock readings that a leader leaves. Two thirds of these
+	// workers may have left when the next leader asks for them.
+	MaxWitnesses = 9
+	// minWitnesses is the number of workers whose clocks must show that a time has passed, so
+	// that two may be wrong.
 	minWitnesses = 3
 	// maxWitnessAge is the age of the report up to which a worker's clock is left to the next
 	// leader: twice the longest time between two polls of a worker with runs.
--- a/scheduler/witness_test.go
+++ b/scheduler/witness_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -109,7 +110,7 @@
 		"two clocks are far ahead":  {rates: []float64{9, 9, 1, 1, 1, 1}, heard: []int{0, 1, 2, 3, 4}, born: 1, counted: true},
 		"only these answer, one ok": {rates: []float64{9, 9, 1, 1, 1, 1}, heard: []int{0, 1, 2}, born: 1, counted: true},
 		"two clocks stand still":    {rates: []float64{0.1, 0.1, 1, 1, 1, 1}, heard: []int{0, 1, 2, 3, 4}, born: 1, counted: true},
-		"three clocks stand still":  {rates: []float64{0.1, 0.1, 0.1, 1, 1, 1}, heard: []int{0, 1, 2, 3, 4}, born: 1},
+		"three of five stand still": {rates: []float64{0.1, 0.1, 0.1, 1, 1, 1}, heard: []int{0, 1, 2, 3, 4}, born: 1},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -149,14 +150,14 @@
 
 // TestClockReadingsOfSeveralDataCentres guards against readings that a cut of one data centre takes away.
 func TestClockReadingsOfSeveralDataCentres(t *testing.T) {
-	o := newOutage(t, []float64{1, 1, 1, 1, 1, 1, 1, 1}, 0)
+	o := newOutage(t, slices.Repeat([]float64{1}, 14), 0)
 	rs := o.former.ClockReadings()
 	must.Len(t, MaxWitnesses, rs)
 	perDataCentre := map[string]int{}
 	for _, r := range rs {
 		perDataCentre[o.former.workers[r.Worker].info.DataCentre]++
 	}
-	must.Eq(t, map[string]int{"dc0": 3, "dc1": 2}, perDataCentre)
+	must.Eq(t, map[string]int{"dc0": 5, "dc1": 4}, perDataCentre)
 	o.passed.Advance(maxWitnessAge)
 	must.SliceEmpty(t, o.former.ClockReadings(), must.Sprint("readings of reports that are too old"))
 }
