conductor: a poll that does not extend the lease is short

Callers saw, since a leader extends leases for 2 s without the store: runs lapse in outages of the store that they used to outlast. Cause: the poll in flight waits for a second although it extends nothing, and the next one, which may extend the lease again after the outage, comes that much later. Change: such a poll waits for at most 0.5 s.

--- a/conductor/session.go
+++ b/conductor/session.go
@@ -53,6 +53,9 @@
 	// colocatedPollWait replaces pollWait for workers on which services share the machine
 	// with batch work. The latency of the services is read from the reports.
 	colocatedPollWait = 500 * clock.Millis(1)
+	// unextendedPollWait bounds pollWait for a poll that does not extend the lease, so that the
+	// next one can soon after the store is back.
+	unextendedPollWait = 500 * clock.Millis(1)
 	// maxFirstPolls limits the first polls in flight after a takeover: opening the
 	// connections to all workers at once would keep a small host busy for seconds.
 	maxFirstPolls = 16
@@ -276,8 +279,11 @@
 	if n.Silent {
 		margin = silentPollMargin
 	}
+	var extends bool
+	if q.Deadline, extends = c.leaseDeadline(s.worker, s.born); !extends {
+		q.Wait = min(q.Wait, unextendedPollWait)
+	}
 	q.Timeout = q.Wait + margin + c.pollExtension()
-	q.Deadline, _ = c.leaseDeadline(s.worker, s.born)
 	return nextPoll{request: q, due: true, blocked: n.Blocked}
 }
 
