scheduler, conductor: a call that was not heard extends no further lease

Callers saw: a task that lasts without a run for 10.2 s after 4 s, and 19.2 s after 12 s, in which the leader was late by 0.7 s each second. Cause: a call without an answer for which the leader's own delay may be the reason let the next call extend the lease, for up to 2 s of such calls in each series. Change: as after a silent call, the lease is extended again once the worker is heard, and it is asked at once. What the worker has goes on for the rest of its lease.

--- a/scheduler/lease.go
+++ b/scheduler/lease.go
@@ -18,10 +18,6 @@
 	// of its lease if it may still carry out orders. By the platform's description, orders
 	// are carried out seconds late.
 	maxOrderDelay = clock.Minute
-	// maxUnheardTime is how long the lease of a worker is extended that may have answered while
-	// this daemon was delayed: what the platform's bound on the time without a run leaves beside
-	// the lease and a start.
-	maxUnheardTime = 2 * clock.Second
 )
 
 // Lease extends the lease of a worker process for a call that is about to be sent, and
@@ -39,7 +35,7 @@
 	if len(w.doubtful) > 0 || s.isRecordedSilent(w) {
 		return 0, false
 	}
-	if w.silentSince != 0 || w.unheardSince != 0 && now-w.unheardSince > maxUnheardTime {
+	if w.silentSince != 0 || w.unheard {
 		// The current lease lasts for a few more calls. If these fail too, the runs have
 		// to end soon so that their tasks can start elsewhere.
 		return 0, false
--- a/scheduler/reporting.go
+++ b/scheduler/reporting.go
@@ -193,7 +193,7 @@
 	if w.leaseExpired || w.silentSince != 0 {
 		s.emit(logger.WorkerBack, logger.String("worker", w.info.ID))
 	}
-	w.leaseExpired, w.connRefused, w.silentSince, w.unheardSince = false, false, 0, 0
+	w.leaseExpired, w.connRefused, w.silentSince, w.unheard = false, false, 0, false
 	w.clockReading, w.clockReadAt = r.Clock, s.now()
 	w.reportClock, w.reportSentAt = r.Clock, r.Sent
 	s.noteClock(w, r.Clock)
@@ -319,12 +319,12 @@
 	case Superseded:
 		return
 	case Unheard:
-		s.markUnheard(w)
+		w.unheard = true
 	case Withheld:
 	case Unclear, NotSent, ConnectionRefused:
 		s.markSilent(w, out == ConnectionRefused)
 	default:
-		w.silentSince, w.unheardSince, w.leaseExpired, w.connRefused = 0, 0, false, false
+		w.silentSince, w.unheard, w.leaseExpired, w.connRefused = 0, false, false, false
 		s.deleteSilence(w.info.ID)
 	}
 	if o.Kind == Stop {
@@ -409,13 +409,7 @@
 // delayed.
 func (s *Scheduler) CallUnheard(id string, born int64) {
 	if w := s.workers[id]; w != nil && w.info.Born == born {
-		s.markUnheard(w)
-	}
-}
-
-func (s *Scheduler) markUnheard(w *worker) {
-	if w.unheardSince == 0 {
-		w.unheardSince = s.now()
+		w.unheard = true
 	}
 }
 
--- a/scheduler/session.go
+++ b/scheduler/session.go
@@ -21,7 +21,8 @@
 		// Inherited is whether the worker may have runs that were assigned by a former
 		// leader or to its former process, and has not reported since.
 		Inherited bool
-		// Unresolved is whether the next report shows if a run that was taken back is over.
+		// Unresolved is whether something depends on the next report: if a run that was taken
+		// back is over, or the next lease.
 		Unresolved bool
 		// Silent is whether the last call to the worker failed.
 		Silent bool
@@ -65,7 +66,7 @@
 		ServingWithFillers: w.serving > 0 && w.fillerCPU > 0,
 		Blocked:            w.lastEnd > w.storedEnd || silence != nil && silence.deleting, Silent: w.silentSince != 0,
 		Idle: len(w.tasks) == 0 && len(w.doubtful) == 0, Inherited: w.unreconciled,
-		Unresolved: slices.ContainsFunc(w.tasks, func(t *task) bool { return t.unresolvedSince != 0 }),
+		Unresolved: w.unheard || slices.ContainsFunc(w.tasks, func(t *task) bool { return t.unresolvedSince != 0 }),
 	}
 }
 
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -53,9 +53,9 @@
 		leaseExpired bool
 		// silentSince is when calls began to fail; 0 while they succeed.
 		silentSince clock.Millis
-		// unheardSince is when a call was first without an answer while the daemon was delayed,
-		// since the last answer; 0 if none was.
-		unheardSince clock.Millis
+		// unheard is whether a call since the last answer had none while the daemon was delayed,
+		// which says nothing of the worker. Its lease is not extended until it is heard.
+		unheard bool
 		// failedCallAt is when a call last failed.
 		failedCallAt clock.Millis
 		// connRefused is whether the last call found nothing listening at the worker's
