scheduler: an order to set a pace that was lost or refused is sent again

Cause: the answer of an order to set a filler's pace was not looked at. If it was lost, or the worker refused it, the leader counted on a pace that the filler did not have, and sent no other order until its own decision changed: a filler that was to be paused worked on beside a serving task that violated its objective.

Change: a pace whose order was not carried out is unknown, as after a takeover, and set again with the next adjustment, half a second later.

--- a/scheduler/reporting.go
+++ b/scheduler/reporting.go
@@ -346,6 +346,9 @@
 		if t.state == placed {
 			t.unresolvedSince = s.now()
 		}
+	case Pace:
+		// The next adjustment of the paces sends it again.
+		t.paceUnknown = t.paceUnknown || out != Done
 	}
 }
 
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -63,7 +63,8 @@
 		unresolvedSince clock.Millis
 		// pace is the share of its full speed at which a filler may run, in percent.
 		pace int
-		// paceUnknown is whether a former leader may have set a pace other than pace.
+		// paceUnknown is whether the pace may be another: a former leader may have set it, or
+		// the order to set it was not carried out.
 		paceUnknown bool
 		// avoidWorker is the worker of the last failed or stalled run.
 		avoidWorker string
