--- a/scheduler/reporting.go
+++ b/scheduler/reporting.go
@@ -44,9 +44,6 @@
 		s.searches.noteChange(w)
 	}
 	w.info, w.registered = i, true
-	if i.Draining {
-		w.leavesAt = s.now() + i.Remaining
-	}
 }
 
 // RemoveWorker must be called when a worker is removed from the registry. Its runs are
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -82,8 +82,6 @@
 		failures float64
 		// failedAt is when a run last failed or stalled.
 		failedAt clock.Millis
-		// leavesAt is the earliest time at which a draining worker leaves.
-		leavesAt clock.Millis
 		// probedAt is when a quarantined worker last got a run, its probe run. probe is the
 		// task of that run, nil once it is over.
 		probedAt clock.Millis
