conductor, scheduler: silences and times count only after leaders that knew of them

Callers saw nothing yet: a task ran twice in a test in which an earlier version led for a while. Cause: a leader of a version without records of silence extends leases that such a record says are not extended, and the next leader trusted the record, also if another leader had only claimed in between. Change: the time record of an append has the epoch of its leader. If the newest epoch record is of another one, silences do not limit leases and are deleted, and the wait is counted from the load with the 4 s for which earlier versions extend leases. submitJobs in the tests bounds the errors for one job.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -107,9 +107,6 @@
 	registryTopic = "servers"
 	// epochKey is the key of the record by which a new leader takes over the topic.
 	epochKey = "epoch"
-	// timeKey is the key of the record with a reading of the clock that leaders hand on. Each
-	// append of a leader has one: it may extend leases for leaseGrantLimit after that.
-	timeKey = "time"
 	// flushInterval is the minimum time between two batches. An append takes the store 4
 	// ms; waiting a little longer collects more changes in each batch.
 	flushInterval = 12 * clock.Millis(1)
@@ -124,6 +121,9 @@
 	// last run, also if its worker is lost together with the leader; a lease of 6 s with its
 	// margins takes 6.3 s of that, and 0.5 s are for placing and starting it.
 	leaseGrantLimit = 2 * clock.Second
+	// unprovenGrantLimit replaces leaseGrantLimit for a former leader that has left no time
+	// record: versions without these extend leases for that long after their last append.
+	unprovenGrantLimit = 4 * clock.Second
 	// OrderTimeout bounds an order to a worker. Workers answer within a few milliseconds.
 	OrderTimeout = 800 * clock.Millis(1)
 	// clockInterval is the time between two sets of clock readings for the next leader, as long
@@ -232,18 +232,19 @@
 	// this term's is from this daemon.
 	isOwn := func(i recorder.Item) bool { return i.Key != epochKey }
 	for {
+		former := formerRecords{items[epochKey], items[timeKey]}
 		// No record counts as own here, so every conflict is reported and resolved below.
 		c.writer = recorder.NewWriter(c.store, jobsTopic, end, func(recorder.Item) bool { return false }, recorder.WithClock(c.now))
 		err := c.append([]recorder.Item{{Key: epochKey, Value: []byte(formatInt(c.epoch))}})
 		if err == nil {
-			break
+			c.writer = recorder.NewWriter(c.store, jobsTopic, c.writer.End(), isOwn, recorder.WithClock(c.now))
+			return c.restore(t, items, former, <-registry, <-deposits)
 		}
 		if !errors.Is(err, recorder.ErrDeposed) {
 			return err
 		}
 		// The previous leader, or an unanswered attempt of this daemon, has appended
 		// meanwhile.
-		formerTime := items[timeKey]
 		if end, err = recorder.CatchUp(c.ctx, c.store, jobsTopic, end, items); err != nil {
 			return err
 		}
@@ -251,14 +252,10 @@
 		case e > c.epoch:
 			return recorder.ErrDeposed
 		case e == c.epoch:
-			// The newest time record is this daemon's own.
-			items[timeKey] = formerTime
 			c.writer = recorder.NewWriter(c.store, jobsTopic, end, isOwn, recorder.WithClock(c.now))
-			return c.restore(t, items, <-registry, <-deposits)
+			return c.restore(t, items, former, <-registry, <-deposits)
 		}
 	}
-	c.writer = recorder.NewWriter(c.store, jobsTopic, c.writer.End(), isOwn, recorder.WithClock(c.now))
-	return c.restore(t, items, <-registry, <-deposits)
 }
 
 // loadAsync starts to load a whole topic and returns the channel for the result.
@@ -277,7 +274,7 @@
 func (c *Conductor) append(items []recorder.Item) error {
 	now := c.now()
 	if c.relay != nil {
-		items = append(items, recorder.Item{Key: timeKey, Value: []byte(formatInt(int64(c.relay.At(now))))})
+		items = append(items, timeRecord{Epoch: c.epoch, Time: c.relay.At(now)}.item())
 	}
 	if err := c.writer.Append(c.ctx, items); err != nil {
 		return err
@@ -288,16 +285,22 @@
 
 // inheritedLeases returns when the leases that former leaders may have granted have ended, and the
 // same as a reading of the clock that leaders hand on, clock.Never if that can't tell.
-func (c *Conductor) inheritedLeases(t Term, items map[string][]byte) (until, reading clock.Millis) {
+func (c *Conductor) inheritedLeases(t Term, former formerRecords) (until, reading clock.Millis) {
 	until = scheduler.LeaseBound(c.now(), c.lease) + OrderTimeout
+	proof, proven := former.lastProof()
+	if t.Relay == nil || t.PredecessorRenewal == 0 || !proven {
+		if !t.PredecessorStopped {
+			until += unprovenGrantLimit
+		}
+		return until, clock.Never
+	}
 	if !t.PredecessorStopped {
 		until += leaseGrantLimit
 	}
-	if t.Relay == nil || t.PredecessorRenewal == 0 {
-		return until, clock.Never
-	}
-	lastGrant := max(t.PredecessorRenewal, clock.Millis(parseInt(items[timeKey])))
+	lastGrant := max(t.PredecessorRenewal, proof)
 	if !t.PredecessorStopped || !t.PredecessorResigned {
+		// A leader that has not resigned may have gone on after its last renewal, also if its
+		// process is known to have ended since.
 		lastGrant += leaseGrantLimit
 	}
 	reading = scheduler.LeaseBound(lastGrant, c.lease)
@@ -306,14 +309,17 @@
 
 // restore passes the loaded topics to the scheduler. Leases that the previous leader may
 // have granted are assumed to last as long as they possibly can.
-func (c *Conductor) restore(t Term, items map[string][]byte, registry, deposits topicItems) error {
+func (c *Conductor) restore(t Term, items map[string][]byte, former formerRecords, registry, deposits topicItems) error {
 	if registry.err != nil {
 		return registry.err
 	}
 	if deposits.err != nil {
 		return deposits.err
 	}
-	until, reading := c.inheritedLeases(t, items)
+	until, reading := c.inheritedLeases(t, former)
+	if reading == clock.Never {
+		c.sched.DistrustSilences()
+	}
 	for k, v := range registry.items {
 		c.applyRegistryItem(recorder.Item{Key: k, Value: v})
 	}
--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -46,7 +46,12 @@
 	return d.random.Perm(n)
 }
 
-const testLease = 6 * clock.Second
+const (
+	testLease = 6 * clock.Second
+	// maxSubmitTries bounds the errors for one job. A leader whose appends are slow refuses jobs
+	// for seconds, ten tries each.
+	maxSubmitTries = 100
+)
 
 func startDaemon(name string, l *imitator.KeyedLog, p *imitator.Pool, y *imitator.Policy) *daemon {
 	return startProcess(name, name+"-life", clock.System, l.Client(name), p.Fleet(), y)
@@ -108,7 +113,8 @@
 			ID: fmt.Sprintf("%016x", i), Queue: scheduler.Queue{Name: "q", Service: "pool", MaxAttempts: 3, Slack: 2, Advice: advice},
 			Steps: []scheduler.Step{{Count: 3, CPU: 1000}, {Count: 2, CPU: 1000, After: []int{0}}},
 		}
-		for {
+		for tries := 0; ; tries++ {
+			must.Less(t, maxSubmitTries, tries, must.Sprint("a leader refuses the job again and again"))
 			// Callers submit the same job again if they don't know the outcome.
 			err := c.Submit(t.Context(), spec)
 			if err == nil {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -87,6 +87,8 @@
 		relay          *clock.Relay
 		silences       map[string]*silence
 		silenceRecords []Record
+		// silencesDistrusted is whether loaded silences do not limit leases.
+		silencesDistrusted bool
 		// inheritedEnd is when the leases that former leaders may have granted have ended,
 		// inheritedReading the same on the clock that leaders hand on, 0 if it can't tell.
 		inheritedEnd, inheritedReading clock.Millis
--- a/scheduler/silence.go
+++ b/scheduler/silence.go
@@ -42,6 +42,10 @@
 // silences are neither stored nor loaded.
 func (s *Scheduler) SetRelay(r *clock.Relay) { s.relay = r }
 
+// DistrustSilences must be called before Load if a leader of a version that knows no silences may have
+// led since they were stored. They are deleted, and do not limit leases.
+func (s *Scheduler) DistrustSilences() { s.silencesDistrusted = true }
+
 // LimitInherited must be called after Load with the time at which all leases that former leaders
 // may have granted have ended, as a reading of the clock that leaders hand on. It is an upper
 // bound besides that of Inherit.
@@ -84,7 +88,7 @@
 	}
 	id := strings.TrimPrefix(key, silencePrefix)
 	s.silences[id] = &silence{born: r.Born}
-	if w := s.workers[id]; w != nil && w.info.Born == r.Born {
+	if w := s.workers[id]; w != nil && w.info.Born == r.Born && !s.silencesDistrusted {
 		s.limitInherited(w, r.LeaseEnd)
 	}
 	return nil
