scheduler, elector: one type for the bound of inherited leases; comments

Change: inheritedLease has them; comments say why the first reading may be any, what a clock reading bounds, and what the deletion of silences relies on. No decision changes.

--- a/elector/claim.go
+++ b/elector/claim.go
@@ -45,8 +45,8 @@
 		Clocks [MaxClockReadings]ClockReading `json:"clocks"`
 	}
 
-	// ClockReading is a reading of the clock of a worker process. Entries without a worker are
-	// not in use.
+	// ClockReading is a time that the clock of a worker process had not passed when the sighting
+	// was taken. Entries without a worker are not in use.
 	ClockReading struct {
 		Worker string `json:"worker,omitempty"`
 		// Born is the start time of the process, in Unix milliseconds.
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -263,6 +263,8 @@
 		return Term{}, false
 	}
 	t := Term{Epoch: previous.Epoch + 1, PredecessorStopped: stopped, Predecessor: previous, claimedAt: e.now(), renewedAt: &atomic.Int64{}, sighting: &atomic.Pointer[Sighting]{}}
+	// Any reading can be the first. The time of day lets a clock that starts again after leaders
+	// of a version without it show more than it did before.
 	if previous.Time != 0 {
 		t.Relay = clock.NewRelay(e.now, previous.Time, seenAt)
 	} else {
@@ -325,8 +327,8 @@
 		if err == nil {
 			t.renewedAt.Store(int64(encodedAt))
 		}
-		// A renewal that the store took long to take is old by now.
-		wait = max(renewInterval-max(e.now()-encodedAt-renewInterval, 0), 0)
+		// A renewal that took longer than an interval is old by now; the next one comes sooner.
+		wait = max(0, min(renewInterval, 2*renewInterval-(e.now()-encodedAt)))
 	}
 }
 
--- a/scheduler/lease.go
+++ b/scheduler/lease.go
@@ -20,6 +20,16 @@
 	maxOrderDelay = clock.Minute
 )
 
+// inheritedLease bounds the leases that former leaders may have granted.
+type inheritedLease struct {
+	// end is when they have ended, on this host's clock; 0 if there were none.
+	end clock.Millis
+	// reading is when they have ended on the clock that leaders hand on; 0 if that can't tell.
+	reading clock.Millis
+	// grantedAt is when the last of them can have been granted, or else when end was set.
+	grantedAt clock.Millis
+}
+
 // Lease extends the lease of a worker process for a call that is about to be sent, and
 // returns its new end on the process's clock. It returns false if the lease must not be
 // extended.
@@ -110,8 +120,8 @@
 		silent = now - w.silentSince
 	}
 	from, set := "this-leader", w.leaseEnd-LeaseBound(0, s.leaseLength)
-	if w.inheritedEnd > w.leaseEnd {
-		from, set = "former-leader", w.inheritedAt
+	if w.inherited.end > w.leaseEnd {
+		from, set = "former-leader", w.inherited.grantedAt
 	}
 	s.emit(logger.WorkerLost, logger.String("worker", w.info.ID), logger.Int("born", w.info.Born), logger.Int("runs", int64(len(w.tasks))),
 		logger.String("lease-from", from), logger.Int("lease-set-ms-ago", int64(now-set)), logger.Int("silent-ms", int64(silent)),
--- a/scheduler/record.go
+++ b/scheduler/record.go
@@ -178,7 +178,7 @@
 		// An order to the former process may have reached its successor.
 		t.unresolvedSince = now
 	}
-	w.inheritedEnd, w.inheritedAt, w.unreconciled = leaseEnd, now, true
+	w.inherited.end, w.inherited.grantedAt, w.unreconciled = leaseEnd, now, true
 	w.addTask(t)
 }
 
@@ -187,8 +187,8 @@
 // expired.
 func (s *Scheduler) Inherit(until clock.Millis) {
 	now := s.now()
-	s.inheritedEnd = max(s.inheritedEnd, until)
+	s.inherited.end = max(s.inherited.end, until)
 	for _, w := range s.workers {
-		w.inheritedEnd, w.inheritedAt, w.unreconciled = max(w.inheritedEnd, until), now, true
+		w.inherited.end, w.inherited.grantedAt, w.unreconciled = max(w.inherited.end, until), now, true
 	}
 }
--- a/scheduler/reporting.go
+++ b/scheduler/reporting.go
@@ -111,7 +111,7 @@
 		info: i, registered: w.registered, unreconciled: len(w.tasks) > 0, allEndsSeen: true,
 		leaseEnd: max(w.leaseEnd, LeaseBound(now, s.leaseLength)),
 		// A bound of the old process's leases need not hold for the new one's.
-		inheritedEnd: s.inheritedEnd, inheritedReading: s.inheritedReading, inheritedAt: w.inheritedAt,
+		inherited:    inheritedLease{end: s.inherited.end, reading: s.inherited.reading, grantedAt: w.inherited.grantedAt},
 		clockReading: i.Clock, clockReadAt: now,
 		doubtful: w.doubtful,
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -89,9 +89,8 @@
 		silenceRecords []Record
 		// silencesDistrusted is whether loaded silences do not limit leases.
 		silencesDistrusted bool
-		// inheritedEnd is when the leases that former leaders may have granted have ended,
-		// inheritedReading the same on the clock that leaders hand on, 0 if it can't tell.
-		inheritedEnd, inheritedReading clock.Millis
+		// inherited bounds the leases that former leaders may have granted to any worker.
+		inherited inheritedLease
 		// witnesses are the clock readings that the former leader has left, nil if there are
 		// none; unseen is how much time passed before this host saw the former leader's claim,
 		// as far as they show it.
--- a/scheduler/silence.go
+++ b/scheduler/silence.go
@@ -53,8 +53,8 @@
 	if s.relay == nil || reading == clock.Never {
 		return
 	}
-	s.inheritedReading = reading
-	s.inheritedEnd = min(s.inheritedEnd, s.localInherited(reading))
+	s.inherited.reading = reading
+	s.inherited.end = min(s.inherited.end, s.localInherited(reading))
 	for _, w := range s.workers {
 		if w.unreconciled {
 			s.limitInherited(w, reading)
@@ -64,11 +64,11 @@
 
 // limitInherited limits the leases that former leaders may have granted to a worker.
 func (s *Scheduler) limitInherited(w *worker, reading clock.Millis) {
-	if w.inheritedReading == 0 || reading < w.inheritedReading {
-		w.inheritedReading = reading
+	if w.inherited.reading == 0 || reading < w.inherited.reading {
+		w.inherited.reading = reading
 	}
-	if l := s.localInherited(w.inheritedReading); l < w.inheritedEnd {
-		w.inheritedEnd, w.inheritedAt = l, l-LeaseBound(0, s.leaseLength)
+	if l := s.localInherited(w.inherited.reading); l < w.inherited.end {
+		w.inherited.end, w.inherited.grantedAt = l, l-LeaseBound(0, s.leaseLength)
 	}
 }
 
@@ -97,9 +97,9 @@
 // isRecordedSilent reports whether a stored record says that the lease of a worker is not extended.
 func (s *Scheduler) isRecordedSilent(w *worker) bool { return s.silences[w.info.ID] != nil }
 
-// isUnheard reports whether nothing was heard of a worker for silenceDelay, or since the start of
-// the term if it can't be polled.
-func (w *worker) isUnheard(now clock.Millis) bool {
+// needsSilence reports whether the silence of a worker has to be recorded: nothing was heard of it
+// for silenceDelay, or in this term.
+func (w *worker) needsSilence(now clock.Millis) bool {
 	return w.silentSince != 0 && now-w.silentSince >= silenceDelay || w.unreconciled && (w.info.Address == "" || w.silentSince != 0)
 }
 
@@ -125,7 +125,7 @@
 		}
 	}
 	for id, w := range s.workers {
-		if s.silences[id] != nil || len(w.tasks) == 0 || !w.isUnheard(now) || now >= w.leaseBound() {
+		if s.silences[id] != nil || len(w.tasks) == 0 || !w.needsSilence(now) || now >= w.leaseBound() {
 			continue
 		}
 		s.silences[id] = &silence{born: w.info.Born}
@@ -136,7 +136,8 @@
 }
 
 // deletedSilences returns the workers whose records of silence are deleted by a batch with the
-// current changes, by ID.
+// current changes, by ID. It relies on the former batch being stored: of those that it deletes none
+// is left.
 func (s *Scheduler) deletedSilences() []string {
 	var ids []string
 	for id, r := range s.silences {
--- a/scheduler/witness.go
+++ b/scheduler/witness.go
@@ -107,11 +107,11 @@
 	s.unseen = unseen
 	s.emit(logger.OutageMeasured, logger.Int("unseen-ms", int64(unseen)), logger.Int("witnesses", int64(len(s.witnesses.latest))))
 	for _, w := range s.workers {
-		if w.inheritedReading != 0 {
-			s.limitInherited(w, w.inheritedReading)
+		if w.inherited.reading != 0 {
+			s.limitInherited(w, w.inherited.reading)
 		}
 	}
-	if s.inheritedReading != 0 {
-		s.inheritedEnd = min(s.inheritedEnd, s.localInherited(s.inheritedReading))
+	if s.inherited.reading != 0 {
+		s.inherited.end = min(s.inherited.end, s.localInherited(s.inherited.reading))
 	}
 }
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -62,12 +62,9 @@
 		// address.
 		connRefused bool
 		// leaseEnd is the time by which the leases that this leader has granted have ended
-		// unless they are extended, inheritedEnd the same for those of former leaders.
-		leaseEnd, inheritedEnd clock.Millis
-		// inheritedReading is a time by which the leases of former leaders have ended, as a
-		// reading of the clock that leaders hand on; 0 if there is none. inheritedAt is when
-		// the lease that inheritedEnd counts on was granted at the latest, or when that was set.
-		inheritedReading, inheritedAt clock.Millis
+		// unless they are extended, inherited the same for those of former leaders.
+		leaseEnd  clock.Millis
+		inherited inheritedLease
 		// reportClock is what the worker's clock showed in its last report of this term, which
 		// was requested at reportSentAt, 0 if there was none.
 		reportClock, reportSentAt clock.Millis
@@ -144,7 +141,7 @@
 
 // leaseBound returns the time by which all runs on the worker have ended unless its lease is
 // extended.
-func (w *worker) leaseBound() clock.Millis { return max(w.leaseEnd, w.inheritedEnd) }
+func (w *worker) leaseBound() clock.Millis { return max(w.leaseEnd, w.inherited.end) }
 
 func (w *worker) addTask(t *task) {
 	if slices.Contains(w.tasks, t) {
