conductor: the tests' site in three files

Cause: site_test.go had 432 lines with the deployment, its faults and its processes' clients. Change: sitefaults_test.go and siteprocess_test.go have the latter two; nothing else changes.

--- a/conductor/site_test.go
+++ b/conductor/site_test.go
@@ -1,7 +1,6 @@
 package conductor_test
 
 import (
-	"context"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -14,7 +13,6 @@
 	"galenawharf.example/galenawharf/clock"
 	"galenawharf.example/galenawharf/conductor"
 	"galenawharf.example/galenawharf/imitator"
-	"galenawharf.example/galenawharf/recorder"
 	"galenawharf.example/galenawharf/scheduler"
 )
 
@@ -226,181 +224,6 @@
 	return ds
 }
 
-// leave makes a third of the workers leave for good, at the same time. Their addresses refuse
-// connections, or nothing answers there.
-func (s *site) leave() {
-	for _, id := range s.someWorkers() {
-		s.mu.Lock()
-		s.left[id] = s.random.intN(2) == 0
-		s.mu.Unlock()
-		s.pool.Kill(id)
-		s.removeEntry(id)
-	}
-}
-
-// removeEntry removes a worker's registry entry after three heartbeats of silence.
-func (s *site) removeEntry(id string) {
-	time.AfterFunc((3 * siteHeartbeat).Duration(), func() { s.log.Put("servers", recorder.Item{Key: id}) })
-}
-
-// split splits the network: the process of a host and a third of the workers reach only each other.
-// These workers reach the registry unless unregistered is set.
-func (s *site) split(host string, unregistered bool) {
-	for _, id := range s.someWorkers() {
-		s.mu.Lock()
-		s.reachedBy[id], s.unregistered[id] = s.processes[host], unregistered
-		s.mu.Unlock()
-		if unregistered {
-			s.removeEntry(id)
-		}
-	}
-}
-
-// reached reports whether a process reaches a worker.
-func (s *site) reached(p *process, worker string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if by := s.reachedBy[worker]; by != nil {
-		return by == p
-	}
-	for _, other := range s.reachedBy {
-		if other == p {
-			return false
-		}
-	}
-	return true
-}
-
-// cut cuts a third of the workers off from all daemons for a random time within bounds, in ms.
-func (s *site) cut(least, most int) {
-	ids := s.someWorkers()
-	defer s.disruptions.Begin()()
-	for _, id := range ids {
-		s.pool.SetPartitioned(id, true)
-	}
-	s.sleep(least, most)
-	for _, id := range ids {
-		s.pool.SetPartitioned(id, false)
-	}
-}
-
-// loseAnswers loses answers of the store during f.
-func (s *site) loseAnswers(f func()) {
-	defer s.disruptions.Begin()()
-	s.losing.Store(true)
-	f()
-	s.losing.Store(false)
-}
-
-// delayOrders makes orders that are sent during f late, and waits until all are carried out.
-func (s *site) delayOrders(f func()) {
-	defer s.disruptions.Begin()()
-	s.late.Store(true)
-	f()
-	s.late.Store(false)
-	s.sleep(2000, 2000)
-}
-
-func (s *site) someWorkers() []string {
-	var ids []string
-	for _, i := range s.random.perm(siteWorkers)[:siteWorkers/3] {
-		ids = append(ids, fmt.Sprintf("w%d", i))
-	}
-	return ids
-}
-
-func (s *site) refuses(worker string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.left[worker]
-}
-
-// store returns a client of the store that makes no calls once the process is killed.
-func (p *process) store(s recorder.Store) recorder.Store {
-	return recorder.Store{
-		Append: func(ctx context.Context, topic string, at int64, items []recorder.Item) (int64, error) {
-			if p.storeless(ctx) {
-				return 0, recorder.ErrUnclear
-			}
-			return s.Append(ctx, topic, at, items)
-		},
-		Read: func(ctx context.Context, topic string, from int64, wait clock.Millis) ([]recorder.Item, int64, error) {
-			if p.storeless(ctx) {
-				return nil, 0, recorder.ErrUnclear
-			}
-			return s.Read(ctx, topic, from, wait)
-		},
-		ReadNewest: func(ctx context.Context, topic, after string) (recorder.Page, error) {
-			if p.storeless(ctx) {
-				return recorder.Page{}, recorder.ErrUnclear
-			}
-			return s.ReadNewest(ctx, topic, after)
-		},
-	}
-}
-
-// storeless reports whether the process does not reach the store, as stopped.
-func (p *process) storeless(ctx context.Context) bool {
-	if p.cutOff.Load() {
-		<-ctx.Done()
-		return true
-	}
-	return p.stopped(ctx)
-}
-
-// stopped reports whether the process was killed. It then waits for the end of the call, so that the
-// caller does not go on at once.
-func (p *process) stopped(ctx context.Context) bool {
-	if !p.dead.Load() {
-		return false
-	}
-	<-ctx.Done()
-	return true
-}
-
-// fleet returns a client of the workers that makes no calls once the process is killed.
-func (s *site) fleet(p *process) conductor.Fleet {
-	f := s.pool.Fleet()
-	return conductor.Fleet{
-		Send: func(ctx context.Context, o scheduler.Order, epoch int64) scheduler.Outcome {
-			switch {
-			case p.stopped(ctx):
-				return scheduler.Unclear
-			case s.refuses(o.Worker) && recorder.Sleep(ctx, 1):
-				return scheduler.ConnectionRefused
-			case !s.reached(p, o.Worker):
-				recorder.Sleep(ctx, conductor.OrderTimeout)
-				return scheduler.Unclear
-			default:
-				return f.Send(ctx, o, epoch)
-			}
-		},
-		Poll: func(ctx context.Context, q conductor.PollRequest, epoch int64) (scheduler.Report, scheduler.Outcome) {
-			switch {
-			case p.stopped(ctx):
-				return scheduler.Report{}, scheduler.Unclear
-			case s.refuses(q.Worker) && recorder.Sleep(ctx, 1):
-				return scheduler.Report{}, scheduler.ConnectionRefused
-			case !s.reached(p, q.Worker):
-				recorder.Sleep(ctx, q.Timeout)
-				return scheduler.Report{}, scheduler.Unclear
-			default:
-				if s.latePolls.Load() && s.random.intN(12) == 0 {
-					time.AfterFunc(time.Duration(s.random.intN(12_000))*time.Millisecond, func() { f.Poll(s.t.Context(), q, epoch) })
-					recorder.Sleep(ctx, q.Timeout)
-					return scheduler.Report{}, scheduler.Unclear
-				}
-				asked := clock.System()
-				r, out := f.Poll(ctx, q, epoch)
-				if left := q.Timeout - (clock.System() - asked); out == scheduler.Unclear && s.withoutReset.Load() && left > 0 {
-					recorder.Sleep(ctx, left)
-				}
-				return r, out
-			}
-		},
-	}
-}
-
 // check reports each violation: a task that ran twice at once, or one that was without a run for
 // too long.
 func (s *site) check() {
