--- a/elector/elector.go
+++ b/elector/elector.go
@@ -254,7 +254,6 @@
 		}
 	}
 	e.mu.Lock()
-	e.monitor.ReadSucceeded(e.now())
 	e.monitor.Observe(previous, e.now())
 	due, stopped := e.monitor.Due(e.now()), e.monitor.PredecessorStopped()
 	_, seenAt := e.monitor.Newest()
--- a/elector/monitor.go
+++ b/elector/monitor.go
@@ -13,21 +13,16 @@
 		newest   Claim
 		// loaded is whether the topic has been read, so that newest is valid.
 		loaded bool
-		// changedAt is when the newest claim was first seen, later by the time for which the
-		// leader may not have been able to renew it.
+		// changedAt is when the newest claim was first seen, or when reads succeeded
+		// again after a failure.
 		changedAt clock.Millis
 		// seenAt is when the newest claim was first seen.
 		seenAt clock.Millis
-		// failing is whether the last read failed, lastRead when one last succeeded.
-		failing  bool
-		lastRead clock.Millis
+		// failing is whether the last read failed.
+		failing bool
 	}
 )
 
-// failureTime is how long reads have to fail until the leader counts as unable to renew its claim: as
-// long as between two renewals.
-const failureTime = renewInterval
-
 // NewMonitor returns a monitor for which a claim expires if it is not renewed for
 // timeout.
 func NewMonitor(host, address, instance string, timeout clock.Millis) *Monitor {
@@ -37,23 +32,18 @@
 // Observe records the newest claim; an epoch of 0 means that there is none.
 func (w *Monitor) Observe(c Claim, now clock.Millis) {
 	if !w.loaded || c != w.newest {
-		w.changedAt, w.seenAt, w.lastRead = now, now, now
+		w.changedAt, w.seenAt = now, now
 	}
 	w.newest, w.loaded = c, true
 }
 
 // ReadSucceeded records a successful read of the store.
 func (w *Monitor) ReadSucceeded(now clock.Millis) {
-	switch {
-	case !w.failing:
-	case w.changedAt == w.seenAt:
+	if w.failing {
 		// While the store was unavailable, the leader could not renew its claim either, so
-		// it gets the whole timeout again, once.
-		w.changedAt = now
-	default:
-		w.changedAt += max(now-w.lastRead-failureTime, 0)
+		// it gets the whole timeout again.
+		w.failing, w.changedAt = false, now
 	}
-	w.failing, w.lastRead = false, now
 }
 
 // ReadFailed records a failed read of the store.
@@ -62,7 +52,7 @@
 // Due reports whether this daemon should make a claim now.
 func (w *Monitor) Due(now clock.Millis) bool {
 	switch {
-	case !w.loaded || w.failing && now-w.lastRead >= failureTime:
+	case !w.loaded || w.failing:
 		return false
 	case w.newest.Epoch == 0 || w.newest.Resigned:
 		return true
