scheduler: a worker without runs is asked again after a call that was not heard

Callers would have seen starts that are withheld again and again: after a call that was not heard the lease of a worker is not extended until it is heard, and a worker whose runs were given up meanwhile was not asked any more, but chosen for new runs. Found by reading. Change: such a worker is polled, and gets no runs until it has answered. Measured: TestUnheardIdleWorkerIsAskedAgain fails before, passes after.

--- a/scheduler/exclusion.go
+++ b/scheduler/exclusion.go
@@ -61,7 +61,7 @@
 		return draining
 	case w.leaseExpired:
 		return leaseExpired
-	case w.silentSince != 0:
+	case w.silentSince != 0 || w.unheard:
 		return silent
 	case w.unreconciled:
 		return notHeard
--- a/scheduler/lease_test.go
+++ b/scheduler/lease_test.go
@@ -45,3 +45,25 @@
 		})
 	}
 }
+
+// TestUnheardIdleWorkerIsAskedAgain guards against a worker whose lease is never extended again: its runs
+// were given up after a call that was not heard, so that nothing asks it.
+func TestUnheardIdleWorkerIsAskedAgain(t *testing.T) {
+	b := newHarness(1)
+	b.submit(t, "job", Step{Count: 1, CPU: 100, LongRunning: true})
+	o := b.placeAndStore()
+	b.OrderAnswered(o[0], Done)
+	b.report("w0", activeRuns(o...))
+	b.storeBatch(b.TakeBatch())
+	b.CallUnheard("w0", 1)
+	b.clock.Advance(2 * defaultLease)
+	b.Sweep()
+	must.SliceEmpty(t, b.workers["w0"].tasks)
+	must.SliceEmpty(t, b.placeAndStore(), must.Sprint("a start that the lease does not allow"))
+	q, _ := b.Session("w0", 1)
+	must.True(t, q.Busy)
+	b.report("w0", nil)
+	must.Len(t, 1, b.placeAndStore())
+	_, ok := b.Lease("w0", 1)
+	must.True(t, ok)
+}
--- a/scheduler/session.go
+++ b/scheduler/session.go
@@ -62,7 +62,7 @@
 	silence := s.silences[w.info.ID]
 	return Session{
 		Worker: w.info.ID, Address: w.info.Address, Born: w.info.Born, Acked: w.storedEnd,
-		Busy:               len(w.tasks) > 0 || w.lastEnd > w.storedEnd || w.unreconciled || w.registered && (len(w.doubtful) > 0 || w.silentSince != 0) || w.storedEnd > w.ackedEnd,
+		Busy:               len(w.tasks) > 0 || w.lastEnd > w.storedEnd || w.unreconciled || w.registered && (len(w.doubtful) > 0 || w.silentSince != 0 || w.unheard) || w.storedEnd > w.ackedEnd,
 		ServingWithFillers: w.serving > 0 && w.fillerCPU > 0,
 		Blocked:            w.lastEnd > w.storedEnd || silence != nil && silence.deleting, Silent: w.silentSince != 0,
 		Idle: len(w.tasks) == 0 && len(w.doubtful) == 0, Inherited: w.unreconciled,
