elector: TestNextLeaderCountsFromStoredClaim reads the log and the renewal at one moment

Cause: the test read the newest stored claim, then the time of the last renewal. If a renewal was answered at the same instant of virtual time, between the two, the claim was the older one and the check failed. With connections of 4 ms and polls each 90 ms that is so at 2.5, 5.0 and 7.6 s.

Change: wait until all goroutines are blocked before the two are read. The check stays; it is made each 3 ms instead of 90, so that the fast store's answers are on the way in some of them.

An elector that takes the time of a renewal before its answer still fails, now in the case of the fast store too, in 5 of 5 runs.

--- a/elector/term_test.go
+++ b/elector/term_test.go
@@ -60,7 +60,9 @@
 				go first.renew(ctx, term)
 				second := newElector("b", clock.Hour)
 				for ctx.Err() == nil {
-					time.Sleep(90 * time.Millisecond)
+					time.Sleep(3 * time.Millisecond)
+					// A renewal at the same instant is stored and answered, or not yet sent.
+					synctest.Wait()
 					items := l.Items(topic)
 					c, err := Decode(items[len(items)-1].Value)
 					must.NoError(t, err)
