scheduler: waits for a worker go on over a change of leader

Cause: a filler tolerates more interference the longer it waits, and a task that prefers a rack waits a while for it.

--- a/scheduler/ending.go
+++ b/scheduler/ending.go
@@ -53,9 +53,12 @@
 		t.worker.removeTask(t)
 		s.searches.noteChange(t.worker)
 	}
-	if t.state == placed && t.confirmedAt == 0 {
+	switch {
+	case t.state == placed && t.confirmedAt == 0 && t.waitedSince != 0:
 		// The run has not begun, so the task has waited all the while.
 		t.waitingSince = t.waitedSince
+	case t.hasRun():
+		t.runEndedAt = s.reading()
 	}
 	t.worker, t.state, t.stopping, t.stopUnconfirmed, t.unresolvedSince, t.confirmedAt, t.overSince = nil, pending, false, false, 0, 0, 0
 	t.percent, t.cpuUse, t.tailLatency, t.modelledAt = 0, 0, 0, 0
--- a/scheduler/silence_test.go
+++ b/scheduler/silence_test.go
@@ -60,7 +60,7 @@
 	}
 	until := LeaseBound(n.clock.Now(), defaultLease) + 5*clock.Second
 	n.Inherit(until)
-	for _, prefix := range []string{jobPrefix, silencePrefix} {
+	for _, prefix := range []string{chunkPrefix, jobPrefix, silencePrefix} {
 		for k, v := range stored {
 			if strings.HasPrefix(k, prefix) {
 				must.NoError(t, n.Load(k, v, until))
