scheduler: a new leader counts no wait from before a task's last run

Cause: the end of a run was noted only where its task was released from a confirmed run. The next leader took the wait for longer than it was (a) for a run whose end was the first that was heard of it: its task, or the step after it, waited since before the run; (b) for a step after one whose abandoned run turned out to be done: since it was abandoned; (c) for a task whose record a program without readings has rewritten: since the job's acceptance. In (a), for the task itself, the same leader did so too.

Change: a run that a worker lists as ended had begun. A task's end is read when the task is done. A record of a task that has had an attempt always has a reading, of the start of the wait if its starts were refused; one without it waits from the load.

--- a/scheduler/ending.go
+++ b/scheduler/ending.go
@@ -24,6 +24,10 @@
 		s.emit(logger.RunEnded, logger.String("task", t.name().String()), logger.Int("attempt", int64(t.attempt)),
 			logger.String("how", string(how)), logger.String("worker", w.info.ID), logger.Int("percent", int64(t.percent)))
 	}
+	if t.confirmedAt == 0 {
+		// A run that has ended had begun, even if its start was not answered.
+		t.confirmedAt = s.now()
+	}
 	s.release(t)
 	s.markDirty(j)
 	if j.phase.final() {
@@ -57,6 +61,9 @@
 	case t.state == placed && t.confirmedAt == 0 && t.waitedSince != 0:
 		// The run has not begun, so the task has waited all the while.
 		t.waitingSince = t.waitedSince
+		if t.runEndedAt == 0 {
+			t.runEndedAt = s.readingAt(t.waitedSince)
+		}
 	case t.hasRun():
 		t.runEndedAt = s.reading()
 	}
@@ -66,7 +73,8 @@
 
 func (s *Scheduler) completeTask(t *task) {
 	o := t.occurrence
-	t.state = done
+	// The run that has ended may be an abandoned one.
+	t.state, t.runEndedAt = done, s.reading()
 	o.done[t.step]++
 	if o.done[t.step] < t.spec().Count {
 		return
--- a/scheduler/readysince.go
+++ b/scheduler/readysince.go
@@ -3,11 +3,14 @@
 import "galenawharf.example/galenawharf/clock"
 
 // reading returns the time on the clock that leaders hand on; 0 if there is none.
-func (s *Scheduler) reading() clock.Millis {
+func (s *Scheduler) reading() clock.Millis { return s.readingAt(s.now()) }
+
+// readingAt returns the reading at a time on this host's clock; 0 if there is none.
+func (s *Scheduler) readingAt(at clock.Millis) clock.Millis {
 	if s.relay == nil {
 		return 0
 	}
-	return s.relay.Now()
+	return s.relay.At(at)
 }
 
 // resumeWaits lets the loaded tasks that wait for a worker go on with the waits that they began
@@ -36,6 +39,10 @@
 	if t.runEndedAt != 0 {
 		return t.runEndedAt
 	}
+	if t.attempt > 0 {
+		// A program without readings has stored the end of the last run.
+		return 0
+	}
 	since := j.acceptedReading
 	if j.spec.Repeat > 0 && len(t.spec().After) == 0 {
 		return 0
--- a/scheduler/record.go
+++ b/scheduler/record.go
@@ -39,7 +39,7 @@
 		Worker     string `json:"w,omitempty"`
 		Born       int64  `json:"b,omitempty"`
 		Checkpoint string `json:"c,omitempty"`
-		// RunEnded is the time from the job's acceptance to the end of the last run.
+		// RunEnded is the time from the job's AcceptedReading, which may be 0, to runEndedAt.
 		RunEnded clock.Millis `json:"e,omitempty"`
 	}
 )
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -72,7 +72,8 @@
 		// waitedSince is waitingSince from before the newest run.
 		waitingSince, waitedSince clock.Millis
 		// runEndedAt is when the last run that may have begun ended, as a reading of the clock that
-		// leaders hand on; 0 if there was none.
+		// leaders hand on. If only starts that were refused came before, it is when the wait for them
+		// began. 0 if there was none, or if it is not known.
 		runEndedAt clock.Millis
 		// retryAt is the earliest time of the next run.
 		retryAt clock.Millis
