--- a/scheduler/ending.go
+++ b/scheduler/ending.go
@@ -24,10 +24,6 @@
 		s.emit(logger.RunEnded, logger.String("task", t.name().String()), logger.Int("attempt", int64(t.attempt)),
 			logger.String("how", string(how)), logger.String("worker", w.info.ID), logger.Int("percent", int64(t.percent)))
 	}
-	if t.confirmedAt == 0 {
-		// A run that has ended had begun, even if its start was not answered.
-		t.confirmedAt = s.now()
-	}
 	s.release(t)
 	s.markDirty(j)
 	if j.phase.final() {
@@ -57,15 +53,9 @@
 		t.worker.removeTask(t)
 		s.searches.noteChange(t.worker)
 	}
-	switch {
-	case t.state == placed && t.confirmedAt == 0 && t.waitedSince != 0:
+	if t.state == placed && t.confirmedAt == 0 {
 		// The run has not begun, so the task has waited all the while.
 		t.waitingSince = t.waitedSince
-		if t.runEndedAt == 0 {
-			t.runEndedAt = s.readingAt(t.waitedSince)
-		}
-	case t.hasRun():
-		t.runEndedAt = s.reading()
 	}
 	t.worker, t.state, t.stopping, t.stopUnconfirmed, t.unresolvedSince, t.confirmedAt, t.overSince = nil, pending, false, false, 0, 0, 0
 	t.percent, t.cpuUse, t.tailLatency, t.modelledAt = 0, 0, 0, 0
@@ -73,8 +63,7 @@
 
 func (s *Scheduler) completeTask(t *task) {
 	o := t.occurrence
-	// The run that has ended may be an abandoned one.
-	t.state, t.runEndedAt = done, s.reading()
+	t.state = done
 	o.done[t.step]++
 	if o.done[t.step] < t.spec().Count {
 		return
--- a/scheduler/record.go
+++ b/scheduler/record.go
@@ -21,8 +21,6 @@
 		// AcceptedAt and EndedAt are in Unix milliseconds.
 		AcceptedAt int64 `json:"accepted-at"`
 		EndedAt    int64 `json:"ended-at,omitempty"`
-		// AcceptedReading is AcceptedAt on the clock that leaders hand on.
-		AcceptedReading clock.Millis `json:"accepted-reading,omitempty"`
 		// Done lists the numbers of the occurrences that are done.
 		Done  []int        `json:"done,omitempty"`
 		Tasks []taskRecord `json:"tasks,omitempty"`
@@ -39,9 +37,6 @@
 		Worker     string `json:"w,omitempty"`
 		Born       int64  `json:"b,omitempty"`
 		Checkpoint string `json:"c,omitempty"`
-		// RunEnded is the time from the job's AcceptedReading, which may be 0, to runEndedAt, in
-		// milliseconds.
-		RunEnded int64 `json:"e,omitempty"`
 	}
 )
 
@@ -64,7 +59,7 @@
 // encode returns the stored form of a whole job. The record of an ended job omits its text,
 // steps and tasks, which callers can no longer ask for.
 func encode(j *job) []byte {
-	r := jobRecord{Version: j.version, Spec: j.spec, Phase: j.phase, AcceptedAt: int64(j.acceptedAt), EndedAt: int64(j.endedAt), AcceptedReading: j.acceptedReading}
+	r := jobRecord{Version: j.version, Spec: j.spec, Phase: j.phase, AcceptedAt: int64(j.acceptedAt), EndedAt: int64(j.endedAt)}
 	for k := range j.occurrenceCount() {
 		if j.doneOccurrences[k] {
 			r.Done = append(r.Done, k)
@@ -88,9 +83,6 @@
 	if t.hasRun() {
 		r.Worker, r.Born = t.worker.info.ID, t.worker.info.Born
 	}
-	if t.runEndedAt != 0 {
-		r.RunEnded = int64(max(t.runEndedAt-t.job().acceptedReading, 1))
-	}
 	if t.state != done {
 		r.Checkpoint = t.checkpoint
 	}
@@ -126,7 +118,7 @@
 	if err := json.Unmarshal(value, &r); err != nil {
 		return errors.Wrapf(err, "scheduler.Load: record %q", key)
 	}
-	j := &job{spec: r.Spec, phase: r.Phase, storedPhase: r.Phase, acceptedAt: clock.Millis(r.AcceptedAt), endedAt: clock.Millis(r.EndedAt), acceptedReading: r.AcceptedReading, occurrences: map[int]*occurrence{}}
+	j := &job{spec: r.Spec, phase: r.Phase, storedPhase: r.Phase, acceptedAt: clock.Millis(r.AcceptedAt), endedAt: clock.Millis(r.EndedAt), occurrences: map[int]*occurrence{}}
 	j.sent = true
 	s.mergeChunks(j, &r)
 	s.recordWork(j)
@@ -143,7 +135,6 @@
 	for _, tr := range r.Tasks {
 		s.loadTask(j, tr, leaseEnd)
 	}
-	s.resumeWaits(j)
 	return nil
 }
 
@@ -155,9 +146,6 @@
 	}
 	t := o.steps[r.Step][r.Index]
 	t.attempt, t.failures, t.checkpoint, t.stored = r.Attempt, r.Failures, r.Checkpoint, r
-	if r.RunEnded != 0 {
-		t.runEndedAt = j.acceptedReading + clock.Millis(r.RunEnded)
-	}
 	if r.Done {
 		t.state = done
 		o.done[r.Step]++
