--- a/elector/term_test.go
+++ b/elector/term_test.go
@@ -61,7 +61,7 @@
 				second := newElector("b", clock.Hour)
 				for ctx.Err() == nil {
 					time.Sleep(3 * time.Millisecond)
-					// A renewal at the same instant is stored and answered, or not yet sent.
+					// The log and the last renewal are read at one moment.
 					synctest.Wait()
 					items := l.Items(topic)
 					c, err := Decode(items[len(items)-1].Value)
