imitator: count the first run of a lasting task that began before the answer to its job

The floor counts the first start of each of the six tasks and one loss of a run at least.

Cause: a fault of the check. None of the six first starts was counted: all tasks ran already when the answer to the submission arrived, and ExpectRun then recorded nothing.

Change: ExpectRun records a gap without length for a task that runs already, so that each first start counts, as the floor assumes. The floor stays.

Measured: TestExpectedRunCountsIfBegunBefore/begun_before fails on the former code (0 gaps instead of 1) and passes now.

--- a/imitator/gap.go
+++ b/imitator/gap.go
@@ -51,13 +51,17 @@
 	return gaps
 }
 
-// ExpectRun makes a gap begin for a task that has had no run, as its job was accepted.
+// ExpectRun makes a gap begin for a task that has had no run, as its job was accepted. A task whose
+// run has begun before the answer to the submission arrived has a gap without length.
 func (p *Pool) ExpectRun(task string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	now := clock.System()
 	if len(p.ledger.running[task]) == 0 {
-		p.ledger.idleSince[task] = clock.System()
+		p.ledger.idleSince[task] = now
+		return
 	}
+	p.ledger.gaps = append(p.ledger.gaps, Gap{task: task, from: now, to: now})
 }
 
 // WorkersOf returns the workers with runs of a job, sorted.
--- a/imitator/pool_test.go
+++ b/imitator/pool_test.go
@@ -71,6 +71,30 @@
 	})
 }
 
+// TestExpectedRunCountsIfBegunBefore guards against a first run that is not counted because it began
+// before the answer to the submission of its job.
+func TestExpectedRunCountsIfBegunBefore(t *testing.T) {
+	for name, begunBefore := range map[string]bool{"begun before": true, "begun after": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := NewPool(1, 1, func(scheduler.TaskName, int) (clock.Millis, scheduler.Ending) { return clock.Hour, scheduler.EndDone }, nil)
+				start := scheduler.Order{Kind: scheduler.Start, Task: scheduler.TaskName{Job: "a"}, Attempt: 1, Deadline: clock.Hour}
+				if begunBefore {
+					must.Eq(t, scheduler.Done, p.Life("w0").Send(start, 1))
+				}
+				time.Sleep(time.Second)
+				p.ExpectRun(start.Task.String())
+				must.Eq(t, scheduler.Done, p.Life("w0").Send(start, 1))
+				gaps := p.Gaps("a")
+				must.Len(t, 1, gaps)
+				must.Eq(t, 0, gaps[0].Length())
+				must.False(t, gaps[0].Open())
+				p.Kill("w0")
+			})
+		})
+	}
+}
+
 // TestSlowClockProlongsLease checks that a lease ends by the worker's own clock.
 func TestSlowClockProlongsLease(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
