scheduler: log and count the crashes of workers, and which runs had settled

Change: GE6072 for each worker process that has ended without notice, with its runs, those that had not settled and the workers that went silent at the same time; GE6036 says whether the run had settled and at how many crashes its task was; metrics worker_crashes and runs_lost_to_crashes. No decision depends on it.

--- a/logger/events.go
+++ b/logger/events.go
@@ -80,6 +80,7 @@
 	WorkerLost      = Event{6032, log.WarnLevel, "lease of a worker that does not answer expired"}
 	WorkerReborn    = Event{6033, log.InfoLevel, "worker was restarted"}
 	WorkerGone      = Event{6034, log.InfoLevel, "worker process is gone"}
+	WorkerCrashed   = Event{6072, log.WarnLevel, "worker process has ended without notice"}
 	EndsMissing     = Event{6035, log.ErrorLevel, "report lacks ended runs that were not acknowledged"}
 	RunAbandoned    = Event{6036, log.InfoLevel, "run was given up before its end was reported"}
 	TaskWaiting     = Event{6067, log.WarnLevel, "long-running task is without a run"}
--- a/measurer/names.go
+++ b/measurer/names.go
@@ -41,6 +41,10 @@
 	WorkerPolls Counter = "worker_looks"
 	// Terms counts the terms for which the daemon was elected leader.
 	Terms Counter = "leader_terms"
+	// WorkerCrashes counts the workers that have ended without notice.
+	WorkerCrashes Counter = "worker_crashes"
+	// RunsLost counts the runs of these workers.
+	RunsLost Counter = "runs_lost_to_crashes"
 	// Evictions counts evicted tasks.
 	Evictions Counter = "task_evictions"
 )
@@ -105,7 +109,7 @@
 var (
 	// counters doesn't contain Results, which has a counter for each result code.
 	counters = []Counter{Appends, AppendedBytes, ReadBytes, LogErrors, CorruptRecords, PeerErrors, Orders, OrderErrors, Starts, Evictions,
-		RequestsServed, RequestsUnknown, RequestsInvalid, RequestsRefused, RequestsUnclear, OrdersUnclear, WorkerPolls, Terms}
+		RequestsServed, RequestsUnknown, RequestsInvalid, RequestsRefused, RequestsUnclear, OrdersUnclear, WorkerPolls, Terms, WorkerCrashes, RunsLost}
 	gauges = []Gauge{OwnedShards, RunningTasks, WaitingTasks, ConfigOffset, ReadyGauge, InFlight, Leading, QueuedJobs, ActiveJobs, SilentWorkers, LongRunningWaiting, ProcessDelay, ConfigVersion}
 	timers = []Timer{CheckTime, OrderTime, AppendTime, RequestTime, FirstStartTime, WorkerPollTime, StepTime}
 )
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -243,6 +243,10 @@
 	s := scheduler.New(
 		scheduler.WithClocks(r.now, clock.System), scheduler.WithEvents(r.log.Emit),
 		scheduler.WithLease(lease), scheduler.WithRetention(settings.Retention()),
+		scheduler.WithOnCrash(func(runs int) {
+			r.metrics.Add(measurer.WorkerCrashes, 1)
+			r.metrics.Add(measurer.RunsLost, int64(runs))
+		}),
 		scheduler.WithOnFirstStart(func(d clock.Millis) { r.metrics.Record(measurer.FirstStartTime, d.Duration()) }),
 		scheduler.WithViolationLimit(settings.InterferenceLimit()), scheduler.WithRemoteFactor(settings.RemoteFactor()),
 		scheduler.WithUpkeepLength(settings.UpkeepLength()),
--- a/scheduler/reporting.go
+++ b/scheduler/reporting.go
@@ -73,7 +73,7 @@
 
 func (s *Scheduler) abandonRun(w *worker, t *task, reason string) {
 	s.emit(logger.RunAbandoned, logger.String("task", t.name().String()), logger.Int("attempt", int64(t.attempt)), logger.String("worker", w.info.ID),
-		logger.Int("born", w.info.Born), logger.String("reason", reason), logger.Text("unclear", t.unclear), logger.Int("unanswered", int64(t.ordersInFlight)),
+		logger.Int("born", w.info.Born), logger.String("reason", reason), logger.Text("settled", t.settled), logger.Int("crashes", int64(t.crashes)), logger.Text("unclear", t.unclear), logger.Int("unanswered", int64(t.ordersInFlight)),
 		logger.Int("lease-left-ms", int64(w.leaseBound()-s.now())))
 	s.markDirty(t.job())
 	s.release(t)
@@ -90,7 +90,9 @@
 	if born == 0 {
 		// Orders name the worker, so the other worker rejects orders that are still in
 		// flight.
-		s.dropWorker(w, "another worker answers at its address")
+		const reason = "another worker answers at its address"
+		s.noteCrash(w, reason)
+		s.dropWorker(w, reason)
 		return
 	}
 	i := w.info
@@ -105,6 +107,7 @@
 // process had not confirmed are ordered to stop.
 func (s *Scheduler) replaceRestarted(w *worker, i WorkerInfo) *worker {
 	now := s.now()
+	s.noteCrash(w, "it has restarted under its id")
 	s.emit(logger.WorkerReborn, logger.String("worker", i.ID), logger.Int("born", i.Born), logger.Int("former-born", w.info.Born),
 		logger.Int("former-acked", w.storedEnd), logger.Int("runs", int64(len(w.tasks))))
 	n := &worker{
@@ -166,7 +169,7 @@
 		s.acks[w.info.ID] = Ack{Born: w.info.Born, Number: w.lastEnd}
 	}
 	for _, a := range r.Active {
-		if t := s.applyActive(w, a); t != nil {
+		if t := s.applyActive(w, a, r.Sent); t != nil {
 			listed[t] = struct{}{}
 		}
 	}
@@ -223,8 +226,8 @@
 }
 
 // applyActive applies the entry of an active run and returns its task. A run that is not
-// the newest one of its task is stopped.
-func (s *Scheduler) applyActive(w *worker, a ActiveRun) *task {
+// the newest one of its task is stopped. sent is when the report was requested.
+func (s *Scheduler) applyActive(w *worker, a ActiveRun, sent clock.Millis) *task {
 	t := s.findTask(a.Task)
 	if t == nil || t.worker != w || t.attempt != a.Attempt {
 		n, err := ParseTaskName(a.Task)
@@ -237,6 +240,7 @@
 	if t.state == placed {
 		s.confirmRun(t)
 	}
+	t.settled = t.settled || sent-t.confirmedAt >= proofTime
 	t.unresolvedSince = 0
 	t.updateProgress(a.Percent, w.clockReading)
 	if t.spec().LongRunning && a.Percent == 100 && t.confirmedAt > w.failedAt {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -23,6 +23,8 @@
 		// onFirstStart is called with the time from the acceptance of a job to its first
 		// start.
 		onFirstStart func(clock.Millis)
+		// onCrash is called with the number of runs of a worker that has crashed.
+		onCrash func(runs int)
 
 		// leaseLength is how long a worker keeps its runs without hearing from the
 		// leader.
@@ -98,6 +100,8 @@
 		unseen    clock.Millis
 		// delayedAt is when the daemon was last delayed, 0 if it was not.
 		delayedAt clock.Millis
+		// crashes are the recent crashes of workers.
+		crashes []crash
 		// upkeepLength is how long a machine is down for its upkeep.
 		upkeepLength clock.Millis
 		waves        map[string]*wave
@@ -166,7 +170,7 @@
 func New(opts ...Option) *Scheduler {
 	system := clock.System
 	s := &Scheduler{
-		now: system, wall: system, emit: func(logger.Event, ...logger.Field) {}, onFirstStart: func(clock.Millis) {},
+		now: system, wall: system, emit: func(logger.Event, ...logger.Field) {}, onFirstStart: func(clock.Millis) {}, onCrash: func(int) {},
 		leaseLength: defaultLease, retention: defaultRetention, violationLimit: defaultViolationLimit, remoteFactor: defaultRemoteFactor,
 		jobs: map[string]*job{}, active: map[*job]struct{}{}, workers: map[string]*worker{},
 		evacuatedDataCentres: map[string]bool{}, sensitivities: map[string]*sensitivity{}, periodSelector: newPeriodSelector(), meanWorkByQueue: map[string]float64{},
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -28,8 +28,10 @@
 		index      int
 		state      taskState
 		// attempt is the number of the newest run; 0 before the first.
-		attempt    int
-		failures   int
+		attempt  int
+		failures int
+		// crashes is the number of workers that have crashed with a run of the task.
+		crashes    int
 		checkpoint string
 		// stored is the task's form in the last batch; empty before the first run.
 		stored taskRecord
@@ -37,6 +39,8 @@
 		worker *worker
 		// confirmedAt is when the worker first confirmed the run.
 		confirmedAt clock.Millis
+		// settled is whether the worker has listed the newest run proofTime after its start.
+		settled bool
 		// unclear is whether an order to start the newest run was not answered, so that
 		// it may still be carried out.
 		unclear bool
