conductor, scheduler: tests for tasks that crash workers and for capacity that changes, red

Change: the imitated workers crash when they start a deadly task and come back under the same or another ID; a start too many is a violation. The site of the tests runs short jobs beside the one that lasts. No program code has changed.

--- a/conductor/site_test.go
+++ b/conductor/site_test.go
@@ -65,7 +65,9 @@
 	siteDaemons = 3
 	siteWorkers = 12
 	siteTasks   = 16
-	lastingJob  = "00000000000000aa"
+	// shortRunTime is how long the tasks of other jobs than lastingJob run.
+	shortRunTime = 700 * clock.Millis(1)
+	lastingJob   = "00000000000000aa"
 	// siteHeartbeat is the interval at which workers write their registry entries. An entry is
 	// removed after three of silence.
 	siteHeartbeat = 500 * clock.Millis(1)
@@ -98,7 +100,7 @@
 		}
 		return imitator.StoreFine
 	})
-	s.pool = imitator.NewPool(siteWorkers, 4, func(scheduler.TaskName, int) (clock.Millis, scheduler.Ending) { return clock.Hour, scheduler.EndDone }, func(scheduler.Order) imitator.OrderFault {
+	s.pool = imitator.NewPool(siteWorkers, 4, runTimeOfSite, func(scheduler.Order) imitator.OrderFault {
 		if s.late.Load() && s.random.intN(2) == 0 {
 			return imitator.OrderLate
 		}
@@ -127,6 +129,14 @@
 	return s
 }
 
+// runTimeOfSite returns how long a run takes, and how it ends.
+func runTimeOfSite(n scheduler.TaskName, _ int) (clock.Millis, scheduler.Ending) {
+	if n.Job == lastingJob {
+		return clock.Hour, scheduler.EndDone
+	}
+	return shortRunTime, scheduler.EndDone
+}
+
 // sleep waits for a random time within bounds, in ms.
 func (s *site) sleep(least, most int) {
 	time.Sleep(time.Duration(least+s.random.intN(most-least+1)) * time.Millisecond)
@@ -135,8 +145,8 @@
 // writeEntries writes the registry entries of the workers that are up, at each heartbeat.
 func (s *site) writeEntries() {
 	for {
-		for i := range siteWorkers {
-			info, up := s.pool.Info(fmt.Sprintf("w%d", i))
+		for _, id := range s.pool.IDs() {
+			info, up := s.pool.Info(id)
 			s.mu.Lock()
 			up = up && !s.unregistered[info.ID]
 			s.mu.Unlock()
--- a/imitator/pool.go
+++ b/imitator/pool.go
@@ -33,6 +33,8 @@
 		maxLease clock.Millis
 		// bound is whether orders reach only the process that they are for.
 		bound bool
+		// deadly are the tasks that crash their workers; nil if there are none.
+		deadly *deadly
 	}
 
 	// OrderFault is the fault injected into one order.
@@ -199,8 +201,11 @@
 	w := p.workers[o.Worker]
 	unreachable := w == nil || w.partitioned || w.dead()
 	f := p.orderFault(o)
+	refusal, refused := w.refusal()
 	p.mu.Unlock()
 	switch {
+	case refused:
+		return refusal
 	case unreachable || f == OrderLost:
 		<-ctx.Done()
 		return scheduler.Unclear
@@ -272,6 +277,7 @@
 	w.runs[name] = r
 	p.counts.Starts++
 	p.ledger.start(name, w.taskRun(r))
+	p.noteStart(w, o)
 	r.timer = time.AfterFunc(d.Duration(), func() {
 		p.mu.Lock()
 		defer p.mu.Unlock()
@@ -331,7 +337,11 @@
 	p.mu.Lock()
 	w := p.workers[q.Worker]
 	unreachable := w.partitioned || w.dead()
+	refusal, refused := w.refusal()
 	p.mu.Unlock()
+	if refused {
+		return scheduler.Report{}, refusal
+	}
 	if unreachable {
 		<-ctx.Done()
 		return scheduler.Report{}, scheduler.Unclear
--- a/imitator/poolworker.go
+++ b/imitator/poolworker.go
@@ -30,7 +30,10 @@
 		// listedEnd is the highest number of an end that an answer has listed.
 		listedEnd   int64
 		partitioned bool
-		slots       int
+		// refusing is whether the process has crashed, so that its address refuses
+		// connections; replaced is whether another one answers there since.
+		refusing, replaced bool
+		slots              int
 	}
 
 	poolRun struct {
