scheduler: a task that crashes the workers which start it is tried alone, then given up

Cause: a run that goes with its worker left no mark on its task, so its retry had no limit, no delay and no isolation; and what a leader knew of it would have ended with its term.

Change: a crash is what a successor at the address or under the ID proves; silence, a drain or an upkeep is none. What it says of a task has a weight: alone there without having settled, one of several, or one of many workers lost at once. Suspicion and crashes are part of the task's record, which is stored before the next start. A suspect starts on a worker of its own, which is kept for it, and is cleared once it has settled; a crash there gives it up. Waits for a worker are bounded; the worker is polled more often meanwhile.

--- a/conductor/deadly_test.go
+++ b/conductor/deadly_test.go
@@ -17,15 +17,30 @@
 const (
 	deadlyJobs = 2
 	soundJobs  = 6
-	// deadlyPrefix begins the IDs of jobs whose first task crashes the workers that start it.
-	deadlyPrefix = "dead"
+	// deadlyPrefix begins the IDs of jobs whose first task crashes the workers that start it,
+	// soundPrefix those of other jobs.
+	deadlyPrefix, soundPrefix = "dead", "5000"
 	// deadlyTime is how long faults are injected, several times what a worker takes to come back.
 	deadlyTime = 24 * time.Second
 )
 
-func deadlyID(i int) string { return fmt.Sprintf("%s%012x", deadlyPrefix, i) }
+func deadlyID(i int, p *scheduler.Step) string { return deadlyPrefix + jobSuffix(i, p) }
 
-func soundID(i int) string { return fmt.Sprintf("50%014x", i) }
+func soundID(i int, p *scheduler.Step) string { return soundPrefix + jobSuffix(i, p) }
+
+// jobSuffix returns the end of the ID of a job. It begins with "e" if the tasks of its step run on
+// and on: those that last, and gangs, which end together.
+func jobSuffix(i int, p *scheduler.Step) string {
+	kind := "f"
+	if p.LongRunning || p.Gang {
+		kind = "e"
+	}
+	return fmt.Sprintf("%s%011x", kind, i)
+}
+
+func isEndless(n scheduler.TaskName) bool {
+	return strings.HasPrefix(n.Job, deadlyPrefix+"e") || strings.HasPrefix(n.Job, soundPrefix+"e")
+}
 
 func isDeadly(n scheduler.TaskName) bool {
 	return strings.HasPrefix(n.Job, deadlyPrefix) && n.Index == 0
@@ -36,7 +51,7 @@
 	p := s.processes[s.leader()]
 	for {
 		select {
-		case s.conductor = <-p.daemon.leading:
+		case s.conductor = <-p.leading:
 		default:
 			return s.conductor
 		}
@@ -45,18 +60,18 @@
 
 // submitDeadly submits jobs of which some have a deadly task.
 func (s *site) submitDeadly(prepare func(*scheduler.Step)) {
+	step := scheduler.Step{Count: 3, CPU: 1000, Memory: 100}
+	prepare(&step)
 	submit := func(id string) {
-		step := scheduler.Step{Count: 3, CPU: 1000, Memory: 100}
-		prepare(&step)
 		must.NoError(s.t, s.conductor.Submit(s.t.Context(), scheduler.Spec{
 			ID: id, Queue: scheduler.Queue{Name: "q", Service: "pool", MaxAttempts: 3, Slack: 2}, Steps: []scheduler.Step{step},
 		}))
 	}
 	for i := range soundJobs {
 		if i < deadlyJobs {
-			submit(deadlyID(i))
+			submit(deadlyID(i, &step))
 		}
-		submit(soundID(i))
+		submit(soundID(i, &step))
 	}
 }
 
@@ -120,15 +135,15 @@
 	var step scheduler.Step
 	prepare(&step)
 	sound := scheduler.Completed
-	if step.LongRunning {
+	if step.LongRunning || step.Gang {
 		sound = scheduler.Running
 	}
 	want := map[string]scheduler.Phase{lastingJob: scheduler.Running}
 	for i := range deadlyJobs {
-		want[deadlyID(i)] = scheduler.Failed
+		want[deadlyID(i, &step)] = scheduler.Failed
 	}
 	for i := range soundJobs {
-		want[soundID(i)] = sound
+		want[soundID(i, &step)] = sound
 	}
 	got := map[string]scheduler.Phase{}
 	c := s.leading()
--- a/conductor/session.go
+++ b/conductor/session.go
@@ -53,6 +53,9 @@
 	// colocatedPollWait replaces pollWait for workers on which services share the machine
 	// with batch work. The latency of the services is read from the reports.
 	colocatedPollWait = 500 * clock.Millis(1)
+	// trialPollWait replaces pollWait while a task on trial has a worker for itself: the report that
+	// lists it some time after its start ends the trial.
+	trialPollWait = 150 * clock.Millis(1)
 	// unextendedPollWait bounds pollWait for a poll that does not extend the lease, so that the
 	// next one can soon after the store is back.
 	unextendedPollWait = 500 * clock.Millis(1)
@@ -273,6 +276,8 @@
 		// extended only by the poll after the first one that it answers again. Unresolved: a
 		// task waits for the report.
 		q.Wait = 0
+	case n.OnTrial:
+		q.Wait = trialPollWait
 	case n.ServingWithFillers:
 		q.Wait = colocatedPollWait
 	}
--- a/conductor/site_test.go
+++ b/conductor/site_test.go
@@ -131,7 +131,7 @@
 
 // runTimeOfSite returns how long a run takes, and how it ends.
 func runTimeOfSite(n scheduler.TaskName, _ int) (clock.Millis, scheduler.Ending) {
-	if n.Job == lastingJob {
+	if n.Job == lastingJob || isEndless(n) {
 		return clock.Hour, scheduler.EndDone
 	}
 	return shortRunTime, scheduler.EndDone
--- a/logger/events.go
+++ b/logger/events.go
@@ -81,6 +81,10 @@
 	WorkerReborn    = Event{6033, log.InfoLevel, "worker was restarted"}
 	WorkerGone      = Event{6034, log.InfoLevel, "worker process is gone"}
 	WorkerCrashed   = Event{6072, log.WarnLevel, "worker process has ended without notice"}
+	TaskSuspected   = Event{6073, log.InfoLevel, "task may have caused the loss of its worker"}
+	TaskCleared     = Event{6074, log.InfoLevel, "task has not caused the loss of its workers"}
+	TaskGivenUp     = Event{6075, log.WarnLevel, "task is given up because workers crash that start it"}
+	TrialWaits      = Event{6076, log.InfoLevel, "worker is kept for a task that may crash it"}
 	EndsMissing     = Event{6035, log.ErrorLevel, "report lacks ended runs that were not acknowledged"}
 	RunAbandoned    = Event{6036, log.InfoLevel, "run was given up before its end was reported"}
 	TaskWaiting     = Event{6067, log.WarnLevel, "long-running task is without a run"}
--- a/measurer/names.go
+++ b/measurer/names.go
@@ -45,6 +45,8 @@
 	WorkerCrashes Counter = "worker_crashes"
 	// RunsLost counts the runs of these workers.
 	RunsLost Counter = "runs_lost_to_crashes"
+	// TasksGivenUp counts the tasks that were given up because workers crash that start them.
+	TasksGivenUp Counter = "tasks_given_up"
 	// Evictions counts evicted tasks.
 	Evictions Counter = "task_evictions"
 )
@@ -109,7 +111,7 @@
 var (
 	// counters doesn't contain Results, which has a counter for each result code.
 	counters = []Counter{Appends, AppendedBytes, ReadBytes, LogErrors, CorruptRecords, PeerErrors, Orders, OrderErrors, Starts, Evictions,
-		RequestsServed, RequestsUnknown, RequestsInvalid, RequestsRefused, RequestsUnclear, OrdersUnclear, WorkerPolls, Terms, WorkerCrashes, RunsLost}
+		RequestsServed, RequestsUnknown, RequestsInvalid, RequestsRefused, RequestsUnclear, OrdersUnclear, WorkerPolls, Terms, WorkerCrashes, RunsLost, TasksGivenUp}
 	gauges = []Gauge{OwnedShards, RunningTasks, WaitingTasks, ConfigOffset, ReadyGauge, InFlight, Leading, QueuedJobs, ActiveJobs, SilentWorkers, LongRunningWaiting, ProcessDelay, ConfigVersion}
 	timers = []Timer{CheckTime, OrderTime, AppendTime, RequestTime, FirstStartTime, WorkerPollTime, StepTime}
 )
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -247,6 +247,7 @@
 			r.metrics.Add(measurer.WorkerCrashes, 1)
 			r.metrics.Add(measurer.RunsLost, int64(runs))
 		}),
+		scheduler.WithOnGivenUp(func() { r.metrics.Add(measurer.TasksGivenUp, 1) }),
 		scheduler.WithOnFirstStart(func(d clock.Millis) { r.metrics.Record(measurer.FirstStartTime, d.Duration()) }),
 		scheduler.WithViolationLimit(settings.InterferenceLimit()), scheduler.WithRemoteFactor(settings.RemoteFactor()),
 		scheduler.WithUpkeepLength(settings.UpkeepLength()),
--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"slices"
+
 	"galenawharf.example/galenawharf/clock"
 	"galenawharf.example/galenawharf/logger"
 )
@@ -12,6 +14,18 @@
 	crash struct {
 		// at is when the process was first found not to answer.
 		at clock.Millis
+		// onTrial is whether a suspect was on trial there, which explains the crash.
+		onTrial bool
+	}
+
+	// evidence is what a crash says of a task that the worker had.
+	evidence struct {
+		// crashed is whether the crash counts for the task.
+		crashed bool
+		// weight is added to the suspicion of the task.
+		weight int
+		// kind names the evidence in the log.
+		kind string
 	}
 )
 
@@ -23,11 +37,25 @@
 	// coincidenceWindow is the time within which the ends of several workers count as
 	// simultaneous: that between two calls to a worker that does not answer.
 	coincidenceWindow = 500 * clock.Millis(1)
+	// commonCauseWorkers is the number of other workers that end at the same time, and have no
+	// suspect on trial, from which a cause outside the tasks is more likely: a rack or a data
+	// centre without power.
+	commonCauseWorkers = 4
 	// crashRetention is how long a crash is kept for the comparison with others. A worker is
 	// proven to have crashed when its successor answers, some seconds later.
 	crashRetention = 30 * clock.Second
 )
 
+// Weights of evidence, to be compared with isolationSuspicion and convictionSuspicion.
+const (
+	// weakWeight: the crash may well have another cause.
+	weakWeight = 1
+	// sharedWeight: the task was one of several that had not settled.
+	sharedWeight = 2
+	// soleWeight: no other task had not settled.
+	soleWeight = 3
+)
+
 // WithOnCrash sets a function that is called for each worker that crashed, with the number of runs
 // that it had.
 func WithOnCrash(f func(runs int)) Option { return func(s *Scheduler) { s.onCrash = f } }
@@ -37,41 +65,101 @@
 func (w *worker) isEndPlanned() bool { return w.info.Draining || w.upkeepStarted }
 
 // noteCrash must be called when it is proven that a worker process has ended, while its runs are
-// still assigned to it.
-func (s *Scheduler) noteCrash(w *worker, reason string) {
+// still assigned to it. It returns the tasks to be given up, which the caller has to pass to giveUp
+// once the runs are released.
+func (s *Scheduler) noteCrash(w *worker, reason string) []*task {
 	if w.isEndPlanned() {
-		return
+		return nil
 	}
 	now, at := s.now(), w.silentSince
 	if at == 0 {
 		at = now
 	}
 	simultaneous := s.countSimultaneous(w, at)
-	s.rememberCrash(crash{at: at}, now)
-	unsettled := 0
-	for _, t := range w.tasks {
-		t.crashes++
-		if !t.settled {
-			unsettled++
-		}
-	}
+	s.rememberCrash(crash{at: at, onTrial: w.isOnTrial()}, now)
+	unsettled := s.unsettledTasks(w)
 	s.onCrash(len(w.tasks))
 	s.emit(logger.WorkerCrashed, logger.String("worker", w.info.ID), logger.Int("born", w.info.Born), logger.String("reason", reason),
-		logger.Int("runs", int64(len(w.tasks))), logger.Int("unsettled", int64(unsettled)), logger.Int("doubtful", int64(len(w.doubtful))),
+		logger.Int("runs", int64(len(w.tasks))), logger.Int("unsettled", int64(len(unsettled))), logger.Int("doubtful", int64(len(w.doubtful))),
 		logger.Int("silent-ms", int64(now-at)), logger.Int("simultaneous", int64(simultaneous)))
+	var convicted []*task
+	for _, t := range slices.Concat(w.tasks, s.doubtfulTasks(w)) {
+		if s.applyEvidence(t, w, t.crashEvidence(w, len(unsettled), simultaneous >= commonCauseWorkers)) {
+			convicted = append(convicted, t)
+		}
+	}
+	return convicted
+}
+
+// unsettledTasks returns the tasks that may have been starting on a worker.
+func (s *Scheduler) unsettledTasks(w *worker) []*task {
+	ts := s.doubtfulTasks(w)
+	for _, t := range w.tasks {
+		if !t.settled && !t.isLeftOver() {
+			ts = append(ts, t)
+		}
+	}
+	return ts
+}
+
+// doubtfulTasks returns the tasks without a settled run whose former starts a worker may still carry
+// out.
+func (s *Scheduler) doubtfulTasks(w *worker) []*task {
+	var ts []*task
+	for _, d := range w.doubtful {
+		if t := s.findTask(d.task.String()); t != nil && t.worker != w && t.state != done && !t.settled {
+			ts = append(ts, t)
+		}
+	}
+	return ts
+}
+
+// isLeftOver reports whether a run is only still assigned to the successor of its worker until that
+// has reported, and can't have been started there.
+func (t *task) isLeftOver() bool {
+	return t.state == placed && t.unresolvedSince != 0 && !t.unclear && t.ordersInFlight == 0
 }
 
-// countSimultaneous returns the number of other workers that stopped answering at about the same
-// time, and have not answered since or have crashed.
+// crashEvidence returns what the crash of worker w says of a task, if unsettled tasks may have been
+// starting there. commonCause is whether several workers have ended at the same time.
+func (t *task) crashEvidence(w *worker, unsettled int, commonCause bool) evidence {
+	switch {
+	case t.isLeftOver():
+		return evidence{}
+	case w.trial == t && w.isOnTrial() && !t.settled:
+		if commonCause {
+			return evidence{crashed: true, weight: weakWeight, kind: "on-trial-with-others-lost"}
+		}
+		return evidence{crashed: true, weight: soleWeight, kind: "on-trial"}
+	case t.settled:
+		return evidence{crashed: !commonCause, kind: "settled"}
+	case w.isOnTrial():
+		// The trial explains the crash; what else ran here had settled before, also if this
+		// leader has not seen it.
+		return evidence{kind: "beside-a-trial"}
+	case t.inherited:
+		// The former leader may have known that the run had settled.
+		return evidence{crashed: !commonCause || t.suspicion > 0, weight: weakWeight, kind: "inherited"}
+	case commonCause:
+		return evidence{crashed: true, weight: weakWeight, kind: "others-lost"}
+	case unsettled == 1:
+		return evidence{crashed: true, weight: soleWeight, kind: "sole"}
+	default:
+		return evidence{crashed: true, weight: sharedWeight, kind: "shared"}
+	}
+}
+
+// countSimultaneous returns the number of other workers without a suspect on trial that stopped
+// answering at about the same time, and have not answered since or have crashed.
 func (s *Scheduler) countSimultaneous(w *worker, at clock.Millis) int {
 	n := 0
 	for _, o := range s.workers {
-		if o != w && o.silentSince != 0 && isSimultaneous(o.silentSince, at) {
+		if o != w && o.silentSince != 0 && !o.isOnTrial() && isSimultaneous(o.silentSince, at) {
 			n++
 		}
 	}
 	for _, c := range s.crashes {
-		if isSimultaneous(c.at, at) {
+		if !c.onTrial && isSimultaneous(c.at, at) {
 			n++
 		}
 	}
@@ -84,11 +172,5 @@
 
 // rememberCrash keeps a crash and drops those that are too old to compare.
 func (s *Scheduler) rememberCrash(c crash, now clock.Millis) {
-	kept := s.crashes[:0]
-	for _, o := range s.crashes {
-		if now-o.at < crashRetention {
-			kept = append(kept, o)
-		}
-	}
-	s.crashes = append(kept, c)
+	s.crashes = append(slices.DeleteFunc(s.crashes, func(o crash) bool { return now-o.at >= crashRetention }), c)
 }
--- /dev/null
+++ b/scheduler/crash_test.go
@@ -0,0 +1,361 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/shoenig/test/must"
+
+	"galenawharf.example/galenawharf/clock"
+)
+
+// otherWorker makes another process answer at the address of a worker, which has so been restarted
+// under another ID.
+func (b *harness) otherWorker(id string) {
+	b.WorkerReplaced(id, testWorker(0).Address, 1, 0)
+}
+
+// start starts the pending tasks and confirms their runs.
+func (b *harness) start() []Order {
+	os := b.placeAndStore()
+	for _, o := range os {
+		b.OrderAnswered(o, Done)
+	}
+	return os
+}
+
+// settleRuns passes a report with the runs of a worker, some time after their start.
+func (b *harness) settleRuns(worker string, orders ...Order) {
+	b.clock.Advance(proofTime)
+	b.report(worker, activeRuns(orders...))
+}
+
+func (b *harness) suspicionOf(task string) (crashes, suspicion int) {
+	t := b.findTask(task)
+	return t.crashes, t.suspicion
+}
+
+// TestCrashIsToldFromSilence guards against taking silence, a planned end or a start that was refused
+// for a crash.
+func TestCrashIsToldFromSilence(t *testing.T) {
+	lapse := func(b *harness) {
+		b.CallFailed("w0", 1, false)
+		b.clock.Advance(2 * defaultLease)
+		b.Sweep()
+	}
+	tests := map[string]struct {
+		// lose makes the worker of the run o unusable.
+		lose               func(b *harness, o Order)
+		crashes, suspicion int
+	}{
+		"another worker at its address": {lose: func(b *harness, _ Order) { b.otherWorker("w0") }, crashes: 1, suspicion: soleWeight},
+		"restarted under its ID": {lose: func(b *harness, _ Order) {
+			w := testWorker(0)
+			w.Born = 2
+			b.UpdateWorker(w)
+		}, crashes: 1, suspicion: soleWeight},
+		"restarted under its ID, as its answer shows": {lose: func(b *harness, _ Order) {
+			b.WorkerReplaced("w0", testWorker(0).Address, 1, 2)
+		}, crashes: 1, suspicion: soleWeight},
+		"connection refused": {lose: func(b *harness, _ Order) { b.CallFailed("w0", 1, true) }},
+		"lease over, registered": {lose: func(b *harness, _ Order) {
+			lapse(b)
+		}},
+		"lease over, not registered": {lose: func(b *harness, _ Order) {
+			b.RemoveWorker("w0")
+			lapse(b)
+		}, suspicion: weakWeight},
+		"lease over, had settled": {lose: func(b *harness, o Order) {
+			b.settleRuns("w0", o)
+			b.RemoveWorker("w0")
+			lapse(b)
+		}},
+		"drained": {lose: func(b *harness, _ Order) {
+			w := testWorker(0)
+			w.Draining = true
+			b.UpdateWorker(w)
+			b.otherWorker("w0")
+		}},
+		"settled before": {lose: func(b *harness, o Order) {
+			b.settleRuns("w0", o)
+			b.otherWorker("w0")
+		}, crashes: 1},
+		"listed before it could settle": {lose: func(b *harness, o Order) {
+			b.report("w0", activeRuns(o))
+			b.otherWorker("w0")
+		}, crashes: 1, suspicion: soleWeight},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := newHarness(1)
+			b.submit(t, "job", Step{Count: 1, CPU: 100})
+			o := b.start()[0]
+			tc.lose(b, o)
+			crashes, suspicion := b.suspicionOf(o.Task.String())
+			must.Eq(t, tc.crashes, crashes)
+			must.Eq(t, tc.suspicion, suspicion)
+		})
+	}
+}
+
+// TestRefusedStartIsNoSuspect guards against suspecting a task whose start the next process of its
+// worker has refused.
+func TestRefusedStartIsNoSuspect(t *testing.T) {
+	b := newHarness(1)
+	b.submit(t, "job", Step{Count: 1, CPU: 100})
+	o := b.placeAndStore()[0]
+	b.OrderAnswered(o, WorkerRestarted)
+	b.otherWorker("w0")
+	crashes, suspicion := b.suspicionOf(o.Task.String())
+	must.Eq(t, 0, crashes)
+	must.Eq(t, 0, suspicion)
+}
+
+// TestLateStartThatCrashesCounts guards against forgetting a run that was given up and whose start is
+// carried out afterwards.
+func TestLateStartThatCrashesCounts(t *testing.T) {
+	b := newHarness(1)
+	b.submit(t, "job", Step{Count: 1, CPU: 100})
+	o := b.placeAndStore()[0]
+	b.OrderAnswered(o, Unclear)
+	b.CallFailed("w0", 1, false)
+	b.clock.Advance(2 * defaultLease)
+	b.Sweep()
+	b.otherWorker("w0")
+	crashes, _ := b.suspicionOf(o.Task.String())
+	must.Eq(t, 1, crashes)
+}
+
+// TestSuspectsAreTriedAlone guards against a suspect that takes other tasks with it or brings them under
+// suspicion, and against suspects that stay alone once they are cleared.
+func TestSuspectsAreTriedAlone(t *testing.T) {
+	b := newHarness(1)
+	b.submit(t, "job", Step{Count: 3, CPU: 100})
+	first := b.start()
+	must.Len(t, 3, first)
+	for i := 1; i <= 4; i++ {
+		b.UpdateWorker(testWorker(i))
+	}
+	b.otherWorker("w0")
+	b.submit(t, "other", Step{Count: 8, CPU: 100})
+	perWorker := map[string][]Order{}
+	for range 24 {
+		for _, o := range b.start() {
+			perWorker[o.Worker] = append(perWorker[o.Worker], o)
+		}
+		for id, w := range b.workers {
+			must.False(t, w.isOnTrial() && w.unsettledRuns() > 1, must.Sprint("a suspect shares "+id))
+		}
+		b.clock.Advance(proofTime)
+		for w, os := range perWorker {
+			b.report(w, activeRuns(os...))
+		}
+	}
+	must.MapLen(t, 4, perWorker, must.Sprint("workers stay reserved for trials"))
+	for _, o := range first {
+		task := b.findTask(o.Task.String())
+		must.Eq(t, running, task.state, must.Sprint("a suspect waits although it could be tried"))
+		must.Eq(t, 0, task.suspicion, must.Sprint("a suspect that has settled is not cleared"))
+	}
+}
+
+// unsettledRuns returns the number of runs that have not settled.
+func (w *worker) unsettledRuns() int {
+	n := 0
+	for _, t := range w.tasks {
+		if !t.settled {
+			n++
+		}
+	}
+	return n
+}
+
+// TestTrialInFullFleet guards against a suspect that waits for an empty worker where there will be none,
+// or for the trials of others.
+func TestTrialInFullFleet(t *testing.T) {
+	// Three workers try nine suspects, one at a time each, with a report each 50 ms.
+	const manyLongest = maxTrialWait + 3*(proofTime+50)
+	tests := map[string]struct {
+		step Step
+		// longest bounds the wait of all suspects together.
+		longest clock.Millis
+	}{
+		"one that ends":  {step: Step{Count: 1, CPU: 600}, longest: emptyingTime},
+		"one that lasts": {step: Step{Count: 1, CPU: 600, LongRunning: true}, longest: emptyingTime},
+		"many that end":  {step: Step{Count: 9, CPU: 600}, longest: manyLongest},
+		"many that last": {step: Step{Count: 9, CPU: 600, LongRunning: true}, longest: manyLongest},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := newHarness(3)
+			b.submit(t, "full", Step{Count: 9, CPU: 2000, LongRunning: true})
+			active := map[string][]Order{}
+			for _, o := range b.start() {
+				active[o.Worker] = append(active[o.Worker], o)
+			}
+			b.UpdateWorker(testWorker(3))
+			b.submit(t, "job", tc.step)
+			for _, o := range b.start() {
+				must.Eq(t, "w3", o.Worker)
+			}
+			b.otherWorker("w3")
+			waited, placed := clock.Millis(0), 0
+			for ; placed < tc.step.Count; waited += 50 {
+				must.LessEq(t, tc.longest, waited, must.Sprint("a suspect waits for too long"))
+				for w, os := range active {
+					b.report(w, activeRuns(os...))
+				}
+				for _, o := range b.start() {
+					active[o.Worker] = append(active[o.Worker], o)
+					placed++
+				}
+				b.clock.Advance(50)
+			}
+			must.GreaterEq(t, min(tc.longest, maxTrialWait), waited, must.Sprint("the test does not reach the bound"))
+		})
+	}
+}
+
+// TestCrashEvidence checks what a crash says of a task.
+func TestCrashEvidence(t *testing.T) {
+	tests := map[string]struct {
+		task      task
+		onTrial   bool
+		beside    bool
+		unsettled int
+		common    bool
+		want      evidence
+	}{
+		"the only one that had not settled":      {unsettled: 1, want: evidence{true, soleWeight, "sole"}},
+		"one of several":                         {unsettled: 2, want: evidence{true, sharedWeight, "shared"}},
+		"settled":                                {task: task{settled: true}, unsettled: 1, want: evidence{true, 0, "settled"}},
+		"others lost":                            {unsettled: 1, common: true, want: evidence{true, weakWeight, "others-lost"}},
+		"others lost, settled":                   {task: task{settled: true}, common: true, want: evidence{kind: "settled"}},
+		"placed by a former leader":              {task: task{inherited: true}, unsettled: 1, want: evidence{true, weakWeight, "inherited"}},
+		"former leader, others lost":             {task: task{inherited: true}, unsettled: 1, common: true, want: evidence{false, weakWeight, "inherited"}},
+		"former leader, others lost, known":      {task: task{inherited: true, suspicion: 1}, unsettled: 1, common: true, want: evidence{true, weakWeight, "inherited"}},
+		"on trial":                               {task: task{suspicion: sharedWeight}, onTrial: true, unsettled: 1, want: evidence{true, soleWeight, "on-trial"}},
+		"on trial, others lost":                  {task: task{suspicion: sharedWeight}, onTrial: true, unsettled: 1, common: true, want: evidence{true, weakWeight, "on-trial-with-others-lost"}},
+		"on trial, placed by a former leader":    {task: task{suspicion: sharedWeight, inherited: true}, onTrial: true, unsettled: 1, want: evidence{true, soleWeight, "on-trial"}},
+		"beside a trial":                         {task: task{inherited: true}, beside: true, unsettled: 2, want: evidence{kind: "beside-a-trial"}},
+		"left over from the process before that": {task: task{unresolvedSince: 1, state: placed}, want: evidence{}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := &worker{}
+			tc.task.worker = w
+			if tc.onTrial {
+				w.trial = &tc.task
+			}
+			if tc.beside {
+				w.trial = &task{suspicion: sharedWeight, worker: w}
+			}
+			must.Eq(t, tc.want, tc.task.crashEvidence(w, tc.unsettled, tc.common), must.Cmp(cmp.AllowUnexported(evidence{})))
+		})
+	}
+}
+
+// TestCrashesAreStoredBeforeNextStart guards against a leader that begins the count of crashes anew.
+func TestCrashesAreStoredBeforeNextStart(t *testing.T) {
+	b := newHarness(1)
+	stored := map[string][]byte{}
+	keep := func(b *harness) []Order {
+		b.Place()
+		batch := b.TakeBatch()
+		if batch == nil {
+			return nil
+		}
+		for _, r := range batch.Records {
+			stored[r.Key] = r.Value
+		}
+		return b.storeBatch(batch)
+	}
+	b.submit(t, "job", Step{Count: 1, CPU: 100})
+	o := keep(b)[0]
+	for crashes := 1; ; crashes++ {
+		// The worker crashes before its leader has noted anything of the run, and the leader ends.
+		next := newHarness(0)
+		next.clock.Advance(clock.Millis(crashes) * clock.Minute)
+		crashed, spare := testWorker(0), testWorker(1)
+		crashed.ID, spare.ID = o.Worker, fmt.Sprintf("spare%d", crashes)
+		next.UpdateWorker(crashed)
+		next.UpdateWorker(spare)
+		next.Inherit(LeaseBound(next.clock.Now(), defaultLease))
+		for k, v := range stored {
+			must.NoError(t, next.Load(k, v, LeaseBound(next.clock.Now(), defaultLease)))
+		}
+		next.report(spare.ID, nil)
+		next.WorkerReplaced(o.Worker, crashed.Address, 1, 0)
+		orders := keep(next)
+		if len(orders) == 0 {
+			p, err := next.Phase("job", "q")
+			must.NoError(t, err)
+			must.Eq(t, Failed, p)
+			must.LessEq(t, convictionCrashes, crashes)
+			return
+		}
+		must.Less(t, convictionCrashes, crashes, must.Sprint("the task is started over and over"))
+		o = orders[0]
+	}
+}
+
+// TestLossOfManyWorkersConvictsNobody guards against giving up tasks because a rack loses power, also
+// again and again.
+func TestLossOfManyWorkersConvictsNobody(t *testing.T) {
+	const workers = 2 * commonCauseWorkers
+	b := newHarness(workers)
+	b.submit(t, "job", Step{Count: 3 * workers, CPU: 1000, LongRunning: true})
+	b.start()
+	for round := range 3 {
+		var lost []string
+		for id := range b.workers {
+			b.CallFailed(id, 1, true)
+			lost = append(lost, id)
+		}
+		for i := range workers {
+			w := testWorker(i)
+			w.ID = fmt.Sprintf("r%d-%d", round, i)
+			b.UpdateWorker(w)
+		}
+		for _, id := range lost {
+			b.otherWorker(id)
+		}
+		os := map[string][]Order{}
+		for range 40 {
+			for _, o := range b.start() {
+				os[o.Worker] = append(os[o.Worker], o)
+			}
+			for w := range os {
+				b.settleRuns(w, os[w]...)
+			}
+		}
+		p, err := b.Phase("job", "q")
+		must.NoError(t, err)
+		must.Eq(t, Running, p)
+		for _, task := range b.jobs["job"].occurrences[0].steps[0] {
+			must.Eq(t, running, task.state)
+		}
+	}
+}
+
+// TestTaskThatCrashesLateIsGivenUp guards against a task that crashes its workers after it has settled.
+func TestTaskThatCrashesLateIsGivenUp(t *testing.T) {
+	b := newHarness(1)
+	b.submit(t, "job", Step{Count: 1, CPU: 100})
+	for crashes := 1; ; crashes++ {
+		os := b.start()
+		if len(os) == 0 {
+			p, err := b.Phase("job", "q")
+			must.NoError(t, err)
+			must.Eq(t, Failed, p)
+			must.Eq(t, convictionCrashes, crashes-1)
+			return
+		}
+		must.LessEq(t, convictionCrashes, crashes)
+		b.settleRuns(os[0].Worker, os[0])
+		w := testWorker(crashes)
+		b.UpdateWorker(w)
+		b.otherWorker(os[0].Worker)
+	}
+}
--- a/scheduler/ending.go
+++ b/scheduler/ending.go
@@ -24,6 +24,9 @@
 		s.emit(logger.RunEnded, logger.String("task", t.name().String()), logger.Int("attempt", int64(t.attempt)),
 			logger.String("how", string(how)), logger.String("worker", w.info.ID), logger.Int("percent", int64(t.percent)))
 	}
+	if how == EndDone || how == EndFailed {
+		s.clearSuspicion(t)
+	}
 	s.release(t)
 	s.markDirty(j)
 	if j.phase.final() {
--- a/scheduler/exclusion.go
+++ b/scheduler/exclusion.go
@@ -24,6 +24,8 @@
 	backingOff
 	evacuated
 	quarantined
+	// onTrial: it is kept for a task that may crash its workers.
+	onTrial
 	// Properties of the worker for one task.
 	otherService
 	otherLabel
@@ -44,7 +46,7 @@
 var exclusionNames = [exclusionCount]string{
 	notExcluded: "suitable", notRegistered: "not-registered", draining: "draining", leaseExpired: "lease-expired", silent: "silent",
 	notHeard: "not-heard", stopsUnconfirmed: "stops-unconfirmed", silenceRecorded: "silence-recorded", inUpkeep: "upkeep", backingOff: "backoff", evacuated: "evacuated",
-	quarantined: "quarantined", otherService: "other-service", otherLabel: "other-label", noRoom: "no-room", ticketDenied: "ticket-denied",
+	quarantined: "quarantined", onTrial: "on-trial", otherService: "other-service", otherLabel: "other-label", noRoom: "no-room", ticketDenied: "ticket-denied",
 	perWorkerLimit: "per-worker-limit", otherRack: "other-rack", probing: "probing", interfering: "interference", noTicket: "no-ticket",
 	reserved: "reserved",
 }
@@ -54,6 +56,18 @@
 
 // unavailability returns why a worker may not get a new run of any task.
 func (s *Scheduler) unavailability(w *worker, now clock.Millis) exclusion {
+	if e := s.stateExclusion(w, now); e != notExcluded {
+		return e
+	}
+	if w.isOnTrial() {
+		return onTrial
+	}
+	return notExcluded
+}
+
+// stateExclusion returns why the state of a worker excludes it from any new run, except that it is on
+// trial.
+func (s *Scheduler) stateExclusion(w *worker, now clock.Millis) exclusion {
 	switch {
 	case !w.registered:
 		return notRegistered
--- a/scheduler/lease.go
+++ b/scheduler/lease.go
@@ -74,6 +74,7 @@
 		}
 		found = true
 		w.markDoubtful(t)
+		s.suspectUnheard(t, w)
 		s.abandonRun(w, t, "its lease has expired")
 	}
 	return found
@@ -104,6 +105,7 @@
 			w.leaseExpired, w.unreconciled = true, false
 			for _, t := range w.tasks {
 				w.markDoubtful(t)
+				s.suspectUnheard(t, w)
 			}
 			s.abandonRuns(w, "its lease has expired")
 		}
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -51,7 +51,7 @@
 	}
 	// Workers that are reserved for long-running tasks get no other tasks except fillers,
 	// which use no reserved processors.
-	workers := s.availableWorkers(now)
+	workers := s.placeTrials(ds, s.availableWorkers(now), now)
 	unreserved := workers
 	s.racks = racksOf(workers)
 	var unplaced unplacedSet
@@ -59,7 +59,7 @@
 		if s.startsLeft <= 0 {
 			return true
 		}
-		if unplaced.covers(&d.occurrence.job.spec, d.step) {
+		if len(d.tasks) == 0 || unplaced.covers(&d.occurrence.job.spec, d.step) {
 			continue
 		}
 		ws, filler := unreserved, d.occurrence.job.spec.Steps[d.step].Filler
@@ -238,6 +238,7 @@
 	t.state, t.worker, t.placedAt, t.pace = placed, w, now, 100
 	t.percent, t.progressedAt, t.stalled, t.confirmedAt, t.settled, t.stopping, t.unresolvedSince = 0, 0, false, 0, false, false, 0
 	t.waitedSince, t.waitingSince = t.waitingSince, 0
+	t.inherited, t.trialWorker = false, nil
 	t.ordersInFlight, t.unclear, t.recorded, t.slowSince, t.paceUnknown = 0, false, false, 0, false
 	w.addTask(t)
 	s.markExploring(t.spec(), w)
@@ -252,6 +253,9 @@
 
 // chooseWorker returns the best worker for a task, or nil if the task has to wait.
 func (s *Scheduler) chooseWorker(t *task, ws []*worker) *worker {
+	if t.isSuspect() {
+		return s.cheapestWorker(t, ws)
+	}
 	spec := &t.job().spec
 	if !spec.isCacheable(t.step) {
 		return s.bestWorker(t, ws)
@@ -274,7 +278,7 @@
 	s.searchOffset++
 	for i := range ws {
 		w := ws[(i+s.searchOffset)%len(ws)]
-		if w.availableIn != s.round || s.reservedForOthers(w, step) || !s.admitted(t, w) || !s.canRun(t, step, w, tolerance) {
+		if w.availableIn != s.round || w.isOnTrial() || s.reservedForOthers(w, step) || !s.admitted(t, w) || !s.canRun(t, step, w, tolerance) {
 			continue
 		}
 		if score := s.score(t, step, w); best == nil || score > bestScore {
--- a/scheduler/record.go
+++ b/scheduler/record.go
@@ -37,6 +37,11 @@
 		Worker     string `json:"w,omitempty"`
 		Born       int64  `json:"b,omitempty"`
 		Checkpoint string `json:"c,omitempty"`
+		Crashes    int    `json:"x,omitempty"`
+		Suspicion  int    `json:"y,omitempty"`
+		// Address is that of the worker, if workers have crashed with the task: the next
+		// leader can then ask there although the worker has left the registry.
+		Address string `json:"at,omitempty"`
 	}
 )
 
@@ -79,9 +84,12 @@
 
 // record returns the stored form of a task.
 func (t *task) record() taskRecord {
-	r := taskRecord{Occurrence: t.occurrence.number, Step: t.step, Index: t.index, Done: t.state == done, Attempt: t.attempt, Failures: t.failures}
+	r := taskRecord{Occurrence: t.occurrence.number, Step: t.step, Index: t.index, Done: t.state == done, Attempt: t.attempt, Failures: t.failures, Crashes: t.crashes, Suspicion: t.suspicion}
 	if t.hasRun() {
 		r.Worker, r.Born = t.worker.info.ID, t.worker.info.Born
+		if t.crashes > 0 || t.suspicion > 0 {
+			r.Address = t.worker.info.Address
+		}
 	}
 	if t.state != done {
 		r.Checkpoint = t.checkpoint
@@ -146,6 +154,7 @@
 	}
 	t := o.steps[r.Step][r.Index]
 	t.attempt, t.failures, t.checkpoint, t.stored = r.Attempt, r.Failures, r.Checkpoint, r
+	t.crashes, t.suspicion = r.Crashes, r.Suspicion
 	if r.Done {
 		t.state = done
 		o.done[r.Step]++
@@ -159,7 +168,7 @@
 	}
 	w := s.workers[r.Worker]
 	if w == nil {
-		w = &worker{info: WorkerInfo{ID: r.Worker, Born: r.Born}}
+		w = &worker{info: WorkerInfo{ID: r.Worker, Born: r.Born, Address: r.Address}}
 		s.setWorker(r.Worker, w)
 	}
 	now := s.now()
@@ -173,7 +182,7 @@
 	}
 	// The former leader may have sent the order without getting an answer.
 	t.state, t.worker, t.pace, t.recorded, t.unclear = placed, w, 100, true, true
-	t.paceUnknown = t.spec().Filler
+	t.paceUnknown, t.inherited = t.spec().Filler, true
 	if w.info.Born > r.Born {
 		// An order to the former process may have reached its successor.
 		t.unresolvedSince = now
--- a/scheduler/reporting.go
+++ b/scheduler/reporting.go
@@ -91,8 +91,9 @@
 		// Orders name the worker, so the other worker rejects orders that are still in
 		// flight.
 		const reason = "another worker answers at its address"
-		s.noteCrash(w, reason)
+		convicted := s.noteCrash(w, reason)
 		s.dropWorker(w, reason)
+		s.giveUp(convicted)
 		return
 	}
 	i := w.info
@@ -107,7 +108,7 @@
 // process had not confirmed are ordered to stop.
 func (s *Scheduler) replaceRestarted(w *worker, i WorkerInfo) *worker {
 	now := s.now()
-	s.noteCrash(w, "it has restarted under its id")
+	convicted := s.noteCrash(w, "it has restarted under its id")
 	s.emit(logger.WorkerReborn, logger.String("worker", i.ID), logger.Int("born", i.Born), logger.Int("former-born", w.info.Born),
 		logger.Int("former-acked", w.storedEnd), logger.Int("runs", int64(len(w.tasks))))
 	n := &worker{
@@ -134,6 +135,7 @@
 		t.state = placed
 		s.stop(t)
 	}
+	s.giveUp(convicted)
 	return n
 }
 
@@ -240,7 +242,7 @@
 	if t.state == placed {
 		s.confirmRun(t)
 	}
-	t.settled = t.settled || sent-t.confirmedAt >= proofTime
+	s.settle(t, sent)
 	t.unresolvedSince = 0
 	t.updateProgress(a.Percent, w.clockReading)
 	if t.spec().LongRunning && a.Percent == 100 && t.confirmedAt > w.failedAt {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -25,6 +25,8 @@
 		onFirstStart func(clock.Millis)
 		// onCrash is called with the number of runs of a worker that has crashed.
 		onCrash func(runs int)
+		// onGivenUp is called when a task is given up because workers crash that start it.
+		onGivenUp func()
 
 		// leaseLength is how long a worker keeps its runs without hearing from the
 		// leader.
@@ -170,7 +172,7 @@
 func New(opts ...Option) *Scheduler {
 	system := clock.System
 	s := &Scheduler{
-		now: system, wall: system, emit: func(logger.Event, ...logger.Field) {}, onFirstStart: func(clock.Millis) {}, onCrash: func(int) {},
+		now: system, wall: system, emit: func(logger.Event, ...logger.Field) {}, onFirstStart: func(clock.Millis) {}, onCrash: func(int) {}, onGivenUp: func() {},
 		leaseLength: defaultLease, retention: defaultRetention, violationLimit: defaultViolationLimit, remoteFactor: defaultRemoteFactor,
 		jobs: map[string]*job{}, active: map[*job]struct{}{}, workers: map[string]*worker{},
 		evacuatedDataCentres: map[string]bool{}, sensitivities: map[string]*sensitivity{}, periodSelector: newPeriodSelector(), meanWorkByQueue: map[string]float64{},
--- a/scheduler/session.go
+++ b/scheduler/session.go
@@ -28,6 +28,8 @@
 		Silent bool
 		// ServingWithFillers is whether serving tasks share the worker with fillers.
 		ServingWithFillers bool
+		// OnTrial is whether a task that may crash its workers has the worker for itself.
+		OnTrial bool
 		// Blocked is whether something has to be stored before the next poll is of use: the
 		// results of ended runs, which the next report would only repeat, or that a worker
 		// which was silent is heard again, before which its lease can't be extended.
@@ -63,6 +65,7 @@
 	return Session{
 		Worker: w.info.ID, Address: w.info.Address, Born: w.info.Born, Acked: w.storedEnd,
 		Busy:               len(w.tasks) > 0 || w.lastEnd > w.storedEnd || w.unreconciled || w.registered && (len(w.doubtful) > 0 || w.silentSince != 0 || w.unheard) || w.storedEnd > w.ackedEnd,
+		OnTrial:            w.isOnTrial(),
 		ServingWithFillers: w.serving > 0 && w.fillerCPU > 0,
 		Blocked:            w.lastEnd > w.storedEnd || silence != nil && silence.deleting, Silent: w.silentSince != 0,
 		Idle: len(w.tasks) == 0 && len(w.doubtful) == 0, Inherited: w.unreconciled,
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -30,9 +30,11 @@
 		// attempt is the number of the newest run; 0 before the first.
 		attempt  int
 		failures int
-		// crashes is the number of workers that have crashed with a run of the task.
-		crashes    int
-		checkpoint string
+		// crashes is the number of workers that have crashed with a run of the task, without
+		// those crashes that surely had another cause. suspicion is the weight of the
+		// evidence that the task has caused them, since a run of it last settled.
+		crashes, suspicion int
+		checkpoint         string
 		// stored is the task's form in the last batch; empty before the first run.
 		stored taskRecord
 		// worker is where the newest run is while the state is placed or running.
@@ -41,6 +43,12 @@
 		confirmedAt clock.Millis
 		// settled is whether the worker has listed the newest run proofTime after its start.
 		settled bool
+		// inherited is whether the newest run was placed by a former leader.
+		inherited bool
+		// trialWorker is the worker that is kept for the next run since trialSince; nil if none
+		// is.
+		trialWorker *worker
+		trialSince  clock.Millis
 		// unclear is whether an order to start the newest run was not answered, so that
 		// it may still be carried out.
 		unclear bool
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -83,6 +83,9 @@
 		// task of that run, nil once it is over.
 		probedAt clock.Millis
 		probe    *task
+		// trial is the last suspect that had the worker for itself, or is to get it; see
+		// isOnTrial.
+		trial *task
 		// availableIn and reservedIn are the last rounds of placing in which the worker could
 		// get a new run, and in which it was reserved for a long-running task.
 		availableIn, reservedIn int
@@ -149,6 +152,9 @@
 	}
 	w.tasks = append(w.tasks, t)
 	t.occurrence.runs[t.step]++
+	if t.isSuspect() {
+		w.trial = t
+	}
 	w.groupsValid = false
 	w.reserveResources(t, 1)
 }
