scheduler: no start on a worker whose capacity has shrunk since it was decided

Cause: a start that waited for its record, for a slot or for its repetition was sent as it was decided; only a drain or an evacuation withheld it. Where a worker does not guard its capacity, that brings it over (LIMIT).

Change: MayStart also looks at the room: a start is withheld while more is assigned to its worker than that has room for, and its run is taken back, after a confirmed stop if an earlier order may still be carried out.

--- a/scheduler/reporting.go
+++ b/scheduler/reporting.go
@@ -381,7 +381,7 @@
 		t.unclear = true
 	case Withheld:
 		// Where nothing may start any more, the order will not be sent again.
-		if !t.unclear || w.info.Draining || s.evacuatedDataCentres[w.info.DataCentre] {
+		if !t.unclear || !s.acceptsStarts(w) || w.isOverCapacity(t.spec()) {
 			s.withdraw(t)
 		}
 	case Late, Fenced:
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -330,10 +330,20 @@
 func (s *Scheduler) NoteDelay() { s.delayedAt = s.now() }
 
 // MayStart reports whether a run may still be started on the worker of an order: the worker is
-// known not to leave, and its data centre is not evacuated.
+// known not to leave, its data centre is not evacuated, and its capacity has not shrunk below what is
+// assigned to it.
 func (s *Scheduler) MayStart(o Order) bool {
 	w := s.workers[o.Worker]
-	return w != nil && w.info.Born == o.Born && !w.info.Draining && !s.evacuatedDataCentres[w.info.DataCentre]
+	if w == nil || w.info.Born != o.Born || !s.acceptsStarts(w) {
+		return false
+	}
+	t := s.findTask(o.Task.String())
+	return t == nil || !w.isOverCapacity(t.spec())
+}
+
+// acceptsStarts reports whether runs that were assigned to a worker may still start there.
+func (s *Scheduler) acceptsStarts(w *worker) bool {
+	return !w.info.Draining && !s.evacuatedDataCentres[w.info.DataCentre]
 }
 
 // Sweep does the periodic work: it creates due occurrences, drops ended jobs after their
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -200,6 +200,12 @@
 	return w.cpu+s.CPU <= w.info.CPU
 }
 
+// isOverCapacity reports whether a worker has less room than is reserved there, of the kinds that a
+// task of step s reserves.
+func (w *worker) isOverCapacity(s *Step) bool {
+	return w.memory > w.info.Memory || w.gpu > w.info.GPU || !s.Filler && w.cpu > w.info.CPU
+}
+
 // fitsBesideReserved reports whether a worker that is reserved for a long-running task keeps the room
 // for it beside a task of step s. The CPU of fillers is not reserved.
 func (w *worker) fitsBesideReserved(s *Step) bool {
