scheduler: a worker that has grown is searched at once

Cause: a search that found no room is remembered for 0.2 s, except for workers that have changed; a larger capacity in the registry was no such change.

Change: an entry with more room counts as a change.

--- a/scheduler/reporting.go
+++ b/scheduler/reporting.go
@@ -40,7 +40,7 @@
 	if now := s.now(); i.Clock >= w.leastClock(now) {
 		w.clockReading, w.clockReadAt = i.Clock, now
 	}
-	if !w.registered || w.info.Draining {
+	if !w.registered || w.info.Draining || w.hasLessRoomThan(i) {
 		s.searches.noteChange(w)
 	}
 	w.info, w.registered = i, true
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -200,6 +200,11 @@
 	return w.cpu+s.CPU <= w.info.CPU
 }
 
+// hasLessRoomThan reports whether the known capacity of a worker is below that of a newer entry.
+func (w *worker) hasLessRoomThan(i WorkerInfo) bool {
+	return w.info.CPU < i.CPU || w.info.Memory < i.Memory || w.info.GPU < i.GPU
+}
+
 // isOverCapacity reports whether a worker has less room than is reserved there, of the kinds that a
 // task of step s reserves.
 func (w *worker) isOverCapacity(s *Step) bool {
