scheduler: an entry that the store takes late does not replace a newer one

Cause: a worker's write to the registry may be carried out seconds late, after newer ones. The older entry then brought back a capacity that had shrunk (LIMIT), or took back that the worker leaves (DRAIN), until the next write.

Change: an entry of the same process with an earlier reading of its clock is ignored.

--- a/scheduler/reporting.go
+++ b/scheduler/reporting.go
@@ -26,6 +26,10 @@
 // UpdateWorker applies the registry's entry of a worker.
 func (s *Scheduler) UpdateWorker(i WorkerInfo) {
 	w := s.workers[i.ID]
+	if w != nil && i.isOlderThan(w.info) {
+		// The store has taken a write of the worker late.
+		return
+	}
 	if w != nil && w.info.Born != 0 && w.info.Born != i.Born {
 		if i.Born < w.info.Born {
 			// The registry lags behind: the worker itself has reported a later start.
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -200,6 +200,11 @@
 	return w.cpu+s.CPU <= w.info.CPU
 }
 
+// isOlderThan reports whether an entry was written before another one of the same process.
+func (i WorkerInfo) isOlderThan(o WorkerInfo) bool {
+	return i.Born != 0 && i.Born == o.Born && i.Clock < o.Clock
+}
+
 // hasLessRoomThan reports whether the known capacity of a worker is below that of a newer entry.
 func (w *worker) hasLessRoomThan(i WorkerInfo) bool {
 	return w.info.CPU < i.CPU || w.info.Memory < i.Memory || w.info.GPU < i.GPU
