scheduler: a run that nobody assigned counts until it has stopped

Cause: a worker may list a run that its leader has given up and whose stop was lost. The leader stopped it again, but placed runs in its room meanwhile; what is being stopped still counts (LIMIT).

Change: such a worker gets no new runs for the time of a stop after each report with one.

Measured: TestOrphanedRunCountsUntilStopped fails on the former code and passes.

--- a/scheduler/capacity_test.go
+++ b/scheduler/capacity_test.go
@@ -130,3 +130,24 @@
 		})
 	}
 }
+
+// TestOrphanedRunCountsUntilStopped guards against using the room of a run that nobody has assigned to
+// its worker, and that is still being stopped.
+func TestOrphanedRunCountsUntilStopped(t *testing.T) {
+	b := newHarness(1)
+	orphan := ActiveRun{Task: "gone.0.0.0", Attempt: 1, Percent: 10}
+	b.report("w0", []ActiveRun{orphan})
+	stops := b.TakeImmediateOrders()
+	must.Len(t, 1, stops)
+	must.Eq(t, Stop, stops[0].Kind)
+	b.submit(t, "job", Step{Count: 1, CPU: 8000})
+	must.SliceEmpty(t, b.placeAndStore(), must.Sprint("started beside a run that is being stopped"))
+	b.OrderAnswered(stops[0], Unclear)
+	b.clock.Advance(stopBackoff)
+	b.report("w0", []ActiveRun{orphan})
+	must.SliceEmpty(t, b.placeAndStore(), must.Sprint("started although the stop has not been carried out"))
+	b.OrderAnswered(b.TakeImmediateOrders()[0], Done)
+	b.clock.Advance(stopBackoff)
+	b.report("w0", nil)
+	must.Len(t, 1, b.placeAndStore())
+}
--- a/scheduler/reporting.go
+++ b/scheduler/reporting.go
@@ -241,6 +241,8 @@
 			return nil
 		}
 		s.immediate = append(s.immediate, Order{Kind: Stop, Worker: w.info.ID, Address: w.info.Address, Born: w.info.Born, Task: n, Attempt: a.Attempt})
+		// It uses the worker's resources until it has stopped.
+		w.blockedUntil = max(w.blockedUntil, s.now()+stopBackoff)
 		return nil
 	}
 	if t.state == placed {
