scheduler: a task that workers reject as malformed no longer blocks them

A worker that rejects a task with 400 got no runs for 0.3 s, and the task went to the next worker in the same round, without a limit.

Change: the rejection delays the task, twice as long each time up to 30 s, not the worker.

--- a/scheduler/reporting.go
+++ b/scheduler/reporting.go
@@ -18,6 +18,10 @@
 	// refusalBackoff is how long a worker gets no new runs after it refused one or could
 	// not be reached: the time of two reports.
 	refusalBackoff = 300 * clock.Millis(1)
+	// maxRejectionDelay bounds the delay of a task that workers reject as malformed, which doubles
+	// with each rejection, at most maxBackoffDoublings times.
+	maxRejectionDelay   = 30 * clock.Second
+	maxBackoffDoublings = 10
 	// maxListedEnds is the maximum number of ended runs in a report; from the platform's
 	// description of its workers.
 	maxListedEnds = 500
@@ -371,9 +375,14 @@
 		if t.job().phase.final() && !t.stopping {
 			s.stop(t)
 		}
-	case NoRoom, Unavailable, Rejected, WorkerRestarted:
+	case NoRoom, Unavailable, WorkerRestarted:
 		w.blockedUntil = now + refusalBackoff
 		s.withdraw(t)
+	case Rejected:
+		// The next worker is likely to reject the task too, and this one to accept others.
+		t.retryAt = now + min(refusalBackoff<<min(t.rejections, maxBackoffDoublings), maxRejectionDelay)
+		t.rejections++
+		s.withdraw(t)
 	case NotSent, ConnectionRefused:
 		w.blockedUntil = now + refusalBackoff
 		s.withdraw(t)
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -83,6 +83,8 @@
 		// waitingSince is when the task became ready to start; 0 while it has a worker.
 		// waitedSince is waitingSince from before the newest run.
 		waitingSince, waitedSince clock.Millis
+		// rejections is the number of runs that workers have rejected as malformed, to this leader.
+		rejections int
 		// retryAt is the earliest time of the next run.
 		retryAt clock.Millis
 		// slowSince is when the pace of a filler became slow; 0 if it is not.
