scheduler: a task that stalls wherever it runs no longer quarantines worker after worker

A stalled run quarantined its worker and moved to the next, without a limit; a task that is merely slow, less than a percent in 0.9 s, never got the time to end.

Change: after two stalled runs in a row the cause is taken to be the task: its workers are not quarantined any more, and each further run gets twice as long.

--- a/scheduler/progress.go
+++ b/scheduler/progress.go
@@ -12,6 +12,9 @@
 	// fillerStallTimeout is the timeout for fillers, which may get no processor time for
 	// a while.
 	fillerStallTimeout = 3 * clock.Second
+	// maxWorkerStalls is the number of runs of a task that may stall before the cause is taken to be
+	// the task: more do not count against their workers.
+	maxWorkerStalls = 2
 	// stallScore is the least failure score of a worker on which a run has stalled. It is
 	// above quarantineScore, so one stalled run quarantines the worker.
 	stallScore = 2
@@ -36,9 +39,14 @@
 	if t.spec().Filler {
 		limit = fillerStallTimeout
 	}
+	// A task that stalls wherever it runs gets more time with each run.
+	limit <<= min(t.stalls, maxBackoffDoublings)
 	switch {
 	case t.progressedAt == 0, percent != t.percent, t.spec().Filler && t.pace < 100:
 		t.percent, t.progressedAt, t.stalled = percent, now, false
+		if percent == 100 {
+			t.stalls = 0
+		}
 	case percent < 100 && now-t.progressedAt > limit:
 		t.stalled = true
 	}
@@ -47,8 +55,10 @@
 func (s *Scheduler) moveStalledRun(t *task, w *worker, now clock.Millis) {
 	s.emit(logger.RunStalled, logger.String("task", t.name().String()), logger.Int("attempt", int64(t.attempt)), logger.String("worker", w.info.ID),
 		logger.Int("percent", int64(t.percent)), logger.Int("since-ms", int64(now-t.confirmedAt)))
-	w.failures = max(w.failures, stallScore)
-	w.failedAt = now
+	if t.stalls++; t.stalls <= maxWorkerStalls {
+		w.failures = max(w.failures, stallScore)
+		w.failedAt = now
+	}
 	t.avoidWorker = w.info.ID
 	s.stop(t)
 }
--- a/scheduler/reporting.go
+++ b/scheduler/reporting.go
@@ -19,8 +19,9 @@
 	// not be reached: the time of two reports.
 	refusalBackoff = 300 * clock.Millis(1)
 	// maxRejectionDelay bounds the delay of a task that workers reject as malformed, which doubles
-	// with each rejection, at most maxBackoffDoublings times.
-	maxRejectionDelay   = 30 * clock.Second
+	// with each rejection.
+	maxRejectionDelay = 30 * clock.Second
+	// maxBackoffDoublings bounds how often a delay is doubled, below the limit of its type.
 	maxBackoffDoublings = 10
 	// maxListedEnds is the maximum number of ended runs in a report; from the platform's
 	// description of its workers.
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -65,6 +65,9 @@
 		progressedAt clock.Millis
 		// stalled is whether the run has made no progress for longer than its timeout.
 		stalled bool
+		// stalls is the number of runs that have stalled under this leader, since the task last
+		// reached 100 percent.
+		stalls int
 		// stopping is set once a stop was ordered for the newest run.
 		stopping bool
 		// stopUnconfirmed is whether the last stop of the newest run was not confirmed, so that it
