scheduler: a crash that falls between two leaders counts

Cause: a new leader takes the end of a process from the registry or from another record if the worker is back under its ID with a later start. It then only waited for the worker's report; the crash of the task that it had was forgotten. Besides, an unsettled task beside a suspect that only had its worker reserved was not suspected when that worker crashed.

Change: that the process has ended is weak evidence, as nothing shows whether it was planned, and full evidence against a suspect. Only a trial that has started explains a crash. A loss counts once.

Measured: TestCrashBetweenLeadersCounts (3 of 3 cases) and the reservation in TestCrashEvidence fail on the former code and pass.

--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -76,7 +76,7 @@
 		at = now
 	}
 	simultaneous := s.countSimultaneous(w, at)
-	s.rememberCrash(crash{at: at, onTrial: w.isOnTrial()}, now)
+	s.rememberCrash(crash{at: at, onTrial: w.isTrying()}, now)
 	unsettled := s.unsettledTasks(w)
 	s.onCrash(len(w.tasks))
 	s.emit(logger.WorkerCrashed, logger.String("worker", w.info.ID), logger.Int("born", w.info.Born), logger.String("reason", reason),
@@ -91,6 +91,17 @@
 	return convicted
 }
 
+// noteFormerCrash adds what it says of a task that the process which had its run ended before this term,
+// and reports whether the task has to be given up. That another process of worker w has started is the
+// proof; whether the end was planned is not known.
+func (s *Scheduler) noteFormerCrash(t *task, w *worker) bool {
+	e := evidence{crashed: true, weight: weakWeight, kind: "before-term"}
+	if t.isSuspect() {
+		e.weight = soleWeight
+	}
+	return s.applyEvidence(t, w, e)
+}
+
 // unsettledTasks returns the tasks that may have been starting on a worker.
 func (s *Scheduler) unsettledTasks(w *worker) []*task {
 	ts := s.doubtfulTasks(w)
@@ -126,14 +137,14 @@
 	switch {
 	case t.isLeftOver():
 		return evidence{}
-	case w.trial == t && w.isOnTrial() && !t.settled:
+	case w.trial == t && w.isTrying():
 		if commonCause {
 			return evidence{crashed: true, weight: weakWeight, kind: "on-trial-with-others-lost"}
 		}
 		return evidence{crashed: true, weight: soleWeight, kind: "on-trial"}
 	case t.settled:
 		return evidence{crashed: !commonCause, kind: "settled"}
-	case w.isOnTrial():
+	case w.isTrying():
 		// The trial explains the crash; what else ran here had settled before, also if this
 		// leader has not seen it.
 		return evidence{kind: "beside-a-trial"}
@@ -154,7 +165,7 @@
 func (s *Scheduler) countSimultaneous(w *worker, at clock.Millis) int {
 	n := 0
 	for _, o := range s.workers {
-		if o != w && o.silentSince != 0 && !o.isOnTrial() && isSimultaneous(o.silentSince, at) {
+		if o != w && o.silentSince != 0 && !o.isTrying() && isSimultaneous(o.silentSince, at) {
 			n++
 		}
 	}
--- a/scheduler/crash_test.go
+++ b/scheduler/crash_test.go
@@ -223,6 +223,7 @@
 		task      task
 		onTrial   bool
 		beside    bool
+		reserved  bool
 		unsettled int
 		common    bool
 		want      evidence
@@ -239,6 +240,7 @@
 		"on trial, others lost":                  {task: task{suspicion: sharedWeight}, onTrial: true, unsettled: 1, common: true, want: evidence{true, weakWeight, "on-trial-with-others-lost"}},
 		"on trial, placed by a former leader":    {task: task{suspicion: sharedWeight, inherited: true}, onTrial: true, unsettled: 1, want: evidence{true, soleWeight, "on-trial"}},
 		"beside a trial":                         {task: task{inherited: true}, beside: true, unsettled: 2, want: evidence{kind: "beside-a-trial"}},
+		"beside a worker's reservation":          {task: task{}, reserved: true, unsettled: 1, want: evidence{true, soleWeight, "sole"}},
 		"left over from the process before that": {task: task{unresolvedSince: 1, state: placed}, want: evidence{}},
 	}
 	for name, tc := range tests {
@@ -248,6 +250,10 @@
 			if tc.onTrial {
 				w.trial = &tc.task
 			}
+			if tc.reserved {
+				job := &job{spec: Spec{Steps: []Step{{Count: 1}}}}
+				w.trial = &task{suspicion: sharedWeight, trialWorker: w, occurrence: &occurrence{job: job}}
+			}
 			if tc.beside {
 				w.trial = &task{suspicion: sharedWeight, worker: w}
 			}
@@ -359,3 +365,26 @@
 		b.otherWorker(os[0].Worker)
 	}
 }
+
+// TestCrashBetweenLeadersCounts guards against forgetting a crash after which the worker was back under
+// its ID before the next leader was elected.
+func TestCrashBetweenLeadersCounts(t *testing.T) {
+	first, o := recordOfRun(t, "first", 1)
+	second, _ := recordOfRun(t, "second", 2)
+	tests := map[string]struct {
+		registry []WorkerInfo
+		records  []Record
+	}{
+		"the registry shows the next process":          {registry: registryOf(2), records: []Record{first}},
+		"another record names the next process":        {registry: registryOf(1), records: []Record{first, second}},
+		"another record named the next process before": {registry: registryOf(1), records: []Record{second, first}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			b, _ := takeOver(t, tc.registry, tc.records...)
+			crashes, suspicion := b.suspicionOf(o.Task.String())
+			must.Eq(t, 1, crashes)
+			must.Eq(t, weakWeight, suspicion)
+		})
+	}
+}
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -238,7 +238,7 @@
 	t.state, t.worker, t.placedAt, t.pace = placed, w, now, 100
 	t.percent, t.progressedAt, t.stalled, t.confirmedAt, t.settled, t.stopping, t.unresolvedSince = 0, 0, false, 0, false, false, 0
 	t.waitedSince, t.waitingSince = t.waitingSince, 0
-	t.inherited, t.trialWorker = false, nil
+	t.inherited, t.lossNoted, t.trialWorker = false, false, nil
 	t.ordersInFlight, t.unclear, t.recorded, t.slowSince, t.paceUnknown = 0, false, false, 0, false
 	w.addTask(t)
 	s.markExploring(t.spec(), w)
--- a/scheduler/record.go
+++ b/scheduler/record.go
@@ -140,17 +140,21 @@
 	}
 	s.active[j] = struct{}{}
 	s.openDueOccurrences(j)
+	var convicted []*task
 	for _, tr := range r.Tasks {
-		s.loadTask(j, tr, leaseEnd)
+		convicted = append(convicted, s.loadTask(j, tr, leaseEnd)...)
 	}
+	s.giveUp(convicted)
 	return nil
 }
 
-func (s *Scheduler) loadTask(j *job, r taskRecord, leaseEnd clock.Millis) {
+// loadTask restores a task. It returns the tasks to be given up, because the processes that had their
+// runs have ended since.
+func (s *Scheduler) loadTask(j *job, r taskRecord, leaseEnd clock.Millis) (convicted []*task) {
 	o := j.openOccurrence(r.Occurrence)
 	if r.Step < 0 || r.Index < 0 || r.Step >= len(o.steps) || r.Index >= len(o.steps[r.Step]) {
 		s.emit(logger.RecordInvalid, logger.String("id", j.spec.ID))
-		return
+		return nil
 	}
 	t := o.steps[r.Step][r.Index]
 	t.attempt, t.failures, t.checkpoint, t.stored = r.Attempt, r.Failures, r.Checkpoint, r
@@ -161,10 +165,10 @@
 		if o.done[r.Step] == t.spec().Count {
 			o.remaining--
 		}
-		return
+		return nil
 	}
 	if r.Worker == "" {
-		return
+		return nil
 	}
 	w := s.workers[r.Worker]
 	if w == nil {
@@ -178,6 +182,9 @@
 		w.info.Born, w.info.Address, w.clockReading, w.clockReadAt = r.Born, "", 0, now
 		for _, o := range w.tasks {
 			o.unresolvedSince = now
+			if s.noteFormerCrash(o, w) {
+				convicted = append(convicted, o)
+			}
 		}
 	}
 	// The former leader may have sent the order without getting an answer.
@@ -186,9 +193,13 @@
 	if w.info.Born > r.Born {
 		// An order to the former process may have reached its successor.
 		t.unresolvedSince = now
+		if s.noteFormerCrash(t, w) {
+			convicted = append(convicted, t)
+		}
 	}
 	w.inherited.end, w.inherited.grantedAt, w.unreconciled = leaseEnd, now, true
 	w.addTask(t)
+	return convicted
 }
 
 // Inherit marks every worker as possibly having runs of a former leader, until it reports
--- a/scheduler/suspicion.go
+++ b/scheduler/suspicion.go
@@ -48,6 +48,7 @@
 		t.crashes++
 	}
 	t.suspicion += e.weight
+	t.lossNoted = true
 	s.markDirty(t.job())
 	if e.weight > 0 {
 		s.emit(logger.TaskSuspected, logger.String("task", t.name().String()), logger.Int("attempt", int64(t.attempt)), logger.String("worker", w.info.ID),
@@ -59,7 +60,7 @@
 // suspectUnheard adds weak evidence against a task whose run is lost with a worker that has left the
 // registry and was never heard again: nothing proves a crash, so this alone convicts nobody.
 func (s *Scheduler) suspectUnheard(t *task, w *worker) {
-	if w.registered || t.settled || t.suspicion >= isolationSuspicion {
+	if w.registered || t.settled || t.lossNoted || t.suspicion >= isolationSuspicion {
 		return
 	}
 	s.applyEvidence(t, w, evidence{weight: weakWeight, kind: "unheard"})
@@ -72,6 +73,8 @@
 	}
 	t.suspicion = 0
 	s.markDirty(t.job())
+	// Others may be placed beside it.
+	s.searches.noteChange(t.worker)
 	s.emit(logger.TaskCleared, logger.String("task", t.name().String()), logger.Int("attempt", int64(t.attempt)), logger.Int("crashes", int64(t.crashes)))
 }
 
@@ -81,7 +84,6 @@
 	if !t.settled && age >= proofTime {
 		t.settled = true
 		s.clearSuspicion(t)
-		s.searches.noteChange(t.worker)
 	}
 	if t.crashes > 0 && age >= steadyTime {
 		t.crashes = 0
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -45,6 +45,8 @@
 		settled bool
 		// inherited is whether the newest run was placed by a former leader.
 		inherited bool
+		// lossNoted is whether the loss of the newest run has counted as evidence.
+		lossNoted bool
 		// trialWorker is the worker that is kept for the next run since trialSince; nil if none
 		// is.
 		trialWorker *worker
--- a/scheduler/trial.go
+++ b/scheduler/trial.go
@@ -28,6 +28,9 @@
 	return t != nil && t.isSuspect() && (t.worker == w || t.state == pending && t.trialWorker == w && !t.job().phase.final())
 }
 
+// isTrying reports whether a suspect has started on the worker, or may have, and has not settled.
+func (w *worker) isTrying() bool { return w.isOnTrial() && w.trial.worker == w && !w.trial.settled }
+
 // placeTrials places the suspects among the tasks of the demands, each on a worker of its own. It
 // removes them from the demands, except those that have waited for maxTrialWait or for which there is
 // no room, and returns the workers that are left for other tasks.
