scheduler: a stored job that can't be run stays known and ends no term

Cause: found by looking for one bad input that does something to one process after the other. A record with steps that are not valid made Load panic in each leader; the panic was caught, but the job was then unknown, so that its caller was told that it does not exist.

Change: Load checks the steps as Submit does.

--- a/scheduler/record.go
+++ b/scheduler/record.go
@@ -129,8 +129,12 @@
 	j := &job{spec: r.Spec, phase: r.Phase, storedPhase: r.Phase, acceptedAt: clock.Millis(r.AcceptedAt), endedAt: clock.Millis(r.EndedAt), occurrences: map[int]*occurrence{}}
 	j.sent = true
 	s.mergeChunks(j, &r)
-	s.recordWork(j)
 	s.jobs[r.Spec.ID] = j
+	if err := r.Spec.Validate(); err != nil && !j.phase.final() {
+		// It stays known to its caller, but is not run: each leader would fail on it.
+		return errors.Wrapf(err, "scheduler.Load: record %q", key)
+	}
+	s.recordWork(j)
 	for _, k := range r.Done {
 		j.markDone(k)
 		j.doneCount++
