scheduler: a suspect that has waited for a trial does not wait behind all other jobs

Cause: after three seconds without a trial a suspect was placed like any other task. By then its job is late, and late jobs go last; in an overloaded fleet it waited for 80 s, and the deadly ones were neither tried nor given up.

Change: such a suspect is still placed before other tasks, on the worker with the least to lose, without waiting for that to empty or for other trials.

Measured: TestSuspectsAreTriedUnderOverload fails on the former code (not all of eight placed in 6 s) and passes.

--- a/scheduler/crash_test.go
+++ b/scheduler/crash_test.go
@@ -388,3 +388,38 @@
 		})
 	}
 }
+
+// TestSuspectsAreTriedUnderOverload guards against suspects that wait behind all jobs which may still
+// meet their objective, once they have waited for a trial in vain.
+func TestSuspectsAreTriedUnderOverload(t *testing.T) {
+	const suspects = 8
+	b := newHarness(1)
+	b.submit(t, "suspected", Step{Count: suspects, CPU: 600, Estimate: 100})
+	must.Len(t, suspects, b.start())
+	for i := 1; i <= 3; i++ {
+		b.UpdateWorker(testWorker(i))
+	}
+	b.otherWorker("w0")
+	active := map[string][]Order{}
+	placed := 0
+	for waited := clock.Millis(0); placed < suspects; waited += 50 {
+		must.LessEq(t, 2*maxTrialWait, waited, must.Sprint("a suspect waits for too long"))
+		// The other jobs are far more than the workers can do, and not late.
+		b.submit(t, fmt.Sprintf("load%d", waited), Step{Count: 12, CPU: 2000, Estimate: 10_000})
+		for _, o := range b.start() {
+			active[o.Worker] = append(active[o.Worker], o)
+			if o.Task.Job == "suspected" {
+				placed++
+			}
+		}
+		b.clock.Advance(50)
+		for w, os := range active {
+			if waited%500 != 0 || len(os) == 0 {
+				b.report(w, activeRuns(os...))
+				continue
+			}
+			active[w] = os[1:]
+			b.report(w, activeRuns(os[1:]...), endedRun(b.workers[w].lastEnd+1, os[0], EndDone))
+		}
+	}
+}
--- a/scheduler/trial.go
+++ b/scheduler/trial.go
@@ -32,8 +32,8 @@
 func (w *worker) isTrying() bool { return w.isOnTrial() && w.trial.worker == w && !w.trial.settled }
 
 // placeTrials places the suspects among the tasks of the demands, each on a worker of its own. It
-// removes them from the demands, except those that have waited for maxTrialWait or for which there is
-// no room, and returns the workers that are left for other tasks.
+// removes them from the demands, except those for which there is no room, and returns the workers that
+// are left for other tasks.
 func (s *Scheduler) placeTrials(ds []demand, ws []*worker, now clock.Millis) []*worker {
 	trials, counted := 0, false
 	for i := range ds {
@@ -45,10 +45,7 @@
 			trials, counted = s.countTrials(), true
 		}
 		d.tasks = slices.DeleteFunc(d.tasks, func(t *task) bool {
-			if !t.isSuspect() || now-t.waitingSince >= maxTrialWait {
-				return false
-			}
-			return s.startsLeft <= 0 || s.placeTrial(t, ws, &trials, now)
+			return t.isSuspect() && (s.startsLeft <= 0 || s.placeTrial(t, ws, &trials, now))
 		})
 	}
 	if !counted {
@@ -58,12 +55,13 @@
 }
 
 // placeTrial starts a suspect on the worker that is kept for it, or keeps one for it. It returns false
-// if no worker has room. trials is the number of workers in use for trials.
+// if no worker has room. trials is the number of workers in use for trials. A suspect that has waited
+// for maxTrialWait waits neither for other trials nor for an empty worker.
 func (s *Scheduler) placeTrial(t *task, ws []*worker, trials *int, now clock.Millis) bool {
-	w := t.trialWorker
+	w, overdue := t.trialWorker, now-t.waitingSince >= maxTrialWait
 	if !s.keepsTrial(w, t, now) {
 		t.trialWorker = nil
-		if *trials >= max(1, int(trialShare*float64(len(ws)))) {
+		if !overdue && *trials >= max(1, int(trialShare*float64(len(ws)))) {
 			return true
 		}
 		if w = s.cheapestWorker(t, ws); w == nil {
@@ -75,7 +73,7 @@
 			s.emit(logger.TrialWaits, logger.String("task", t.name().String()), logger.String("worker", w.info.ID), logger.Int("runs", int64(len(w.tasks))))
 		}
 	}
-	if len(w.tasks) == 0 || now-t.trialSince >= emptyingTime {
+	if len(w.tasks) == 0 || overdue || now-t.trialSince >= emptyingTime {
 		s.assign(t, w, now)
 	}
 	return true
