scheduler: a run counts as crashed with its worker only if it may have begun there

Seen by callers: a job that could be done was shown as failed.

Cause: workers that were cut off had crashed behind the cut; their old entries were still, or again, in the registry. Tasks were placed on these processes, and the poll that found another one at the address was answered before the starts were refused. So they counted as started there: once shared, once on trial, and were given up.

Change: only a run that its worker has confirmed is strong evidence. One that it has not is weak evidence, and none if a successor answers sooner than a worker can restart. The same for starts that may be carried out late, and for trials that a former leader has placed.

--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -41,6 +41,8 @@
 	// suspect on trial, from which a cause outside the tasks is more likely: a rack or a data
 	// centre without power.
 	commonCauseWorkers = 4
+	// minRestartTime is less than a process that has crashed takes until its successor answers.
+	minRestartTime = clock.Second
 	// crashRetention is how long a crash is kept for the comparison with others. A worker is
 	// proven to have crashed when its successor answers, some seconds later.
 	crashRetention = 30 * clock.Second
@@ -77,14 +79,21 @@
 	}
 	simultaneous := s.countSimultaneous(w, at)
 	s.rememberCrash(crash{at: at, onTrial: w.isTrying()}, now)
-	unsettled := s.unsettledTasks(w)
+	unsettled := s.unsettledTasks(w, now)
 	s.onCrash(len(w.tasks))
 	s.emit(logger.WorkerCrashed, logger.String("worker", w.info.ID), logger.Int("born", w.info.Born), logger.String("reason", reason),
 		logger.Int("runs", int64(len(w.tasks))), logger.Int("unsettled", int64(len(unsettled))), logger.Int("doubtful", int64(len(w.doubtful))),
 		logger.Int("silent-ms", int64(now-at)), logger.Int("simultaneous", int64(simultaneous)))
 	var convicted []*task
-	for _, t := range slices.Concat(w.tasks, s.doubtfulTasks(w)) {
-		if s.applyEvidence(t, w, t.crashEvidence(w, len(unsettled), simultaneous >= commonCauseWorkers)) {
+	commonCause := simultaneous >= commonCauseWorkers
+	for _, t := range w.tasks {
+		if s.applyEvidence(t, w, t.crashEvidence(w, len(unsettled), commonCause, now)) {
+			convicted = append(convicted, t)
+		}
+	}
+	for _, t := range s.doubtfulTasks(w) {
+		// Its start may have been carried out late, or never.
+		if s.applyEvidence(t, w, evidence{crashed: !commonCause, weight: weakWeight, kind: "doubtful"}) {
 			convicted = append(convicted, t)
 		}
 	}
@@ -97,16 +106,16 @@
 func (s *Scheduler) noteFormerCrash(t *task, w *worker) bool {
 	e := evidence{crashed: true, weight: weakWeight, kind: "before-term"}
 	if t.isSuspect() {
-		e.weight = soleWeight
+		e.weight = sharedWeight
 	}
 	return s.applyEvidence(t, w, e)
 }
 
 // unsettledTasks returns the tasks that may have been starting on a worker.
-func (s *Scheduler) unsettledTasks(w *worker) []*task {
+func (s *Scheduler) unsettledTasks(w *worker, now clock.Millis) []*task {
 	ts := s.doubtfulTasks(w)
 	for _, t := range w.tasks {
-		if !t.settled && !t.isLeftOver() {
+		if !t.settled && !t.isLeftOver() && !t.isTooNew(now) {
 			ts = append(ts, t)
 		}
 	}
@@ -131,26 +140,37 @@
 	return t.state == placed && t.unresolvedSince != 0 && !t.unclear && t.ordersInFlight == 0
 }
 
+// isTooNew reports whether a run that its worker has not confirmed was assigned so lately that the
+// process which has ended was gone before: the next one answers already.
+func (t *task) isTooNew(now clock.Millis) bool {
+	return t.state == placed && !t.inherited && now-t.placedAt < minRestartTime
+}
+
 // crashEvidence returns what the crash of worker w says of a task, if unsettled tasks may have been
 // starting there. commonCause is whether several workers have ended at the same time.
-func (t *task) crashEvidence(w *worker, unsettled int, commonCause bool) evidence {
+func (t *task) crashEvidence(w *worker, unsettled int, commonCause bool, now clock.Millis) evidence {
+	onTrial := w.trial == t && w.isTrying()
 	switch {
-	case t.isLeftOver():
+	case t.isLeftOver(), t.isTooNew(now):
 		return evidence{}
-	case w.trial == t && w.isTrying():
-		if commonCause {
-			return evidence{crashed: true, weight: weakWeight, kind: "on-trial-with-others-lost"}
-		}
-		return evidence{crashed: true, weight: soleWeight, kind: "on-trial"}
 	case t.settled:
 		return evidence{crashed: !commonCause, kind: "settled"}
-	case w.isTrying():
+	case w.isTrying() && !onTrial:
 		// The trial explains the crash; what else ran here had settled before, also if this
 		// leader has not seen it.
 		return evidence{kind: "beside-a-trial"}
 	case t.inherited:
-		// The former leader may have known that the run had settled.
-		return evidence{crashed: !commonCause || t.suspicion > 0, weight: weakWeight, kind: "inherited"}
+		// The former leader may have known that the run had settled, but not if it was on trial.
+		e := evidence{crashed: !commonCause || t.suspicion > 0, weight: weakWeight, kind: "inherited"}
+		if onTrial && !commonCause {
+			e.weight = sharedWeight
+		}
+		return e
+	case t.state == placed:
+		// The process may have ended before the start arrived.
+		return evidence{crashed: !commonCause, weight: weakWeight, kind: "unconfirmed"}
+	case onTrial && !commonCause:
+		return evidence{crashed: true, weight: soleWeight, kind: "on-trial"}
 	case commonCause:
 		return evidence{crashed: true, weight: weakWeight, kind: "others-lost"}
 	case unsettled == 1:
--- a/scheduler/crash_test.go
+++ b/scheduler/crash_test.go
@@ -123,8 +123,9 @@
 	b.clock.Advance(2 * defaultLease)
 	b.Sweep()
 	b.otherWorker("w0")
-	crashes, _ := b.suspicionOf(o.Task.String())
+	crashes, suspicion := b.suspicionOf(o.Task.String())
 	must.Eq(t, 1, crashes)
+	must.Eq(t, weakWeight, suspicion)
 }
 
 // TestSuspectsAreTriedAlone guards against a suspect that takes other tasks with it or brings them under
@@ -219,6 +220,8 @@
 
 // TestCrashEvidence checks what a crash says of a task.
 func TestCrashEvidence(t *testing.T) {
+	const now = clock.Minute
+	suspect := sharedWeight
 	tests := map[string]struct {
 		task      task
 		onTrial   bool
@@ -228,20 +231,25 @@
 		common    bool
 		want      evidence
 	}{
-		"the only one that had not settled":      {unsettled: 1, want: evidence{true, soleWeight, "sole"}},
-		"one of several":                         {unsettled: 2, want: evidence{true, sharedWeight, "shared"}},
-		"settled":                                {task: task{settled: true}, unsettled: 1, want: evidence{true, 0, "settled"}},
-		"others lost":                            {unsettled: 1, common: true, want: evidence{true, weakWeight, "others-lost"}},
-		"others lost, settled":                   {task: task{settled: true}, common: true, want: evidence{kind: "settled"}},
-		"placed by a former leader":              {task: task{inherited: true}, unsettled: 1, want: evidence{true, weakWeight, "inherited"}},
-		"former leader, others lost":             {task: task{inherited: true}, unsettled: 1, common: true, want: evidence{false, weakWeight, "inherited"}},
-		"former leader, others lost, known":      {task: task{inherited: true, suspicion: 1}, unsettled: 1, common: true, want: evidence{true, weakWeight, "inherited"}},
-		"on trial":                               {task: task{suspicion: sharedWeight}, onTrial: true, unsettled: 1, want: evidence{true, soleWeight, "on-trial"}},
-		"on trial, others lost":                  {task: task{suspicion: sharedWeight}, onTrial: true, unsettled: 1, common: true, want: evidence{true, weakWeight, "on-trial-with-others-lost"}},
-		"on trial, placed by a former leader":    {task: task{suspicion: sharedWeight, inherited: true}, onTrial: true, unsettled: 1, want: evidence{true, soleWeight, "on-trial"}},
-		"beside a trial":                         {task: task{inherited: true}, beside: true, unsettled: 2, want: evidence{kind: "beside-a-trial"}},
-		"beside a worker's reservation":          {task: task{}, reserved: true, unsettled: 1, want: evidence{true, soleWeight, "sole"}},
-		"left over from the process before that": {task: task{unresolvedSince: 1, state: placed}, want: evidence{}},
+		"the only one that had not settled":   {task: task{state: running}, unsettled: 1, want: evidence{true, soleWeight, "sole"}},
+		"one of several":                      {task: task{state: running}, unsettled: 2, want: evidence{true, sharedWeight, "shared"}},
+		"settled":                             {task: task{state: running, settled: true}, unsettled: 1, want: evidence{true, 0, "settled"}},
+		"others lost":                         {task: task{state: running}, unsettled: 1, common: true, want: evidence{true, weakWeight, "others-lost"}},
+		"others lost, settled":                {task: task{state: running, settled: true}, common: true, want: evidence{kind: "settled"}},
+		"unconfirmed":                         {task: task{state: placed, placedAt: now - minRestartTime}, unsettled: 1, want: evidence{true, weakWeight, "unconfirmed"}},
+		"unconfirmed, others lost":            {task: task{state: placed}, unsettled: 1, common: true, want: evidence{false, weakWeight, "unconfirmed"}},
+		"placed after the crash":              {task: task{state: placed, placedAt: now - minRestartTime + 1}, unsettled: 1, want: evidence{}},
+		"placed by a former leader":           {task: task{state: placed, inherited: true, placedAt: now}, unsettled: 1, want: evidence{true, weakWeight, "inherited"}},
+		"former leader, others lost":          {task: task{state: placed, inherited: true}, unsettled: 1, common: true, want: evidence{false, weakWeight, "inherited"}},
+		"former leader, others lost, known":   {task: task{state: placed, inherited: true, suspicion: 1}, unsettled: 1, common: true, want: evidence{true, weakWeight, "inherited"}},
+		"on trial":                            {task: task{state: running, suspicion: suspect}, onTrial: true, unsettled: 1, want: evidence{true, soleWeight, "on-trial"}},
+		"on trial, others lost":               {task: task{state: running, suspicion: suspect}, onTrial: true, unsettled: 1, common: true, want: evidence{true, weakWeight, "others-lost"}},
+		"on trial, unconfirmed":               {task: task{state: placed, suspicion: suspect}, onTrial: true, unsettled: 1, want: evidence{true, weakWeight, "unconfirmed"}},
+		"on trial, placed after the crash":    {task: task{state: placed, suspicion: suspect, placedAt: now}, onTrial: true, want: evidence{}},
+		"on trial, placed by a former leader": {task: task{state: placed, suspicion: suspect, inherited: true}, onTrial: true, unsettled: 1, want: evidence{true, sharedWeight, "inherited"}},
+		"beside a trial":                      {task: task{state: placed, inherited: true}, beside: true, unsettled: 2, want: evidence{kind: "beside-a-trial"}},
+		"beside a worker's reservation":       {task: task{state: running}, reserved: true, unsettled: 1, want: evidence{true, soleWeight, "sole"}},
+		"left over from the process before":   {task: task{unresolvedSince: 1, state: placed}, want: evidence{}},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -252,16 +260,34 @@
 			}
 			if tc.reserved {
 				job := &job{spec: Spec{Steps: []Step{{Count: 1}}}}
-				w.trial = &task{suspicion: sharedWeight, trialWorker: w, occurrence: &occurrence{job: job}}
+				w.trial = &task{suspicion: suspect, trialWorker: w, occurrence: &occurrence{job: job}}
 			}
 			if tc.beside {
-				w.trial = &task{suspicion: sharedWeight, worker: w}
+				w.trial = &task{suspicion: suspect, worker: w}
 			}
-			must.Eq(t, tc.want, tc.task.crashEvidence(w, tc.unsettled, tc.common), must.Cmp(cmp.AllowUnexported(evidence{})))
+			must.Eq(t, tc.want, tc.task.crashEvidence(w, tc.unsettled, tc.common, now), must.Cmp(cmp.AllowUnexported(evidence{})))
 		})
 	}
 }
 
+// TestStartsOnEndedProcessConvictNobody guards against giving up a task because it was placed again and
+// again on processes that had ended before.
+func TestStartsOnEndedProcessConvictNobody(t *testing.T) {
+	b := newHarness(0)
+	b.submit(t, "job", Step{Count: 2, CPU: 100})
+	for i := range 2 * convictionCrashes {
+		w := testWorker(i)
+		b.UpdateWorker(w)
+		must.Len(t, 2, b.placeAndStore())
+		// The poll that finds another process there is answered before the starts are.
+		b.clock.Advance(50)
+		b.otherWorker(w.ID)
+	}
+	crashes, suspicion := b.suspicionOf("job.0.0.0")
+	must.Eq(t, 0, crashes)
+	must.Eq(t, 0, suspicion)
+}
+
 // TestCrashesAreStoredBeforeNextStart guards against a leader that begins the count of crashes anew.
 func TestCrashesAreStoredBeforeNextStart(t *testing.T) {
 	b := newHarness(1)
