scheduler: a worker process that has ended is not used again because of an old entry

Cause: the entry of a process that had crashed behind a cut was read again from the registry after another process had answered at its address. The leader placed tasks there once more; each was refused, or taken for lost with its worker.

Measured: TestEndedProcessIsNotUsedAgain fails on the former code and passes.

--- a/scheduler/crash_test.go
+++ b/scheduler/crash_test.go
@@ -449,3 +449,17 @@
 		}
 	}
 }
+
+// TestEndedProcessIsNotUsedAgain guards against an old registry entry that brings back a process which
+// is known to have ended.
+func TestEndedProcessIsNotUsedAgain(t *testing.T) {
+	b := newHarness(1)
+	b.otherWorker("w0")
+	b.UpdateWorker(testWorker(0))
+	b.submit(t, "job", Step{Count: 1, CPU: 100})
+	must.SliceEmpty(t, b.placeAndStore(), must.Sprint("placed on a process that has ended"))
+	next := testWorker(0)
+	next.Born = 2
+	b.UpdateWorker(next)
+	must.Len(t, 1, b.placeAndStore())
+}
--- a/scheduler/reporting.go
+++ b/scheduler/reporting.go
@@ -30,6 +30,9 @@
 
 // UpdateWorker applies the registry's entry of a worker.
 func (s *Scheduler) UpdateWorker(i WorkerInfo) {
+	if s.isEnded(i) {
+		return
+	}
 	w := s.workers[i.ID]
 	if w != nil && i.isOlderThan(w.info) {
 		// The store has taken a write of the worker late.
@@ -69,6 +72,7 @@
 func (s *Scheduler) dropWorker(w *worker, reason string) {
 	s.emit(logger.WorkerGone, logger.String("worker", w.info.ID), logger.Int("born", w.info.Born), logger.String("reason", reason), logger.Int("runs", int64(len(w.tasks))))
 	s.abandonRuns(w, reason)
+	s.noteEnded(w)
 	s.deleteWorker(w.info.ID)
 }
 
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -104,6 +104,8 @@
 		delayedAt clock.Millis
 		// crashes are the recent crashes of workers.
 		crashes []crash
+		// ended are the last processes of workers that are known to have ended, by ID.
+		ended map[string]endedProcess
 		// upkeepLength is how long a machine is down for its upkeep.
 		upkeepLength clock.Millis
 		waves        map[string]*wave
@@ -177,7 +179,7 @@
 		jobs: map[string]*job{}, active: map[*job]struct{}{}, workers: map[string]*worker{},
 		evacuatedDataCentres: map[string]bool{}, sensitivities: map[string]*sensitivity{}, periodSelector: newPeriodSelector(), meanWorkByQueue: map[string]float64{},
 		dirty: map[*job]struct{}{}, acks: map[string]Ack{}, upkeepLength: defaultUpkeepLength, waves: map[string]*wave{}, round: 1,
-		silences: map[string]*silence{},
+		silences: map[string]*silence{}, ended: map[string]endedProcess{},
 	}
 	for _, o := range opts {
 		o(s)
