scheduler: trials leave the room that is kept for a task that lasts; deadly tasks in the soak

Cause: in a full fleet a worker is kept for the task until enough of its runs have ended. Trials were placed before a round keeps workers, on the worker with the least to lose, which is the one that is being emptied.

Change: a trial does not take a worker that the last round has kept, unless its own task lasts. The soak has two jobs with deadly tasks, which have to fail, in each run.

--- a/imitator/deadly.go
+++ b/imitator/deadly.go
@@ -17,6 +17,8 @@
 		is func(scheduler.TaskName) bool
 		// renamed is whether a worker comes back under another ID at the same address.
 		renamed bool
+		// restart ends the process of a worker and starts the next one; nil for the pool's own way.
+		restart func(worker string)
 		// crashes counts the workers that each task has crashed, startsAfter its starts
 		// after crashLimit crashes.
 		crashes, startsAfter map[string]int
@@ -43,6 +45,13 @@
 	p.deadly = &deadly{is: f, renamed: renamed, crashes: map[string]int{}, startsAfter: map[string]int{}}
 }
 
+// OnCrash makes f end the process of a worker that a deadly task crashes, and start the next one.
+func (p *Pool) OnCrash(f func(worker string)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.deadly.restart = f
+}
+
 // Crashes returns the number of workers that each deadly task has crashed.
 func (p *Pool) Crashes() map[string]int {
 	p.mu.Lock()
@@ -80,6 +89,11 @@
 		return
 	}
 	p.deadly.crashes[task]++
+	if restart := p.deadly.restart; restart != nil {
+		p.mu.Unlock()
+		restart(w.info.ID)
+		return
+	}
 	w.refusing = true
 	p.mu.Unlock()
 	p.Kill(w.info.ID)
--- a/scheduler/crash_test.go
+++ b/scheduler/crash_test.go
@@ -463,3 +463,40 @@
 	b.UpdateWorker(next)
 	must.Len(t, 1, b.placeAndStore())
 }
+
+// TestTrialLeavesRoomKeptForLastingTask guards against suspects that take, one after the other, the room
+// that a worker is kept for so that a task that lasts can start there.
+func TestTrialLeavesRoomKeptForLastingTask(t *testing.T) {
+	const suspects = 6
+	b := newHarness(1)
+	b.submit(t, "suspected", Step{Count: suspects, CPU: 1000})
+	must.Len(t, suspects, b.start())
+	b.UpdateWorker(testWorker(1))
+	b.RemoveWorker("w0")
+	b.submit(t, "load", Step{Count: 4, CPU: 2000, Estimate: 100})
+	active := map[string][]Order{}
+	for _, o := range b.start() {
+		active[o.Worker] = append(active[o.Worker], o)
+	}
+	b.submit(t, "lasting", Step{Count: 1, CPU: 7000, LongRunning: true})
+	must.SliceEmpty(t, b.start())
+	b.otherWorker("w0")
+	for waited := clock.Millis(0); ; waited += 100 {
+		must.LessEq(t, clock.Second, waited, must.Sprint("the room of the task that lasts is taken"))
+		for _, o := range b.start() {
+			active[o.Worker] = append(active[o.Worker], o)
+			if o.Task.Job == "lasting" {
+				return
+			}
+		}
+		b.clock.Advance(100)
+		for w, os := range active {
+			if len(os) > 0 && os[0].Task.Job == "load" {
+				active[w] = os[1:]
+				b.report(w, activeRuns(os[1:]...), endedRun(b.workers[w].lastEnd+1, os[0], EndDone))
+				continue
+			}
+			b.report(w, activeRuns(os...))
+		}
+	}
+}
--- a/scheduler/trial.go
+++ b/scheduler/trial.go
@@ -82,7 +82,7 @@
 // keepsTrial reports whether worker w is kept for a suspect and can still start it.
 func (s *Scheduler) keepsTrial(w *worker, t *task, now clock.Millis) bool {
 	return w != nil && w.trial == t && s.workers[w.info.ID] == w && s.stateExclusion(w, now) == notExcluded &&
-		s.admitted(t, w) && s.canRun(t, t.spec(), w, s.tolerance(t))
+		!s.isKeptForLasting(w, t.spec()) && s.admitted(t, w) && s.canRun(t, t.spec(), w, s.tolerance(t))
 }
 
 // countTrials returns the number of workers that answer and are in use for trials.
@@ -104,7 +104,7 @@
 	s.searchOffset++
 	for i := range ws {
 		w := ws[(i+s.searchOffset)%len(ws)]
-		if w.isOnTrial() || s.reservedForOthers(w, step) || !s.admitted(t, w) || !s.canRun(t, step, w, tolerance) {
+		if w.isOnTrial() || s.isKeptForLasting(w, step) || !s.admitted(t, w) || !s.canRun(t, step, w, tolerance) {
 			continue
 		}
 		if c := w.lossCost(); best == nil || c < lowest {
@@ -114,6 +114,13 @@
 	return best
 }
 
+// isKeptForLasting reports whether this or the last round of placing has reserved a worker for a
+// long-running task, so that a trial of a task of another kind would take its room. Trials are placed
+// before a round reserves workers.
+func (s *Scheduler) isKeptForLasting(w *worker, step *Step) bool {
+	return !step.LongRunning && w.reservedIn > 0 && w.reservedIn >= s.round-1 && !w.fitsBesideReserved(step)
+}
+
 // lossCost returns what a crash of the worker would cost, in runs.
 func (w *worker) lossCost() int {
 	cost := 0
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -106,10 +106,12 @@
 	}
 	time.Sleep(s.CalmDuration.Duration())
 	r.Counts.CalmAccepted = len(k.callers.accepted())
+	deadly := make(chan []string, 1)
+	go func() { deadly <- k.submitDeadly() }()
 	if err := k.injectFaults(); err != nil {
 		return Result{}, err
 	}
-	k.finish(&r)
+	k.finish(&r, <-deadly...)
 	return r, nil
 }
 
@@ -122,6 +124,9 @@
 		if n.Job == k.lastingID() {
 			return lastingRunTime()
 		}
+		if isDeadly(n) {
+			return clock.Second, scheduler.EndDone
+		}
 		ending := scheduler.EndDone
 		if runRandom.IntN(failOneIn) == 0 {
 			ending = scheduler.EndFailed
@@ -132,6 +137,8 @@
 		return clock.Millis(50 + runRandom.IntN(maxTaskMillis)), ending
 	}, nil)
 	k.pool.SetMaxLease(maxLease)
+	k.pool.SetDeadly(isDeadly, false)
+	k.pool.OnCrash(k.crash)
 	k.log.Put("op", recorder.Item{Key: "config", Value: []byte(operatorConfig)})
 	if err := k.startWorkers(); err != nil {
 		k.close()
@@ -247,12 +254,13 @@
 	}, "\n")
 }
 
-// finish waits for the accepted jobs to complete and adds the counts and the violations found
-// to r.
-func (k *Soak) finish(r *Result) {
+// finish waits for the accepted jobs to complete, and for those with deadly tasks to fail, and adds the
+// counts and the violations found to r.
+func (k *Soak) finish(r *Result, deadly ...string) {
 	gaps, late := k.longGaps()
 	r.Violations = append(r.Violations, late...)
 	pending := k.callers.finish(k.settings.SettleTimeout)
+	r.Violations = append(r.Violations, k.unfailed(deadly)...)
 	r.Violations = append(append(r.Violations, pending...), k.pool.Violations()...)
 	for _, id := range k.callers.refused() {
 		if k.pool.Started(id) {
--- a/soaker/worker.go
+++ b/soaker/worker.go
@@ -25,6 +25,8 @@
 	proxy       *proxy
 	// restarting is held during a restart: restarts of one worker follow each other.
 	restarting sync.Mutex
+	// left is whether the worker has left for good.
+	left atomic.Bool
 	// lateFaults is the number of current faults that make orders late.
 	lateFaults atomic.Int32
 	mu         sync.Mutex
@@ -72,6 +74,7 @@
 	} else {
 		w.proxy.setFault(linkFault{responses: dropped, requests: dropped})
 	}
+	w.left.Store(true)
 	w.pool.Kill(w.id)
 }
 
@@ -80,6 +83,9 @@
 func (w *worker) restart(down clock.Millis) error {
 	w.restarting.Lock()
 	defer w.restarting.Unlock()
+	if w.left.Load() {
+		return nil
+	}
 	if down == 0 {
 		w.pool.Restart(w.id)
 		return nil
@@ -87,6 +93,9 @@
 	w.proxy.refuse()
 	w.pool.Kill(w.id)
 	time.Sleep(down.Duration())
+	if w.left.Load() {
+		return nil
+	}
 	w.pool.Boot(w.id)
 	return w.proxy.accept()
 }
