scheduler: a task that lasts is not isolated or given up for crashes long after its start

Cause: each crash at which a task was present counted, also for runs that had worked for long, and from three on the task had a worker for itself until it ended, or for a minute. Tasks that last are present at many crashes. From five on their job would have failed.

Change: only crashes within two seconds of a start count, a task that was at three is alone for these two seconds, and a run that has lasted for them takes the crashes back.

Measured: TestLastingTaskKeepsNoWorkerToItself fails on the former code and passes.

--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -18,6 +18,17 @@
 		onTrial bool
 	}
 
+	// loss is what is known of the crash of a worker.
+	loss struct {
+		// at is when the process was first found not to answer, now when it was proven to have
+		// ended.
+		at, now clock.Millis
+		// unsettled is the number of tasks that may have been starting there.
+		unsettled int
+		// commonCause is whether many workers have ended at the same time.
+		commonCause bool
+	}
+
 	// evidence is what a crash says of a task that the worker had.
 	evidence struct {
 		// crashed is whether the crash counts for the task.
@@ -87,7 +98,7 @@
 	var convicted []*task
 	commonCause := simultaneous >= commonCauseWorkers
 	for _, t := range w.tasks {
-		if s.applyEvidence(t, w, t.crashEvidence(w, len(unsettled), commonCause, now)) {
+		if s.applyEvidence(t, w, t.crashEvidence(w, loss{at: at, now: now, unsettled: len(unsettled), commonCause: commonCause})) {
 			convicted = append(convicted, t)
 		}
 	}
@@ -146,34 +157,33 @@
 	return t.state == placed && !t.inherited && now-t.placedAt < minRestartTime
 }
 
-// crashEvidence returns what the crash of worker w says of a task, if unsettled tasks may have been
-// starting there. commonCause is whether several workers have ended at the same time.
-func (t *task) crashEvidence(w *worker, unsettled int, commonCause bool, now clock.Millis) evidence {
+// crashEvidence returns what the crash of worker w says of a task that it had.
+func (t *task) crashEvidence(w *worker, l loss) evidence {
 	onTrial := w.trial == t && w.isTrying()
 	switch {
-	case t.isLeftOver(), t.isTooNew(now):
+	case t.isLeftOver(), t.isTooNew(l.now):
 		return evidence{}
 	case t.settled:
-		return evidence{crashed: !commonCause, kind: "settled"}
+		return evidence{crashed: !l.commonCause && l.at-t.confirmedAt < lateCrashTime, kind: "settled"}
 	case w.isTrying() && !onTrial:
 		// The trial explains the crash; what else ran here had settled before, also if this
 		// leader has not seen it.
 		return evidence{kind: "beside-a-trial"}
 	case t.inherited:
 		// The former leader may have known that the run had settled, but not if it was on trial.
-		e := evidence{crashed: !commonCause || t.suspicion > 0, weight: weakWeight, kind: "inherited"}
-		if onTrial && !commonCause {
+		e := evidence{crashed: !l.commonCause || t.suspicion > 0, weight: weakWeight, kind: "inherited"}
+		if onTrial && !l.commonCause {
 			e.weight = sharedWeight
 		}
 		return e
 	case t.state == placed:
 		// The process may have ended before the start arrived.
-		return evidence{crashed: !commonCause, weight: weakWeight, kind: "unconfirmed"}
-	case onTrial && !commonCause:
+		return evidence{crashed: !l.commonCause, weight: weakWeight, kind: "unconfirmed"}
+	case onTrial && !l.commonCause:
 		return evidence{crashed: true, weight: soleWeight, kind: "on-trial"}
-	case commonCause:
+	case l.commonCause:
 		return evidence{crashed: true, weight: weakWeight, kind: "others-lost"}
-	case unsettled == 1:
+	case l.unsettled == 1:
 		return evidence{crashed: true, weight: soleWeight, kind: "sole"}
 	default:
 		return evidence{crashed: true, weight: sharedWeight, kind: "shared"}
--- a/scheduler/crash_test.go
+++ b/scheduler/crash_test.go
@@ -233,9 +233,10 @@
 	}{
 		"the only one that had not settled":   {task: task{state: running}, unsettled: 1, want: evidence{true, soleWeight, "sole"}},
 		"one of several":                      {task: task{state: running}, unsettled: 2, want: evidence{true, sharedWeight, "shared"}},
-		"settled":                             {task: task{state: running, settled: true}, unsettled: 1, want: evidence{true, 0, "settled"}},
+		"settled lately":                      {task: task{state: running, settled: true, confirmedAt: now - lateCrashTime + 1}, unsettled: 1, want: evidence{true, 0, "settled"}},
+		"settled long ago":                    {task: task{state: running, settled: true, confirmedAt: now - lateCrashTime}, unsettled: 1, want: evidence{false, 0, "settled"}},
 		"others lost":                         {task: task{state: running}, unsettled: 1, common: true, want: evidence{true, weakWeight, "others-lost"}},
-		"others lost, settled":                {task: task{state: running, settled: true}, common: true, want: evidence{kind: "settled"}},
+		"others lost, settled":                {task: task{state: running, settled: true, confirmedAt: now - proofTime}, common: true, want: evidence{kind: "settled"}},
 		"unconfirmed":                         {task: task{state: placed, placedAt: now - minRestartTime}, unsettled: 1, want: evidence{true, weakWeight, "unconfirmed"}},
 		"unconfirmed, others lost":            {task: task{state: placed}, unsettled: 1, common: true, want: evidence{false, weakWeight, "unconfirmed"}},
 		"placed after the crash":              {task: task{state: placed, placedAt: now - minRestartTime + 1}, unsettled: 1, want: evidence{}},
@@ -265,7 +266,7 @@
 			if tc.beside {
 				w.trial = &task{suspicion: suspect, worker: w}
 			}
-			must.Eq(t, tc.want, tc.task.crashEvidence(w, tc.unsettled, tc.common, now), must.Cmp(cmp.AllowUnexported(evidence{})))
+			must.Eq(t, tc.want, tc.task.crashEvidence(w, loss{at: now, now: now, unsettled: tc.unsettled, commonCause: tc.common}), must.Cmp(cmp.AllowUnexported(evidence{})))
 		})
 	}
 }
@@ -500,3 +501,26 @@
 		}
 	}
 }
+
+// TestLastingTaskKeepsNoWorkerToItself guards against a task that lasts and has been there at several
+// crashes, and that keeps a whole worker from other tasks while it works on.
+func TestLastingTaskKeepsNoWorkerToItself(t *testing.T) {
+	b := newHarness(1)
+	b.submit(t, "job", Step{Count: 1, CPU: 1000, LongRunning: true})
+	for i := 1; i <= 2*convictionCrashes; i++ {
+		o := b.start()[0]
+		b.settleRuns(o.Worker, o)
+		b.clock.Advance(lateCrashTime)
+		b.report(o.Worker, activeRuns(o))
+		if i == 2*convictionCrashes {
+			break
+		}
+		b.UpdateWorker(testWorker(i))
+		b.otherWorker(o.Worker)
+	}
+	b.submit(t, "other", Step{Count: 1, CPU: 1000})
+	must.Len(t, 1, b.start(), must.Sprint("nothing is placed beside a task that has worked for a while"))
+	p, err := b.Phase("job", "q")
+	must.NoError(t, err)
+	must.Eq(t, Running, p)
+}
--- a/scheduler/suspicion.go
+++ b/scheduler/suspicion.go
@@ -17,7 +17,7 @@
 	// shared and one on trial.
 	convictionSuspicion = sharedWeight + soleWeight
 	// isolationCrashes is the number of crashes, whatever the evidence, from which a task has a
-	// worker of its own until it ends.
+	// worker of its own until it has lasted for lateCrashTime.
 	isolationCrashes = 3
 	// convictionCrashes is the number of crashes, whatever the evidence, from which a task is
 	// given up: the platform's rules allow two more starts after three crashes.
@@ -25,9 +25,9 @@
 	// minConvictionCrashes is the number of crashes below which no task is given up; from the
 	// platform's rules.
 	minConvictionCrashes = 2
-	// steadyTime is how long a run has to last before the crashes of earlier ones do not count
-	// any more.
-	steadyTime = clock.Minute
+	// lateCrashTime is how long after the start of a run a crash of its worker may still be held
+	// against the task. A run that has lasted for that long takes the crashes before it back.
+	lateCrashTime = 2 * clock.Second
 )
 
 // WithOnGivenUp sets a function that is called for each task that is given up because workers crash
@@ -85,7 +85,7 @@
 		t.settled = true
 		s.clearSuspicion(t)
 	}
-	if t.crashes > 0 && age >= steadyTime {
+	if t.crashes > 0 && age >= lateCrashTime {
 		t.crashes = 0
 		s.markDirty(t.job())
 	}
