scheduler: a worker that crashes again and again convicts no task

Cause: the crash of a worker whose process before had crashed half a second earlier was taken for the task's doing.

Change: on such a worker a trial counts as shared evidence, which alone does not convict; and trials prefer workers that have not just crashed unless these have much more to lose.

Measured: TestFlappingWorkerConvictsNobody and TestTrialAvoidsWorkerThatHasJustCrashed fail on the former code and pass.

--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -12,8 +12,10 @@
 	// process at its address or under its ID is the proof. A worker that is only silent has
 	// not crashed.
 	crash struct {
-		// at is when the process was first found not to answer.
-		at clock.Millis
+		// at is when the process was first found not to answer, provenAt when its successor
+		// answered at the address.
+		at, provenAt clock.Millis
+		address      string
 		// onTrial is whether a suspect was on trial there, which explains the crash.
 		onTrial bool
 	}
@@ -27,6 +29,8 @@
 		unsettled int
 		// commonCause is whether many workers have ended at the same time.
 		commonCause bool
+		// flapping is whether the process before had crashed too, a moment earlier.
+		flapping bool
 	}
 
 	// evidence is what a crash says of a task that the worker had.
@@ -54,6 +58,9 @@
 	commonCauseWorkers = 4
 	// minRestartTime is less than a process that has crashed takes until its successor answers.
 	minRestartTime = clock.Second
+	// flappingTime is how long a process has to answer before a crash of it is not taken for the
+	// next one of a worker that crashes by itself.
+	flappingTime = 2 * clock.Second
 	// crashRetention is how long a crash is kept for the comparison with others. A worker is
 	// proven to have crashed when its successor answers, some seconds later.
 	crashRetention = 30 * clock.Second
@@ -89,7 +96,8 @@
 		at = now
 	}
 	simultaneous := s.countSimultaneous(w, at)
-	s.rememberCrash(crash{at: at, onTrial: w.isTrying()}, now)
+	flapping := s.hasCrashedLately(w, at)
+	s.rememberCrash(crash{at: at, provenAt: now, address: w.info.Address, onTrial: w.isTrying()}, now)
 	unsettled := s.unsettledTasks(w, now)
 	s.onCrash(len(w.tasks))
 	s.emit(logger.WorkerCrashed, logger.String("worker", w.info.ID), logger.Int("born", w.info.Born), logger.String("reason", reason),
@@ -98,7 +106,7 @@
 	var convicted []*task
 	commonCause := simultaneous >= commonCauseWorkers
 	for _, t := range w.tasks {
-		if s.applyEvidence(t, w, t.crashEvidence(w, loss{at: at, now: now, unsettled: len(unsettled), commonCause: commonCause})) {
+		if s.applyEvidence(t, w, t.crashEvidence(w, loss{at: at, now: now, unsettled: len(unsettled), commonCause: commonCause, flapping: flapping})) {
 			convicted = append(convicted, t)
 		}
 	}
@@ -179,6 +187,9 @@
 	case t.state == placed:
 		// The process may have ended before the start arrived.
 		return evidence{crashed: !l.commonCause, weight: weakWeight, kind: "unconfirmed"}
+	case onTrial && !l.commonCause && l.flapping:
+		// The worker may crash by itself.
+		return evidence{crashed: true, weight: sharedWeight, kind: "on-trial-on-flapping-worker"}
 	case onTrial && !l.commonCause:
 		return evidence{crashed: true, weight: soleWeight, kind: "on-trial"}
 	case l.commonCause:
@@ -211,6 +222,14 @@
 	return a-b <= coincidenceWindow && b-a <= coincidenceWindow
 }
 
+// hasCrashedLately reports whether the process before a worker's own had crashed less than flappingTime
+// before, and not because of a trial.
+func (s *Scheduler) hasCrashedLately(w *worker, now clock.Millis) bool {
+	return slices.ContainsFunc(s.crashes, func(c crash) bool {
+		return c.address == w.info.Address && !c.onTrial && now-c.provenAt < flappingTime
+	})
+}
+
 // rememberCrash keeps a crash and drops those that are too old to compare.
 func (s *Scheduler) rememberCrash(c crash, now clock.Millis) {
 	s.crashes = append(slices.DeleteFunc(s.crashes, func(o crash) bool { return now-o.at >= crashRetention }), c)
--- a/scheduler/crash_test.go
+++ b/scheduler/crash_test.go
@@ -524,3 +524,53 @@
 	must.NoError(t, err)
 	must.Eq(t, Running, p)
 }
+
+// TestFlappingWorkerConvictsNobody guards against giving up a task that was tried on a worker which
+// crashes again and again by itself.
+func TestFlappingWorkerConvictsNobody(t *testing.T) {
+	b := newHarness(1)
+	b.submit(t, "job", Step{Count: 2, CPU: 100})
+	must.Len(t, 2, b.start())
+	restart := func(born int64) {
+		w := testWorker(0)
+		w.Born = born
+		b.UpdateWorker(w)
+		b.Report(Report{Worker: "w0", Born: born, Clock: 1, Sent: b.clock.Now() + 1})
+		b.clock.Advance(100)
+	}
+	restart(2)
+	must.Len(t, 1, b.start())
+	restart(3)
+	b.placeAndStore()
+	p, err := b.Phase("job", "q")
+	must.NoError(t, err)
+	must.NotEq(t, Failed, p)
+}
+
+// TestTrialAvoidsWorkerThatHasJustCrashed guards against a trial on the one empty worker, of which a
+// crash would say nothing, if another has little to lose.
+func TestTrialAvoidsWorkerThatHasJustCrashed(t *testing.T) {
+	b := newHarness(1)
+	b.submit(t, "job", Step{Count: 2, CPU: 100})
+	must.Len(t, 2, b.start())
+	other := testWorker(1)
+	other.Address = "127.0.0.1:2"
+	b.UpdateWorker(other)
+	b.RemoveWorker("w0")
+	b.submit(t, "other", Step{Count: 3, CPU: 2000})
+	others := b.start()
+	must.Len(t, 3, others)
+	for _, o := range others {
+		must.Eq(t, "w1", o.Worker)
+	}
+	b.settleRuns("w1", others...)
+	next := testWorker(0)
+	next.ID = "w0-next"
+	b.UpdateWorker(next)
+	b.otherWorker("w0")
+	b.clock.Advance(100)
+	for _, o := range b.start() {
+		must.Eq(t, "w1", o.Worker)
+	}
+	must.True(t, b.workers["w1"].isOnTrial())
+}
--- a/scheduler/trial.go
+++ b/scheduler/trial.go
@@ -18,6 +18,9 @@
 	trialShare = 0.1
 	// lastingRunCost is the cost of losing the run of a long-running task in runs of other tasks.
 	lastingRunCost = 4
+	// flappingCost is the cost of a trial on a worker that has just crashed, of which another crash
+	// would say less, in runs.
+	flappingCost = 6
 	// unsettledRunCost is the cost of a run that would make the result of a trial unclear.
 	unsettledRunCost = 100
 )
@@ -100,14 +103,18 @@
 // suitable.
 func (s *Scheduler) cheapestWorker(t *task, ws []*worker) *worker {
 	var best *worker
-	lowest, step, tolerance := 0, t.spec(), s.tolerance(t)
+	lowest, step, tolerance, now := 0, t.spec(), s.tolerance(t), s.now()
 	s.searchOffset++
 	for i := range ws {
 		w := ws[(i+s.searchOffset)%len(ws)]
 		if w.isOnTrial() || s.isKeptForLasting(w, step) || !s.admitted(t, w) || !s.canRun(t, step, w, tolerance) {
 			continue
 		}
-		if c := w.lossCost(); best == nil || c < lowest {
+		c := w.lossCost()
+		if s.hasCrashedLately(w, now) {
+			c += flappingCost
+		}
+		if best == nil || c < lowest {
 			best, lowest = w, c
 		}
 	}
