soaker: a job may have failed if two workers ended under one of its tasks

Two workers have crashed under it, one while it was alone; the leader can't tell the restart from the task's doing, and the platform's rules allow to give up a task under which two executors have crashed.

Change: the workers count the processes that ended with a run of each task. A failed job is a violation unless that is two for one of its tasks; the others are counted and printed.

--- a/imitator/deadly.go
+++ b/imitator/deadly.go
@@ -59,6 +59,20 @@
 	return maps.Clone(p.deadly.crashes)
 }
 
+// CrashesUnder returns the largest number of worker processes that have ended with a run of one task of a
+// job. Names of tasks begin with the job and ".".
+func (p *Pool) CrashesUnder(job string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	most := 0
+	for task, n := range p.crashesUnder {
+		if strings.HasPrefix(task, job+".") {
+			most = max(most, n)
+		}
+	}
+	return most
+}
+
 // IDs returns the workers that have ever run, sorted.
 func (p *Pool) IDs() []string {
 	p.mu.Lock()
--- a/imitator/pool.go
+++ b/imitator/pool.go
@@ -35,6 +35,8 @@
 		bound bool
 		// deadly are the tasks that crash their workers; nil if there are none.
 		deadly *deadly
+		// crashesUnder counts the processes that ended with a run of each task.
+		crashesUnder map[string]int
 	}
 
 	// OrderFault is the fault injected into one order.
@@ -57,7 +59,7 @@
 // each. runTime returns the duration of an attempt to run a task and how it ends.
 // orderFault returns the fault to inject into an order; if it is nil, none is injected.
 func NewPool(workers, slots int, runTime func(scheduler.TaskName, int) (clock.Millis, scheduler.Ending), orderFault func(scheduler.Order) OrderFault) *Pool {
-	p := &Pool{workers: map[string]*poolWorker{}, ledger: newLedger(), runTime: runTime, orderFault: orderFault}
+	p := &Pool{workers: map[string]*poolWorker{}, ledger: newLedger(), runTime: runTime, orderFault: orderFault, crashesUnder: map[string]int{}}
 	if orderFault == nil {
 		p.orderFault = func(scheduler.Order) OrderFault { return OrderFine }
 	}
@@ -147,6 +149,7 @@
 		return
 	}
 	for name, r := range w.runs {
+		p.crashesUnder[name]++
 		r.timer.Stop()
 		p.ledger.end(name, w.taskRun(r), clock.System())
 	}
--- a/imitator/pool_test.go
+++ b/imitator/pool_test.go
@@ -111,3 +111,25 @@
 		must.Eq(t, clock.Second, gaps[0].Length())
 	})
 }
+
+// TestCrashesUnderCountsRuns checks that the ends of a worker's processes count for the tasks that ran
+// there, and for no others.
+func TestCrashesUnderCountsRuns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := NewPool(2, 2, func(scheduler.TaskName, int) (clock.Millis, scheduler.Ending) { return clock.Hour, scheduler.EndDone }, nil)
+		start := func(worker, job string, attempt int) {
+			o := scheduler.Order{Kind: scheduler.Start, Task: scheduler.TaskName{Job: job}, Attempt: attempt, Deadline: clock.Hour}
+			must.Eq(t, scheduler.Done, p.Life(worker).Send(o, 1))
+		}
+		start("w0", "a", 1)
+		start("w1", "b", 1)
+		p.Restart("w0")
+		start("w0", "a", 2)
+		p.Restart("w0")
+		p.Restart("w0")
+		must.Eq(t, 2, p.CrashesUnder("a"))
+		must.Eq(t, 0, p.CrashesUnder("b"))
+		p.Kill("w0")
+		p.Kill("w1")
+	})
+}
--- a/soaker/callers.go
+++ b/soaker/callers.go
@@ -135,9 +135,10 @@
 	return resp.StatusCode
 }
 
-// finish stops the callers and waits until all accepted jobs are completed. It returns a
-// message for each accepted job that is not completed after the timeout.
-func (c *callers) finish(timeout clock.Millis) []string {
+// finish stops the callers and waits until all accepted jobs are completed, or have failed if mayFail
+// returns true for them. It returns the number of the latter, and a message for each accepted job that
+// is neither after the timeout.
+func (c *callers) finish(timeout clock.Millis, mayFail func(id string) bool) (failed int, violations []string) {
 	c.cancel()
 	c.group.Wait()
 	deadline := time.Now().Add(timeout.Duration())
@@ -150,15 +151,18 @@
 			}
 			status := c.call(http.MethodGet, id, nil, &a)
 			lastAnswers[id] = fmt.Sprint(status, " ", a.State)
+			if a.State == "failed" && mayFail(id) {
+				failed++
+				return true
+			}
 			return a.State == "completed"
 		})
 		time.Sleep(pollInterval.Duration())
 	}
-	var violations []string
 	for _, id := range pending {
 		violations = append(violations, fmt.Sprintf("%s was accepted and is not completed; the last answer was %s", id, lastAnswers[id]))
 	}
-	return violations
+	return failed, violations
 }
 
 func (c *callers) accepted() []string {
--- a/soaker/counts.go
+++ b/soaker/counts.go
@@ -13,6 +13,8 @@
 		// Accepted, Refused and Completed are jobs; CalmAccepted are those accepted before
 		// the first fault.
 		Accepted, CalmAccepted, Refused, Completed int
+		// GivenUp are accepted jobs that have failed after two workers had crashed under a task.
+		GivenUp int
 		// Workers is what happened to the workers, LateOrders are orders that they carried
 		// out late.
 		Workers    imitator.PoolCounts
@@ -38,8 +40,8 @@
 const minTasks = 2
 
 func (c Counts) String() string {
-	return fmt.Sprintf("%d jobs accepted (%d before the faults), %d refused, %d completed; %d runs started, %d ends acknowledged, %d polls with a stale number, %d leases shortened; %d worker restarts, %d late orders; %d daemons killed, %d ended by themselves; %d faults; tasks that last were without a run %d times, for up to %d ms",
-		c.Accepted, c.CalmAccepted, c.Refused, c.Completed, c.Workers.Starts, c.Workers.AckedEnds, c.Workers.StaleAcks, c.Workers.CappedLeases, c.Workers.Restarts, c.LateOrders, c.Killed, c.OwnExits, c.Faults, c.Gaps, c.LongestGap)
+	return fmt.Sprintf("%d jobs accepted (%d before the faults), %d refused, %d completed, %d given up after two crashes; %d runs started, %d ends acknowledged, %d polls with a stale number, %d leases shortened; %d worker restarts, %d late orders; %d daemons killed, %d ended by themselves; %d faults; tasks that last were without a run %d times, for up to %d ms",
+		c.Accepted, c.CalmAccepted, c.Refused, c.Completed, c.GivenUp, c.Workers.Starts, c.Workers.AckedEnds, c.Workers.StaleAcks, c.Workers.CappedLeases, c.Workers.Restarts, c.LateOrders, c.Killed, c.OwnExits, c.Faults, c.Gaps, c.LongestGap)
 }
 
 // belowFloors returns a violation for each count that is so low that the soak test has not
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -259,7 +259,8 @@
 func (k *Soak) finish(r *Result, deadly ...string) {
 	gaps, late := k.longGaps()
 	r.Violations = append(r.Violations, late...)
-	pending := k.callers.finish(k.settings.SettleTimeout)
+	// By the platform's rules a task may be given up once two workers have crashed under it.
+	failed, pending := k.callers.finish(k.settings.SettleTimeout, func(id string) bool { return k.pool.CrashesUnder(id) >= 2 })
 	r.Violations = append(r.Violations, k.unfailed(deadly)...)
 	r.Violations = append(append(r.Violations, pending...), k.pool.Violations()...)
 	for _, id := range k.callers.refused() {
@@ -269,7 +270,7 @@
 	}
 	c := &r.Counts
 	c.Accepted, c.Refused, c.Faults = len(k.callers.accepted()), len(k.callers.refused()), k.faults
-	c.Completed = c.Accepted - len(pending)
+	c.Completed, c.GivenUp = c.Accepted-len(pending)-failed, failed
 	c.Workers = k.pool.Counts()
 	c.Gaps = len(gaps)
 	for _, g := range gaps {
