scheduler: a trial convicts only if its worker crashes as soon as a deadly task would

Cause: a trial lasts until its run has settled, which takes a second or more over a slow link. A crash late in that time was full evidence, although a task that crashes its workers does so within milliseconds of its start; so a random restart had ten times the time to hit.

Change: half a second after the start was ordered the crash of a trial counts as shared evidence, which alone does not convict.

--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -49,6 +49,9 @@
 	// its worker before it counts as settled. A task that crashes the workers which start
 	// it does so within tens of milliseconds.
 	proofTime = 250 * clock.Millis(1)
+	// promptCrashTime is how long after its start was ordered the crash of a task on trial is noticed,
+	// with a worker that answers within milliseconds.
+	promptCrashTime = 500 * clock.Millis(1)
 	// coincidenceWindow is the time within which the ends of several workers count as
 	// simultaneous: that between two calls to a worker that does not answer.
 	coincidenceWindow = 500 * clock.Millis(1)
@@ -187,9 +190,9 @@
 	case t.state == placed:
 		// The process may have ended before the start arrived.
 		return evidence{crashed: !l.commonCause, weight: weakWeight, kind: "unconfirmed"}
-	case onTrial && !l.commonCause && l.flapping:
-		// The worker may crash by itself.
-		return evidence{crashed: true, weight: sharedWeight, kind: "on-trial-on-flapping-worker"}
+	case onTrial && !l.commonCause && (l.flapping || l.at-t.placedAt > promptCrashTime):
+		// The worker may have crashed by itself.
+		return evidence{crashed: true, weight: sharedWeight, kind: "on-trial-in-doubt"}
 	case onTrial && !l.commonCause:
 		return evidence{crashed: true, weight: soleWeight, kind: "on-trial"}
 	case l.commonCause:
