scheduler, docs: names and comments of the crash evidence as a newcomer reads them

Cause: a local variable had the name of an exclusion, and three comments said what a value is less than instead of what it is.

No logic changes.

Measured: go test ./scheduler passes.

--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -59,10 +59,10 @@
 	// suspect on trial, from which a cause outside the tasks is more likely: a rack or a data
 	// centre without power.
 	commonCauseWorkers = 4
-	// minRestartTime is less than a process that has crashed takes until its successor answers.
+	// minRestartTime is the least time from the crash of a process to the first answer of its successor.
 	minRestartTime = clock.Second
-	// flappingTime is how long a process has to answer before a crash of it is not taken for the
-	// next one of a worker that crashes by itself.
+	// flappingTime is the time after the restart of a worker within which another crash may well be its
+	// own fault.
 	flappingTime = 2 * clock.Second
 	// crashRetention is how long a crash is kept for the comparison with others. A worker is
 	// proven to have crashed when its successor answers, some seconds later.
@@ -170,30 +170,30 @@
 
 // crashEvidence returns what the crash of worker w says of a task that it had.
 func (t *task) crashEvidence(w *worker, l loss) evidence {
-	onTrial := w.trial == t && w.isTrying()
+	tried := w.trial == t && w.isTrying()
 	switch {
 	case t.isLeftOver(), t.isTooNew(l.now):
 		return evidence{}
 	case t.settled:
 		return evidence{crashed: !l.commonCause && l.at-t.confirmedAt < lateCrashTime, kind: "settled"}
-	case w.isTrying() && !onTrial:
+	case w.isTrying() && !tried:
 		// The trial explains the crash; what else ran here had settled before, also if this
 		// leader has not seen it.
 		return evidence{kind: "beside-a-trial"}
 	case t.inherited:
 		// The former leader may have known that the run had settled, but not if it was on trial.
 		e := evidence{crashed: !l.commonCause || t.suspicion > 0, weight: weakWeight, kind: "inherited"}
-		if onTrial && !l.commonCause {
+		if tried && !l.commonCause {
 			e.weight = sharedWeight
 		}
 		return e
 	case t.state == placed:
 		// The process may have ended before the start arrived.
 		return evidence{crashed: !l.commonCause, weight: weakWeight, kind: "unconfirmed"}
-	case onTrial && !l.commonCause && (l.flapping || l.at-t.placedAt > promptCrashTime):
+	case tried && !l.commonCause && (l.flapping || l.at-t.placedAt > promptCrashTime):
 		// The worker may have crashed by itself.
 		return evidence{crashed: true, weight: sharedWeight, kind: "on-trial-in-doubt"}
-	case onTrial && !l.commonCause:
+	case tried && !l.commonCause:
 		return evidence{crashed: true, weight: soleWeight, kind: "on-trial"}
 	case l.commonCause:
 		return evidence{crashed: true, weight: weakWeight, kind: "others-lost"}
@@ -225,8 +225,8 @@
 	return a-b <= coincidenceWindow && b-a <= coincidenceWindow
 }
 
-// hasCrashedLately reports whether the process before a worker's own had crashed less than flappingTime
-// before, and not because of a trial.
+// hasCrashedLately reports whether a worker was restarted less than flappingTime before now, after a
+// crash that no trial explains.
 func (s *Scheduler) hasCrashedLately(w *worker, now clock.Millis) bool {
 	return slices.ContainsFunc(s.crashes, func(c crash) bool {
 		return c.address == w.info.Address && !c.onTrial && now-c.provenAt < flappingTime
--- a/scheduler/suspicion.go
+++ b/scheduler/suspicion.go
@@ -20,13 +20,13 @@
 	// worker of its own until it has lasted for lateCrashTime.
 	isolationCrashes = 3
 	// convictionCrashes is the number of crashes, whatever the evidence, from which a task is
-	// given up: the platform's rules allow two more starts after three crashes.
+	// given up; after three crashes the platform's rules allow two more starts.
 	convictionCrashes = 5
 	// minConvictionCrashes is the number of crashes below which no task is given up; from the
 	// platform's rules.
 	minConvictionCrashes = 2
 	// lateCrashTime is how long after the start of a run a crash of its worker may still be held
-	// against the task. A run that has lasted for that long takes the crashes before it back.
+	// against the task. Once a run has lasted for that long, earlier crashes no longer count.
 	lateCrashTime = 2 * clock.Second
 )
 
