recorder: loading a topic ends although others append faster than it is read

Cause: Load read on from the first page until a read found nothing. The entries of 3,000 workers change 2,000 times a second and an answer of the store takes 4 ms, so a read nearly always finds some, and a new leader was still loading the registry when its term ended. Change: it reads to the end that the last page has told, no further.

--- a/recorder/loader.go
+++ b/recorder/loader.go
@@ -15,10 +15,12 @@
 )
 
 // Load returns the newest item of every key of a topic and the offset up to which they
-// are complete. It includes items that are appended while it reads.
+// are complete, which is at least the end of the topic at the last page. It reads no further,
+// as others may append faster than it reads: the entries of 3,000 workers, for example, change
+// 2,000 times a second.
 func Load(ctx context.Context, s Store, topic string) (map[string][]byte, int64, error) {
 	items := map[string][]byte{}
-	first := int64(-1)
+	first, last := int64(-1), int64(0)
 	for after, more := "", true; more; {
 		p, err := readPage(ctx, s, topic, after)
 		if err != nil {
@@ -27,42 +29,63 @@
 		if first < 0 {
 			first = p.End
 		}
+		last = p.End
 		for _, i := range p.Items {
 			items[i.Key] = i.Value
 			after = i.Key
 		}
 		more = p.More && len(p.Items) > 0
 	}
-	end, err := CatchUp(ctx, s, topic, first, items)
-	return items, end, err
+	end := first
+	for end < last {
+		found, next, err := applyNext(ctx, s, topic, end, items)
+		if err != nil {
+			return nil, 0, errors.Wrap(err, "recorder.Load")
+		}
+		if !found {
+			break
+		}
+		end = next
+	}
+	return items, end, nil
 }
 
-// CatchUp applies the items from an offset on to the map and returns the new end of the
-// topic.
+// CatchUp applies the items from an offset on to the map until there are none, and returns the new
+// end of the topic. The topic must be one to which nobody else appends all the time.
 func CatchUp(ctx context.Context, s Store, topic string, from int64, items map[string][]byte) (int64, error) {
 	for {
-		var found []Item
-		var end int64
-		if err := inTime(ctx, s, func(ctx context.Context) (err error) {
-			found, end, err = s.Read(ctx, topic, from, 0)
-			return err
-		}); err != nil {
+		found, end, err := applyNext(ctx, s, topic, from, items)
+		if err != nil {
 			return 0, errors.Wrap(err, "recorder.CatchUp")
 		}
-		for _, i := range found {
-			if len(i.Value) == 0 {
-				delete(items, i.Key)
-				continue
-			}
-			items[i.Key] = i.Value
-		}
-		if len(found) == 0 {
+		if !found {
 			return max(end, from), nil
 		}
 		from = end
 	}
 }
 
+// applyNext reads the next items from an offset on and applies them to the map. It returns whether
+// there were any, and the offset after them.
+func applyNext(ctx context.Context, s Store, topic string, from int64, items map[string][]byte) (bool, int64, error) {
+	var found []Item
+	var end int64
+	if err := inTime(ctx, s, func(ctx context.Context) (err error) {
+		found, end, err = s.Read(ctx, topic, from, 0)
+		return err
+	}); err != nil {
+		return false, 0, err
+	}
+	for _, i := range found {
+		if len(i.Value) == 0 {
+			delete(items, i.Key)
+			continue
+		}
+		items[i.Key] = i.Value
+	}
+	return len(found) > 0, end, nil
+}
+
 func readPage(ctx context.Context, s Store, topic, after string) (Page, error) {
 	var p Page
 	err := inTime(ctx, s, func(ctx context.Context) (err error) {
--- a/recorder/loader_test.go
+++ b/recorder/loader_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -59,3 +61,71 @@
 		})
 	}
 }
+
+// TestLoadOfBusyTopicEnds guards against a leader that never serves because it loads a topic to which
+// others append faster than it can be read to the end, such as the registry of 3,000 workers that
+// write every 1.5 s.
+func TestLoadOfBusyTopicEnds(t *testing.T) {
+	const answerTime = 4 * time.Millisecond
+	tests := map[string]struct {
+		perSecond, keys, pageSize int
+	}{
+		"quiet, one page":       {keys: 100, pageSize: 500},
+		"300 workers":           {perSecond: 200, keys: 300, pageSize: 500},
+		"3,000 workers":         {perSecond: 2000, keys: 3000, pageSize: 500},
+		"3,000, one large page": {perSecond: 2000, keys: 3000, pageSize: 3000},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				began := time.Now()
+				// Record n is written by worker n modulo keys and has n as its value.
+				written := func() int64 {
+					return int64(tt.keys) + int64(time.Since(began).Seconds()*float64(tt.perSecond))
+				}
+				item := func(n int64) recorder.Item {
+					return recorder.Item{Key: fmt.Sprintf("%05d", n%int64(tt.keys)), Value: []byte(strconv.FormatInt(n, 10))}
+				}
+				s := recorder.Store{
+					ReadNewest: func(_ context.Context, _, after string) (recorder.Page, error) {
+						time.Sleep(answerTime)
+						end, from := written(), 0
+						if after != "" {
+							k, err := strconv.Atoi(after)
+							must.NoError(t, err)
+							from = k + 1
+						}
+						p := recorder.Page{End: end}
+						for k := from; k < min(from+tt.pageSize, tt.keys); k++ {
+							newest := (end-1-int64(k))/int64(tt.keys)*int64(tt.keys) + int64(k)
+							p.Items = append(p.Items, item(newest))
+						}
+						p.More = from+tt.pageSize < tt.keys
+						return p, nil
+					},
+					Read: func(ctx context.Context, _ string, from int64, _ clock.Millis) ([]recorder.Item, int64, error) {
+						time.Sleep(answerTime)
+						if ctx.Err() != nil {
+							return nil, 0, recorder.ErrUnclear
+						}
+						var found []recorder.Item
+						for n := from; n < written(); n++ {
+							found = append(found, item(n))
+						}
+						return found, from + int64(len(found)), nil
+					},
+				}
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+				defer cancel()
+				items, end, err := recorder.Load(ctx, s, "t")
+				must.NoError(t, err)
+				must.NoError(t, ctx.Err(), must.Sprint("the topic was not loaded within a second"))
+				must.MapLen(t, tt.keys, items)
+				for k := range int64(tt.keys) {
+					want := (end-1-k)/int64(tt.keys)*int64(tt.keys) + k
+					must.Eq(t, string(item(want).Value), string(items[item(want).Key]))
+				}
+			})
+		})
+	}
+}
