conductor: silent workers hold up first polls by what sound ones need

Cause: after a takeover sixteen workers are polled at a time, and one that does not answer counted for 150 ms: with 1,000 of 3,000 workers silent the others waited 9 s, and their leases of 6 s ran out. Change: a first poll counts for four times as long as workers take to answer theirs, 20 to 150 ms.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -57,6 +57,9 @@
 		// order; firstPolls counts the first polls in flight.
 		firstPollQueue []*session
 		firstPolls     int
+		// firstPollAnswer is how long workers take to answer their first poll, in ms, an
+		// exponential moving average; 0 before the first answer.
+		firstPollAnswer float64
 		// pendingBatch is the batch that is being stored, nil if none is.
 		pendingBatch *scheduler.Batch
 		// clocksLeftAt is when clock readings were last left to the next leader.
--- a/conductor/firstpolls_test.go
+++ b/conductor/firstpolls_test.go
@@ -69,8 +69,20 @@
 // workers that do not answer before it polls those that do.
 func TestSilentWorkersDelayNoFirstPolls(t *testing.T) {
 	// takeoverTime is the time without a leader, of which a lease has to last for the rest.
-	const workers, takeoverTime = 350, 2500 * time.Millisecond
-	for name, silent := range map[string]int{"none is silent": 0, "a sixth is silent": workers / 6, "a third is silent": workers / 3, "half are silent": workers / 2} {
+	const takeoverTime = 2500 * time.Millisecond
+	// tasksPerJob keeps a job below the most tasks that it may have.
+	const tasksPerJob = 1000
+	tests := map[string]struct{ workers, silent int }{
+		"none is silent":           {workers: 350},
+		"a sixth is silent":        {workers: 350, silent: 350 / 6},
+		"a third is silent":        {workers: 350, silent: 350 / 3},
+		"half are silent":          {workers: 350, silent: 350 / 2},
+		"3,000, none is silent":    {workers: 3000},
+		"3,000, a third is silent": {workers: 3000, silent: 1000},
+		"3,000, half are silent":   {workers: 3000, silent: 1500},
+	}
+	for name, tc := range tests {
+		workers, silent := tc.workers, tc.silent
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				l := imitator.NewKeyedLog(4, nil)
@@ -83,9 +95,12 @@
 					return c
 				}
 				first := startLeader(1)
-				job := testJob(1, workers)
-				job.Steps[0].LongRunning, job.Steps[0].PerWorker = true, 1
-				must.NoError(t, first.Submit(t.Context(), job))
+				for n := 0; n*tasksPerJob < workers; n++ {
+					job := testJob(n+1, min(tasksPerJob, workers-n*tasksPerJob))
+					// Each task fills its worker, so that each worker has one.
+					job.Steps[0].LongRunning, job.Steps[0].PerWorker, job.Steps[0].CPU = true, 1, 4000
+					must.NoError(t, first.Submit(t.Context(), job))
+				}
 				time.Sleep(5 * time.Second)
 				must.Eq(t, workers, p.Starts())
 				for i := range silent {
--- a/conductor/session.go
+++ b/conductor/session.go
@@ -62,10 +62,15 @@
 	// maxFirstPolls limits the first polls in flight after a takeover: opening the
 	// connections to all workers at once would keep a small host busy for seconds.
 	maxFirstPolls = 16
-	// maxFirstPollTime is how long a first poll counts as in flight: ten times the time that a
-	// worker takes to answer on a new connection. One that does not answer is no work for this
-	// host, and the leases of the workers that wait behind it run out.
+	// A first poll counts as in flight for firstPollFactor times as long as workers take to
+	// answer theirs, within minFirstPollTime and maxFirstPollTime. One that does not answer is no
+	// work for this host, and the leases of the workers that wait behind it run out: with 1,000
+	// of 3,000 workers silent, 150 ms for each would add up to 9 s, and a lease lasts 6 s.
+	firstPollFactor  = 4
+	minFirstPollTime = 20 * clock.Millis(1)
 	maxFirstPollTime = 150 * clock.Millis(1)
+	// firstPollWeight is the weight of the newest answer in the moving average of their times.
+	firstPollWeight = 0.1
 	// pollMargin is added to the wait for the timeout of a poll.
 	pollMargin = 800 * clock.Millis(1)
 	// silentPollMargin replaces pollMargin for a worker that has not answered: after a
@@ -168,19 +173,22 @@
 
 // startFirstPolls polls workers for the first time in a term. After a takeover all
 // workers are due at once; maxFirstPolls limits how many are polled at a time. Silent workers
-// hold up the others for maxFirstPollTime each.
+// hold up the others for firstPollTime each.
 func (c *Conductor) startFirstPolls() {
 	for c.firstPolls < maxFirstPolls && len(c.firstPollQueue) > 0 {
 		s := c.firstPollQueue[0]
 		c.firstPollQueue = c.firstPollQueue[1:]
 		c.firstPolls++
+		ended := c.firstPollInFlight()
 		c.group.Add(1)
 		go func() {
 			defer c.group.Done()
-			ended := c.firstPollInFlight()
 			n := c.nextPoll(s)
 			if n.due {
-				n, _ = c.poll(s, n.request)
+				sent, answered := c.now(), false
+				if n, answered = c.poll(s, n.request); answered {
+					c.noteFirstPoll(c.now() - sent)
+				}
 			}
 			ended()
 			c.pollWhileDue(s, n)
@@ -188,8 +196,28 @@
 	}
 }
 
+// noteFirstPoll records how long a worker took to answer its first poll.
+func (c *Conductor) noteFirstPoll(took clock.Millis) {
+	c.post(func() {
+		if c.firstPollAnswer == 0 {
+			c.firstPollAnswer = float64(took)
+		}
+		c.firstPollAnswer += firstPollWeight * (float64(took) - c.firstPollAnswer)
+	})
+}
+
+// firstPollTime returns how long a first poll counts as in flight. It runs on the scheduler's
+// goroutine.
+func (c *Conductor) firstPollTime() clock.Millis {
+	if c.firstPollAnswer == 0 {
+		return maxFirstPollTime
+	}
+	return min(max(clock.Millis(firstPollFactor*c.firstPollAnswer), minFirstPollTime), maxFirstPollTime)
+}
+
 // firstPollInFlight returns a function that must be called when a first poll has ended. If that takes
-// longer than maxFirstPollTime and this process is not delayed itself, the next one starts before.
+// longer than firstPollTime and this process is not delayed itself, the next one starts before. It
+// runs on the scheduler's goroutine.
 func (c *Conductor) firstPollInFlight() (ended func()) {
 	// next is called on the scheduler's goroutine.
 	next := sync.OnceFunc(func() {
@@ -200,13 +228,13 @@
 	expire = func() {
 		c.post(func() {
 			if c.timekeeper.Recent() > delayLimit/2 {
-				time.AfterFunc(maxFirstPollTime.Duration(), expire)
+				time.AfterFunc(c.firstPollTime().Duration(), expire)
 				return
 			}
 			next()
 		})
 	}
-	timer := time.AfterFunc(maxFirstPollTime.Duration(), expire)
+	timer := time.AfterFunc(c.firstPollTime().Duration(), expire)
 	return func() {
 		timer.Stop()
 		c.post(next)
