conductor, forwarder: a slow store refuses only the jobs that it can't take in time

Cause: one append over 500 ms refused every new job for a second. Change: the wait of a new job is predicted from the append under way and the last one; it is refused only if it would not be stored within 1.29 s, and callers are kept 1.35 s for it instead of 1 s while the store answers. A forwarding host waits 1.5 s instead of 1.2 s.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -81,8 +81,8 @@
 		startsInFlight atomic.Int64
 		// provenAt is the time of the newest time record that is stored, in ms.
 		provenAt atomic.Int64
-		// slowAppendAt is when an append of a batch last took longer than slowAppend, in ms.
-		slowAppendAt atomic.Int64
+		// appendTimer predicts how long a change takes to be stored.
+		appendTimer *appendTimer
 		// nextRound is the earliest time of the next round of placing.
 		nextRound clock.Millis
 		// timekeeper measures the delay of the scheduler's goroutine.
@@ -172,6 +172,7 @@
 		o(c)
 	}
 	sched.SetRelay(t.Relay)
+	c.appendTimer = &appendTimer{}
 	c.timekeeper, c.regulator = timekeeper.New(sweepInterval, c.now), regulator.New(c.now)
 	c.ctx, c.cancel = context.WithCancel(ctx)
 	if err := c.load(t); err != nil {
--- a/conductor/loop.go
+++ b/conductor/loop.go
@@ -161,9 +161,10 @@
 func (c *Conductor) storeBatch(b *scheduler.Batch) bool {
 	for chunk := range splitRecords(b.Records) {
 		sent := c.now()
+		c.appendTimer.begin(sent)
 		err := c.append(chunk)
+		c.appendTimer.end(c.now())
 		c.metrics.Append(c.now() - sent)
-		c.appended(c.now() - sent)
 		if err != nil {
 			c.end(err.Error())
 			return false
--- a/conductor/requests.go
+++ b/conductor/requests.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -21,15 +22,19 @@
 	// maxDepositReadAge is the age of the last read of the deposits up to which a job may
 	// be reported as unknown: two long polls and the answer of a slow store.
 	maxDepositReadAge = 1400 * clock.Millis(1)
-	// slowAppend is the time of an append from which new jobs are refused for slowAppendTime,
-	// since the caller would not wait for one of the next appends: half of changeTimeout.
-	slowAppend     = changeTimeout / 2
-	slowAppendTime = clock.Second
-	// minRetryAfter is the time after which a caller returns who was refused for that.
+	// minRetryAfter is the time after which a caller returns who was refused because the store is
+	// slow. Shorter ones can't be told, as Retry-After counts seconds.
 	minRetryAfter = clock.Second
 	// changeTimeout is how long a caller waits for a change to be stored. After that the
 	// outcome is unknown and the caller should send the request again.
 	changeTimeout = clock.Second
+	// slowChangeTimeout replaces changeTimeout while the store is slow but answers: two appends
+	// of 0.6 s, its longest in the users' fault specification, and the gathering of a batch.
+	// The forwarder waits a little longer.
+	slowChangeTimeout = 1350 * clock.Millis(1)
+	// changeMargin is the part of these timeouts that is kept for gathering a batch and for the
+	// answer.
+	changeMargin = 60 * clock.Millis(1)
 )
 
 var (
@@ -59,13 +64,6 @@
 	return "more work is waiting than this leader can do in time"
 }
 
-// appended records how long an append took.
-func (c *Conductor) appended(took clock.Millis) {
-	if took > slowAppend {
-		c.slowAppendAt.Store(int64(c.now()))
-	}
-}
-
 // admit reports whether a new job is accepted, or after which time it would be. Jobs that last are
 // always accepted: they are few, and their tasks are started before all others.
 func (c *Conductor) admit(s *scheduler.Spec) (clock.Millis, bool) {
@@ -74,8 +72,9 @@
 		tasks += s.Steps[i].Count
 		lasts = lasts || s.Steps[i].LongRunning
 	}
-	if at := clock.Millis(c.slowAppendAt.Load()); at != 0 && c.now()-at < slowAppendTime {
-		return minRetryAfter, false
+	if wait := c.appendTimer.wait(c.now()); wait > slowChangeTimeout-changeMargin {
+		// It would not be stored while its caller waits.
+		return max(wait-slowChangeTimeout, minRetryAfter), false
 	}
 	if lasts || s.Repeat > 0 {
 		return 0, true
@@ -141,8 +140,15 @@
 // callback is called and returns the error passed to it. The error is ErrTermEnded or
 // ErrUnclear if neither happens in time.
 func (c *Conductor) awaitStored(ctx context.Context, f func(stored func(error)) error) error {
-	ctx, cancel := context.WithTimeout(ctx, changeTimeout.Duration())
+	ctx, cancel := context.WithTimeout(ctx, slowChangeTimeout.Duration())
 	defer cancel()
+	// A store that has not answered the last append at all is not waited for any longer.
+	early := time.AfterFunc(changeTimeout.Duration(), func() {
+		if c.writer.FailingSince() != 0 {
+			cancel()
+		}
+	})
+	defer early.Stop()
 	done := make(chan error, 1)
 	if !c.post(func() {
 		if ctx.Err() != nil {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -41,9 +41,9 @@
 	// maxHops is how many daemons are asked for one request: the known leader, and the
 	// next one if the first no longer leads.
 	maxHops = 2
-	// forwardTimeout limits a call to the leader. The leader itself reports within a
-	// second if it could not store a change.
-	forwardTimeout = 1200 * clock.Millis(1)
+	// forwardTimeout limits a call to the leader. The leader itself reports within 1.35 s
+	// if it could not store a change.
+	forwardTimeout = 1500 * clock.Millis(1)
 )
 
 // New returns a Forwarder that looks up the leader with the elector. deposit stores a
