scheduler, conductor, logger, coder: types, events and codes of tenants

Cause: the parts of docs/design/tenants.md are built side by side. Change: the types that they share; tenants have no effect yet.

--- a/coder/codes.go
+++ b/coder/codes.go
@@ -79,6 +79,13 @@
 	NoBackend Code = 3012
 	// Failed is work that ran and reported a failure.
 	Failed Code = 3013
+	// BadKey is a request without a key, or with one that no tenant has.
+	BadKey Code = 3014
+	// OverCap is a job with a task or gang that is larger than the cap of its tenant.
+	OverCap Code = 3015
+	// OverRate is a job that was refused, and not run, because its tenant submits more than
+	// it may.
+	OverRate Code = 3016
 )
 
 // Conditions of daemons and the platform.
--- a/conductor/requests.go
+++ b/conductor/requests.go
@@ -202,6 +202,11 @@
 	return n, err
 }
 
+// SetTenants replaces the tenants that share the deployment.
+func (c *Conductor) SetTenants(ts []scheduler.Tenant) {
+	c.post(func() { c.sched.SetTenants(ts) })
+}
+
 // SetEvacuated replaces the set of data centres in which no task may start.
 func (c *Conductor) SetEvacuated(dataCentres []string) {
 	c.post(func() { c.sched.SetEvacuated(dataCentres) })
--- a/logger/events.go
+++ b/logger/events.go
@@ -106,3 +106,12 @@
 	ProcessInTime   = Event{6066, log.InfoLevel, "process gets its turns in time again"}
 	LinesLeftOut    = Event{6050, log.WarnLevel, "log lines were dropped"}
 )
+
+// Tenants.
+var (
+	KeyRefused    = Event{6080, log.InfoLevel, "key is not that of any tenant"}
+	TenantWaits   = Event{6081, log.InfoLevel, "starts wait for the cap of their tenant"}
+	TenantChanged = Event{6082, log.InfoLevel, "cap or weight of a tenant changed"}
+	TenantAdded   = Event{6083, log.InfoLevel, "tenant added"}
+	TenantRemoved = Event{6084, log.InfoLevel, "tenant removed"}
+)
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -11,6 +11,9 @@
 	Spec struct {
 		ID    string `json:"id"`
 		Queue Queue  `json:"queue"`
+		// Tenant is the name of the tenant that submitted the job; empty if its queue is public
+		// or the deployment has no tenants.
+		Tenant string `json:"tenant,omitempty"`
 		// Text is passed unchanged to every run.
 		Text  string `json:"text,omitempty"`
 		Steps []Step `json:"steps"`
