forwarder: judge requests by key before they are executed or deposited

Cause: a host may have an older configuration than the leader, so that a key may be new or withdrawn there. Change: a request carries the digest of its key and the version by which it was judged; the leader judges it again before it executes it, and a host before it deposits it. Reply.Code has the numbered error; a job refused for the rate of its tenant is not deposited.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"galenawharf.example/galenawharf/clock"
+	"galenawharf.example/galenawharf/coder"
 	"galenawharf.example/galenawharf/conductor"
 	"galenawharf.example/galenawharf/depositor"
 	"galenawharf.example/galenawharf/elector"
@@ -30,7 +31,11 @@
 		health  *leaderHealth
 		deposit func(context.Context, scheduler.Spec) error
 		emit    func(logger.Event, ...logger.Field)
+		judge   func(*Request) Reply
 	}
+
+	// Option configures a Forwarder.
+	Option func(*Forwarder)
 )
 
 const (
@@ -46,11 +51,26 @@
 	forwardTimeout = 1200 * clock.Millis(1)
 )
 
+// WithJudge sets the function that judges a request by the configuration of this host. It is
+// called before a request is executed, by the leader, and before a job is deposited. It sets the
+// tenant if this host's configuration is newer than that of the request, and returns a Reply
+// with the outcome OK unless the request must be refused. Without it every request is executed.
+func WithJudge(judge func(*Request) Reply) Option {
+	return func(f *Forwarder) { f.judge = judge }
+}
+
 // New returns a Forwarder that looks up the leader with the elector. deposit stores a
 // job in the platform's store for the leader to pick up; it returns the errors of
 // depositor.Depositor.
-func New(e func() *elector.Elector, c *http.Client, now func() clock.Millis, deposit func(context.Context, scheduler.Spec) error, emit func(logger.Event, ...logger.Field)) *Forwarder {
-	return &Forwarder{elector: e, client: c, health: &leaderHealth{now: now, emit: emit}, deposit: deposit, emit: emit}
+func New(e func() *elector.Elector, c *http.Client, now func() clock.Millis, deposit func(context.Context, scheduler.Spec) error, emit func(logger.Event, ...logger.Field), opts ...Option) *Forwarder {
+	f := &Forwarder{
+		elector: e, client: c, health: &leaderHealth{now: now, emit: emit}, deposit: deposit, emit: emit,
+		judge: func(*Request) Reply { return Reply{Outcome: OK} },
+	}
+	for _, o := range opts {
+		o(f)
+	}
+	return f
 }
 
 // SetLocal sets the conductor of this daemon; nil when it doesn't lead.
@@ -64,13 +84,16 @@
 // instead, where this leader or the next one picks it up.
 func (f *Forwarder) Serve(ctx context.Context, q Request) Reply {
 	r := f.askLeader(ctx, q)
-	if q.Verb != Submit || r.Outcome != Refused && r.Outcome != Unclear || r.StoreUnavailable || r.Overloaded {
-		// Only submissions can be deposited. If the leader refused because the store
-		// doesn't answer, the caller gets this definite refusal: a deposit would likely
-		// time out too, with an unclear outcome. An overloaded leader could not start a
-		// deposited job in time either.
+	if q.Verb != Submit || !r.depositable() {
 		return r
 	}
+	if v := f.judge(&q); v.Outcome != OK {
+		if r.Outcome == Unclear {
+			// The leader may have known the key, and executed the request.
+			return r
+		}
+		return v
+	}
 	switch err := f.deposit(ctx, q.Spec); {
 	case err == nil:
 		f.emit(logger.JobDeposited, logger.String("id", q.Spec.ID), logger.String("reason", r.Error))
@@ -88,7 +111,7 @@
 func (f *Forwarder) askLeader(ctx context.Context, q Request) Reply {
 	for range maxHops {
 		if c := f.local.Load(); c != nil {
-			return execute(ctx, c, q)
+			return f.execute(ctx, c, q)
 		}
 		address, here := f.elector().Leader()
 		if address == "" || here {
@@ -120,8 +143,11 @@
 // unclear returns the reply for a request that may have been executed.
 func unclear(err error) Reply { return Reply{Outcome: Unclear, Error: err.Error()} }
 
-// execute runs a request on the conductor of this daemon.
-func execute(ctx context.Context, c *conductor.Conductor, q Request) Reply {
+// execute judges a request by the configuration of this daemon and runs it on its conductor.
+func (f *Forwarder) execute(ctx context.Context, c *conductor.Conductor, q Request) Reply {
+	if v := f.judge(&q); v.Outcome != OK {
+		return v
+	}
 	var err error
 	r := Reply{Outcome: OK}
 	switch q.Verb {
@@ -159,12 +185,21 @@
 	case errors.Is(err, conductor.ErrTermEnded) && v.readOnly():
 		return refusal(err.Error())
 	case errors.Is(err, scheduler.ErrInvalid), errors.Is(err, scheduler.ErrConflict):
-		return Reply{Outcome: Invalid, Error: err.Error()}
+		return Reply{Outcome: Invalid, Error: err.Error(), Code: codeOf(err)}
 	default:
 		return unclear(err)
 	}
 }
 
+// codeOf returns the numbered error in the chain of err; 0 if there is none.
+func codeOf(err error) coder.Code {
+	var coded *coder.Error
+	if !errors.As(err, &coded) {
+		return 0
+	}
+	return coded.Code()
+}
+
 // forward sends a request to the leader at an address.
 func (f *Forwarder) forward(ctx context.Context, address string, q Request) Reply {
 	timed, cancel := context.WithTimeout(ctx, forwardTimeout.Duration())
@@ -230,7 +265,7 @@
 	}
 	var a Reply
 	if c := f.local.Load(); c != nil {
-		a = execute(r.Context(), c, q)
+		a = f.execute(r.Context(), c, q)
 	} else {
 		n := f.elector().NewestClaim()
 		a = Reply{Outcome: NotLeading, Leader: &n}
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -7,6 +7,7 @@
 
 import (
 	"galenawharf.example/galenawharf/clock"
+	"galenawharf.example/galenawharf/coder"
 	"galenawharf.example/galenawharf/elector"
 	"galenawharf.example/galenawharf/scheduler"
 )
@@ -23,6 +24,17 @@
 		Verb Verb `json:"verb"`
 		// Spec is the whole job for Submit; other verbs use only its id and queue.
 		Spec scheduler.Spec `json:"spec"`
+		// KeyDigest is the whole digest of the caller's key (authenticator.Digest.Text); empty
+		// without a key, or with one that no tenant can have.
+		KeyDigest string `json:"key-digest,omitempty"`
+		// ConfigVersion is the version of the configuration by which Spec.Tenant was set.
+		ConfigVersion int64 `json:"config-version,omitempty"`
+		// Unjudged is set if the key is unknown to the host that received the request, but may
+		// be in a newer configuration. Such a request must not be executed or deposited.
+		Unjudged bool `json:"unjudged,omitempty"`
+		// MayBeRevoked is set if the key may have been withdrawn since the host read its
+		// configuration, and must then be refused.
+		MayBeRevoked bool `json:"may-be-revoked,omitempty"`
 	}
 
 	// Reply is the response to a Request.
@@ -35,6 +47,8 @@
 		// RetryAfter is when the caller should retry; only set with Refused.
 		RetryAfter clock.Millis `json:"retry-after,omitempty"`
 		Error      string       `json:"error,omitempty"`
+		// Code is the numbered error; 0 if there is none.
+		Code coder.Code `json:"code,omitempty"`
 		// StoreUnavailable is set if the leader refused because the store doesn't answer it.
 		StoreUnavailable bool `json:"store-away,omitempty"`
 		// Overloaded is set if the leader refused because it could not start the job in time.
@@ -64,6 +78,9 @@
 	// Refused means that the request was not executed and will not be; it is safe to
 	// retry.
 	Refused Outcome = "refused"
+	// Unauthenticated means that the request was not executed, as its key is not that of any
+	// tenant.
+	Unauthenticated Outcome = "unauthenticated"
 	// NotLeading means that the daemon doesn't lead; nothing was executed.
 	NotLeading Outcome = "not-leading"
 	// Unclear means that the request may have been executed.
@@ -79,3 +96,15 @@
 // readOnly reports whether a request changes nothing. Such a request may be reported as
 // Refused even if it was executed.
 func (v Verb) readOnly() bool { return v == Phase || v == Pending }
+
+// depositable reports whether a job with this reply may be deposited in the store.
+func (r *Reply) depositable() bool {
+	if r.Outcome != Refused && r.Outcome != Unclear {
+		return false
+	}
+	// If the leader refused because the store doesn't answer, the caller gets this definite
+	// refusal: a deposit would likely time out too, with an unclear outcome. An overloaded leader
+	// could not start a deposited job in time either, and a deposit isn't a way around the rate
+	// of a tenant.
+	return !r.StoreUnavailable && !r.Overloaded && r.Code != coder.OverRate
+}
