runner: pass tenants to the leader's scheduler

Cause: the scheduler needs the tenants before it starts anything. A new term and the follower pass the operator's records under a lock: a term could pass older ones after the follower had passed newer ones, which then stayed. Measured: go test ./runner passes; the race is from reading the code.

--- a/runner/runner.go
+++ b/runner/runner.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 
 	"github.com/looplab/fsm"
@@ -55,8 +56,10 @@
 		// operatorReadAt is when the operator's records were certainly as they are known here.
 		operatorReadAt atomic.Int64
 		waves          atomic.Pointer[[]scheduler.Wave]
-		leaving        atomic.Bool
-		servers        []*http.Server
+		// operatorMu orders what the conductor is given of the operator's records.
+		operatorMu sync.Mutex
+		leaving    atomic.Bool
+		servers    []*http.Server
 	}
 )
 
@@ -123,8 +126,10 @@
 	r.evacuated.Store(&[]string{})
 	r.waves.Store(&[]scheduler.Wave{})
 	deposits := depositor.New(r.store, r.now, func() clock.Millis { return clock.Millis(r.lastStoreRead.Load()) })
-	r.forward = forwarder.New(func() *elector.Elector { return r.elector }, platform.NewClient(peerConnections), r.now, deposits.Deposit, l.Emit)
-	r.ingress = platform.NewIngress(r.serveCaller, l.Emit)
+	r.forward = forwarder.New(func() *elector.Elector { return r.elector }, platform.NewClient(peerConnections), r.now, deposits.Deposit, l.Emit,
+		forwarder.WithJudge(func(q *forwarder.Request) forwarder.Reply { return r.ingress.Judge(q) }))
+	r.ingress = platform.NewIngress(r.serveCaller, l.Emit, platform.WithConfigAge(r.configAge), platform.WithIngressClock(r.now),
+		platform.WithKeyBounds(func() platform.KeyBounds { return r.settings.Load().KeyBounds() }))
 	instance := strconv.FormatInt(int64(clock.System()), 36) + "-" + s.Peers()
 	r.elector = elector.New(r.store, s.Host(), s.Peers(), instance, r.lead, elector.WithClock(r.now), elector.WithCores(s.Cores()), elector.WithEvents(l.Emit))
 	storeOutages := &outageLogger{now: r.now, emit: l.Emit, failedEvent: logger.StoreLost, recoveredEvent: logger.StoreBack}
@@ -213,15 +218,7 @@
 // applyOperatorItems applies the operator's configuration, evacuated data centres and
 // maintenance waves.
 func (r *Runner) applyOperatorItems() {
-	if b := platform.ConfigOf(r.operatorItems); len(b) > 0 {
-		c, err := platform.DecodeConfig(b)
-		if err != nil {
-			r.log.Emit(logger.EntryInvalid, logger.String("key", "config"), logger.Err(err))
-		} else if r.ingress.SetConfig(c) {
-			r.log.Emit(logger.ConfigInForce, logger.Int("version", c.Version()))
-			r.metrics.Set(measurer.ConfigVersion, float64(c.Version()))
-		}
-	}
+	r.applyConfig()
 	e := platform.EvacuatedOf(r.operatorItems)
 	r.evacuated.Store(&e)
 	w, invalid := platform.WavesOf(r.operatorItems)
@@ -231,8 +228,7 @@
 	}
 	r.waves.Store(&w)
 	if c := r.forward.Local(); c != nil {
-		c.SetEvacuated(e)
-		c.SetWaves(w)
+		r.passOperatorItems(c)
 	}
 }
 
@@ -253,6 +249,7 @@
 		scheduler.WithUpkeepLength(settings.UpkeepLength()),
 	)
 	s.SetEvacuated(*r.evacuated.Load())
+	s.SetTenants(r.tenants())
 	var cloud conductor.Cloud
 	if settings.CloudAddress() != "" {
 		cloud = platform.NewCloud(settings.CloudAddress(), settings.Host(), r.store, r.cloudClient).Seam()
@@ -266,8 +263,7 @@
 		return
 	}
 	r.forward.SetLocal(c)
-	c.SetEvacuated(*r.evacuated.Load())
-	c.SetWaves(*r.waves.Load())
+	r.passOperatorItems(c)
 	r.metrics.Add(measurer.Terms, 1)
 	r.metrics.Set(measurer.Leading, 1)
 	c.Wait()
