--- a/authenticator/digest.go
+++ b/authenticator/digest.go
@@ -7,7 +7,7 @@
 )
 
 type (
-	// Digest is the SHA-256 digest of a key.
+	// Digest is the SHA-256 digest of a key. The zero value is that of no key.
 	Digest [sha256.Size]byte
 )
 
@@ -45,7 +45,11 @@
 }
 
 // Text returns the whole digest in hexadecimal digits.
-func (d Digest) Text() string { return hex.EncodeToString(d[:]) }
+func (d Digest) Text() string {
+	var b [2 * sha256.Size]byte
+	hex.Encode(b[:], d[:])
+	return string(b[:])
+}
 
 // String returns the first 8 hexadecimal digits of the digest, as they are logged.
 func (d Digest) String() string { return hex.EncodeToString(d[:loggedBytes]) }
