forwarder, conductor: a job is refused if its caller leaves before it would be stored

Change: a request carries how long its caller waits; the leader refuses a job that would be stored later, with the time to come back. Measured: TestSlowStoreRefusesCallersWithLittleTime fails before with 400 ms left and passes after.

--- a/conductor/requests.go
+++ b/conductor/requests.go
@@ -66,13 +66,17 @@
 
 // admit reports whether a new job is accepted, or after which time it would be. Jobs that last are
 // always accepted: they are few, and their tasks are started before all others.
-func (c *Conductor) admit(s *scheduler.Spec) (clock.Millis, bool) {
+func (c *Conductor) admit(ctx context.Context, s *scheduler.Spec) (clock.Millis, bool) {
 	tasks, lasts := 0, false
 	for i := range s.Steps {
 		tasks += s.Steps[i].Count
 		lasts = lasts || s.Steps[i].LongRunning
 	}
-	if wait := c.appendTimer.wait(c.now()); wait > slowChangeTimeout-changeMargin {
+	patience := slowChangeTimeout
+	if d, ok := ctx.Deadline(); ok {
+		patience = min(patience, clock.FromTime(d).Sub(clock.System()))
+	}
+	if wait := c.appendTimer.wait(c.now()); wait > 0 && wait > patience-changeMargin {
 		// It would not be stored while its caller waits.
 		return max(wait-slowChangeTimeout, minRetryAfter), false
 	}
@@ -91,7 +95,7 @@
 			if c.storeUnavailable() {
 				return ErrStoreUnavailable
 			}
-			if after, ok := c.admit(&s); !ok {
+			if after, ok := c.admit(ctx, &s); !ok {
 				return OverloadError{after}
 			}
 		}
--- a/conductor/slowstore_test.go
+++ b/conductor/slowstore_test.go
@@ -1,6 +1,7 @@
 package conductor_test
 
 import (
+	"context"
 	"fmt"
 	"sync/atomic"
 	"testing"
@@ -90,3 +91,49 @@
 		})
 	}
 }
+
+// TestSlowStoreRefusesCallersWithLittleTime guards against a job that is stored after its caller has
+// left, who is then told neither that it was accepted nor that it was not.
+func TestSlowStoreRefusesCallersWithLittleTime(t *testing.T) {
+	tests := map[string]struct {
+		// left is how long the callers still wait, 0 for the usual time.
+		left    time.Duration
+		refused bool
+	}{
+		"the usual time":         {},
+		"time for two appends":   {left: 1300 * time.Millisecond},
+		"less than for one more": {left: 400 * time.Millisecond, refused: true},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l := imitator.NewKeyedLog(4, func(_, call, topic string) imitator.StoreFault {
+					if call == "append" && topic == "jobs" {
+						time.Sleep(600 * time.Millisecond)
+					}
+					return imitator.StoreFine
+				})
+				p := imitator.NewPool(20, 100, func(scheduler.TaskName, int) (clock.Millis, scheduler.Ending) { return 100, scheduler.EndDone }, nil)
+				p.Register(l)
+				d := startDaemon("a", l, p, nil)
+				defer d.elector.Close()
+				c := awaitLeader(d)
+				must.NoError(t, c.Submit(t.Context(), testJob(1, 1)))
+				for n := range 20 {
+					ctx, cancel := context.WithCancel(t.Context())
+					if tc.left > 0 {
+						ctx, cancel = context.WithTimeout(t.Context(), tc.left)
+					}
+					err := c.Submit(ctx, testJob(2+n, 1))
+					cancel()
+					var overload conductor.OverloadError
+					must.Eq(t, tc.refused, errors.As(err, &overload), must.Sprint(err))
+					if !tc.refused {
+						must.NoError(t, err)
+					}
+					time.Sleep(70 * time.Millisecond)
+				}
+			})
+		})
+	}
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -148,6 +148,11 @@
 	if v := f.judge(&q); v.Outcome != OK {
 		return v
 	}
+	if q.Patience > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, q.Patience.Duration())
+		defer cancel()
+	}
 	var err error
 	r := Reply{Outcome: OK}
 	switch q.Verb {
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -24,6 +24,9 @@
 		Verb Verb `json:"verb"`
 		// Spec is the whole job for Submit; other verbs use only its id and queue.
 		Spec scheduler.Spec `json:"spec"`
+		// Patience is how long the caller waits for the reply from when the request was
+		// received, 0 if that is not known.
+		Patience clock.Millis `json:"patience,omitempty"`
 		// KeyDigest is the whole digest of the caller's key (authenticator.Digest.Text); empty
 		// without a key, or with one that no tenant can have.
 		KeyDigest string `json:"key-digest,omitempty"`
