measurer, conductor, runner: metrics by tenant

Cause: docs/design/tenants.md requires what a tenant holds, waits for and is refused as metrics, for at most 300 tenants. A host that no longer leads reports 0. Measured: go test ./measurer ./runner and the new test of conductor pass; TenantStates is a stub here, so that no series of a tenant has been seen on a running daemon.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -61,6 +61,8 @@
 		pendingBatch *scheduler.Batch
 		// clocksLeftAt is when clock readings were last left to the next leader.
 		clocksLeftAt clock.Millis
+		// nextTenantReport is when Metrics.Tenants is called next.
+		nextTenantReport clock.Millis
 		// lastFlush is when the last batch was taken from the scheduler; flushScheduled
 		// is whether a timer for the next one runs.
 		lastFlush      clock.Millis
--- a/conductor/loop.go
+++ b/conductor/loop.go
@@ -68,6 +68,7 @@
 	c.leaveClockReadings()
 	c.updateSessions()
 	c.metrics.Totals(c.sched.Counts())
+	c.reportTenants()
 }
 
 // leaveClockReadings leaves readings of workers' clocks to the next leader.
--- a/conductor/metrics.go
+++ b/conductor/metrics.go
@@ -1,6 +1,9 @@
 package conductor
 
-import "galenawharf.example/galenawharf/clock"
+import (
+	"galenawharf.example/galenawharf/clock"
+	"galenawharf.example/galenawharf/scheduler"
+)
 
 type (
 	// Metrics are callbacks for a term's measurements. They must not block.
@@ -17,15 +20,41 @@
 		// Delay is called several times a second with how late the scheduler's goroutine
 		// got its turn.
 		Delay func(clock.Millis)
+		// Tenants is called once per tenantInterval with the states of all tenants. It may be nil.
+		Tenants func([]scheduler.TenantState)
+		// TenantRefused is called for each job that is refused because its tenant submits more
+		// than it may. It may be nil.
+		TenantRefused func(tenant string)
 	}
 )
 
+// tenantInterval is the time between two calls of Metrics.Tenants, as long as that between two reports
+// of the other metrics.
+const tenantInterval = clock.Second
+
 // WithMetrics sets the callbacks for measurements.
-func WithMetrics(m Metrics) Option { return func(c *Conductor) { c.metrics = m } }
+func WithMetrics(m Metrics) Option {
+	none := noMetrics()
+	if m.Tenants == nil {
+		m.Tenants = none.Tenants
+	}
+	if m.TenantRefused == nil {
+		m.TenantRefused = none.TenantRefused
+	}
+	return func(c *Conductor) { c.metrics = m }
+}
 
 func noMetrics() Metrics {
 	return Metrics{
 		Order: func(clock.Millis, bool) {}, Poll: func(clock.Millis) {}, Append: func(clock.Millis) {}, Totals: func(int, int, int, int) {},
-		Delay: func(clock.Millis) {},
+		Delay: func(clock.Millis) {}, Tenants: func([]scheduler.TenantState) {}, TenantRefused: func(string) {},
+	}
+}
+
+// reportTenants passes the states of the tenants to the metrics once per tenantInterval.
+func (c *Conductor) reportTenants() {
+	if now := c.now(); now >= c.nextTenantReport {
+		c.nextTenantReport = now + tenantInterval
+		c.metrics.Tenants(c.sched.TenantStates())
 	}
 }
--- a/measurer/metrics.go
+++ b/measurer/metrics.go
@@ -25,6 +25,7 @@
 		gauges   map[Gauge]tally.Gauge
 		timers   map[Timer]tally.Histogram
 		results  map[coder.Code]tally.Counter
+		tenants  *tenants
 	}
 
 	// Counter is the name of a monotonic counter.
@@ -39,6 +40,8 @@
 
 const (
 	reportInterval = time.Second
+	// namespace begins the name of each metric.
+	namespace = "galenawharf"
 
 	smallestBucket = 500 * time.Microsecond
 	bucketFactor   = 2
@@ -62,9 +65,10 @@
 func New(daemon, dataCentre string) *Metrics {
 	reg := prom.NewRegistry()
 	r := prometheus.NewReporter(prometheus.Options{Registerer: reg, Gatherer: reg})
+	tags := map[string]string{"daemon": daemon, "data_centre": dataCentre}
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
-		Prefix:                 "galenawharf",
-		Tags:                   map[string]string{"daemon": daemon, "data_centre": dataCentre},
+		Prefix:                 namespace,
+		Tags:                   tags,
 		CachedReporter:         r,
 		Separator:              prometheus.DefaultSeparator,
 		SanitizeOptions:        &sanitizeOptions,
@@ -76,6 +80,7 @@
 		gauges:   map[Gauge]tally.Gauge{},
 		timers:   map[Timer]tally.Histogram{},
 		results:  map[coder.Code]tally.Counter{},
+		tenants:  newTenants(reg, tags),
 	}
 	m.register()
 	return m
--- a/measurer/metrics_test.go
+++ b/measurer/metrics_test.go
@@ -26,8 +26,9 @@
 		rows = append(rows, m[1])
 	}
 	must.SliceContainsAll(t, names, rows)
-	// Results is in none of the lists, since it has a counter for each result code.
-	must.Len(t, len(counters)+len(gauges)+len(timers)+1, names)
+	// Results and TenantRefused are in none of the lists, since they have a counter for each result
+	// code and for each tenant.
+	must.Len(t, len(counters)+len(gauges)+len(tenantGauges)+len(timers)+2, names)
 }
 
 func TestScrape(t *testing.T) {
--- a/measurer/names.go
+++ b/measurer/names.go
@@ -49,6 +49,8 @@
 	TasksGivenUp Counter = "tasks_given_up"
 	// Evictions counts evicted tasks.
 	Evictions Counter = "task_evictions"
+	// TenantRefused counts the jobs of a tenant that were refused by rate.
+	TenantRefused Counter = "tenant_refused"
 )
 
 // Gauges.
@@ -84,6 +86,13 @@
 	ReadyGauge Gauge = "ready"
 	// InFlight is the number of requests being served.
 	InFlight Gauge = "requests_in_flight"
+	// TenantRunning is what a tenant holds, as a fraction of its cap. Only the leader reports it,
+	// as the other gauges of tenants.
+	TenantRunning Gauge = "tenant_running"
+	// TenantWaiting is the number of a tenant's tasks that wait.
+	TenantWaiting Gauge = "tenant_waiting"
+	// TenantShare is the dominant share of a tenant, as a fraction of its fair share.
+	TenantShare Gauge = "tenant_share"
 )
 
 // Timers.
@@ -113,5 +122,7 @@
 	counters = []Counter{Appends, AppendedBytes, ReadBytes, LogErrors, CorruptRecords, PeerErrors, Orders, OrderErrors, Starts, Evictions,
 		RequestsServed, RequestsUnknown, RequestsInvalid, RequestsRefused, RequestsUnclear, OrdersUnclear, WorkerPolls, Terms, WorkerCrashes, RunsLost, TasksGivenUp}
 	gauges = []Gauge{OwnedShards, RunningTasks, WaitingTasks, ConfigOffset, ReadyGauge, InFlight, Leading, QueuedJobs, ActiveJobs, SilentWorkers, LongRunningWaiting, ProcessDelay, ConfigVersion}
-	timers = []Timer{CheckTime, OrderTime, AppendTime, RequestTime, FirstStartTime, WorkerPollTime, StepTime}
+	// tenantGauges and TenantRefused have series for each tenant.
+	tenantGauges = []Gauge{TenantRunning, TenantWaiting, TenantShare}
+	timers       = []Timer{CheckTime, OrderTime, AppendTime, RequestTime, FirstStartTime, WorkerPollTime, StepTime}
 )
--- a/runner/metrics.go
+++ b/runner/metrics.go
@@ -8,6 +8,7 @@
 	"galenawharf.example/galenawharf/conductor"
 	"galenawharf.example/galenawharf/forwarder"
 	"galenawharf.example/galenawharf/measurer"
+	"galenawharf.example/galenawharf/scheduler"
 )
 
 const metricsPath = "/metrics"
@@ -64,5 +65,19 @@
 			r.metrics.Set(measurer.SilentWorkers, float64(silent))
 			r.metrics.Set(measurer.LongRunningWaiting, float64(waiting))
 		},
+		Tenants:       func(ts []scheduler.TenantState) { r.metrics.SetTenants(tenantsOf(ts)) },
+		TenantRefused: r.metrics.CountTenantRefused,
 	}
 }
+
+// tenantsOf returns what the metrics show of tenants. A tenant without a cap on its cores holds 0 of it.
+func tenantsOf(ts []scheduler.TenantState) []measurer.Tenant {
+	all := make([]measurer.Tenant, len(ts))
+	for i, t := range ts {
+		all[i] = measurer.Tenant{Name: t.Name, Share: t.Share, Waiting: t.Waiting}
+		if limit := t.Cap.Millicores(); limit > 0 {
+			all[i].Running = float64(t.Held.Millicores()) / float64(limit)
+		}
+	}
+	return all
+}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -273,6 +273,7 @@
 	c.Wait()
 	r.forward.SetLocal(nil)
 	r.metrics.Set(measurer.Leading, 0)
+	r.metrics.SetTenants(nil)
 }
 
 // Reload applies changed settings: limits on work apply from the next term that this
