--- a/cmd/galenawharf-soak/main.go
+++ b/cmd/galenawharf-soak/main.go
@@ -14,12 +14,17 @@
 	"galenawharf.example/galenawharf/soaker"
 )
 
-// calmDuration is how long jobs are submitted before the first fault.
-const calmDuration = 3 * clock.Second
+const (
+	// calmDuration is how long jobs are submitted before the first fault.
+	calmDuration = 3 * clock.Second
+	// defaultTenants is whether soak tests have tenants unless the flag says otherwise.
+	defaultTenants = false
+)
 
 func main() { os.Exit(run()) }
 
 func run() int {
+	tenants := defaultTenants
 	binary, seeds, first, hosts, workers, seconds := "target/galenawharf-host", 1, uint64(1), 5, 6, 20
 	flaggy.SetName("galenawharf-soak")
 	flaggy.SetDescription("run daemons under random faults and check what was promised")
@@ -29,6 +34,7 @@
 	flaggy.Int(&hosts, "o", "hosts", "how many daemons")
 	flaggy.Int(&workers, "w", "workers", "how many workers")
 	flaggy.Int(&seconds, "t", "seconds", "how long faults are injected, in seconds")
+	flaggy.Bool(&tenants, "e", "tenants", "whether one of the routes has tenants with keys and caps")
 	flaggy.DefaultParser.DisableShowVersionWithVersion()
 	flaggy.Parse()
 	failed := 0
@@ -41,6 +47,7 @@
 		r, err := soaker.Run(soaker.Settings{
 			Binary: binary, Dir: dir, Seed: seed, Hosts: hosts, Workers: workers,
 			CalmDuration: calmDuration, FaultDuration: clock.Millis(seconds) * clock.Second, SettleTimeout: clock.Minute,
+			Tenants: tenants,
 		})
 		if err != nil {
 			fmt.Fprintln(os.Stderr, err)
--- a/imitator/disruptions.go
+++ b/imitator/disruptions.go
@@ -39,6 +39,18 @@
 	}
 }
 
+// Calm reports whether there was no disruption from a time until now, nor in the calmTime before it.
+func (d *Disruptions) Calm(from clock.Millis) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, s := range d.spans {
+		if s.ended >= from-calmTime {
+			return false
+		}
+	}
+	return true
+}
+
 // Limit returns the time by which a task whose last run ended at a time has to run again. It is
 // clock.Never if there has been no calm time that is long enough.
 func (d *Disruptions) Limit(from clock.Millis) clock.Millis {
--- a/imitator/pool.go
+++ b/imitator/pool.go
@@ -35,6 +35,8 @@
 		bound bool
 		// deadly are the tasks that crash their workers; nil if there are none.
 		deadly *deadly
+		// onStart is called after each start of a run; nil if there is none.
+		onStart func(running []scheduler.TaskName)
 		// crashesUnder counts the processes that ended with a run of each task.
 		crashesUnder map[string]int
 	}
@@ -289,6 +291,7 @@
 			p.endRun(w, name, ending)
 		}
 	})
+	p.noteRunning()
 	return scheduler.Done
 }
 
--- a/soaker/callers.go
+++ b/soaker/callers.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"galenawharf.example/galenawharf/clock"
@@ -25,6 +26,8 @@
 		mu        sync.Mutex
 		random    *rand.Rand
 		jobs      map[string]*jobState
+		// keysDemanded counts the calls on the public route that were refused for want of a key.
+		keysDemanded atomic.Int64
 	}
 
 	// jobState records how the submissions of a job were answered.
@@ -34,6 +37,12 @@
 		// the job may have been accepted.
 		uncertain bool
 	}
+
+	// request is a request for a job to the daemon at an address. host is that of the route.
+	request struct {
+		method, address, host, key, id string
+		body                           []byte
+	}
 )
 
 const (
@@ -45,8 +54,14 @@
 	// startTimeout is how long the first acceptance of a job may take without any fault.
 	startTimeout = 15 * clock.Second
 	pollInterval = 500 * clock.Millis(1)
+	// publicHost is the host of the route that needs no key.
+	publicHost = "soak.example"
+	keyHeader  = "X-Api-Key"
 )
 
+// clearAnswers are the answers to a submission that tell its outcome: an acceptance or a refusal.
+var clearAnswers = []int{http.StatusOK, http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusUnauthorized}
+
 func newCallers(seed uint64, addresses []string) *callers {
 	c := &callers{addresses: addresses, client: &http.Client{Timeout: callTimeout.Duration()}, random: rand.New(rand.NewPCG(seed, 3)), jobs: map[string]*jobState{}}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
@@ -93,20 +108,14 @@
 	body, err := json.Marshal(map[string]any{"spec": id, "phases": []map[string]any{
 		{"count": 1 + c.random.IntN(3), "cpu": 1000}, {"count": 1 + c.random.IntN(2), "cpu": 1000, "after": []int{0}},
 	}})
-	j := &jobState{}
-	c.jobs[id] = j
 	c.mu.Unlock()
 	if err != nil {
 		return
 	}
 	for range maxAttempts {
 		status := c.call(http.MethodPost, id, body, nil)
-		c.mu.Lock()
-		j.accepted = j.accepted || status == http.StatusOK
-		j.uncertain = j.uncertain || status != http.StatusOK && status != http.StatusServiceUnavailable && status != http.StatusTooManyRequests
-		accepted := j.accepted
-		c.mu.Unlock()
-		if accepted {
+		c.note(id, status)
+		if status == http.StatusOK {
 			return
 		}
 		time.Sleep(retryDelay.Duration())
@@ -116,12 +125,35 @@
 // call sends a request for a job to a random host, decodes the body of a successful response
 // into answer, and returns the HTTP status, or 0 without a valid response.
 func (c *callers) call(method, id string, body []byte, answer any) int {
-	address := c.addresses[c.intN(len(c.addresses))]
-	r, err := http.NewRequest(method, "http://"+address+"/jobs/"+id, bytes.NewReader(body))
+	status := c.send(request{method: method, address: c.randomAddress(), host: publicHost, id: id, body: body}, answer)
+	if status == http.StatusUnauthorized {
+		c.keysDemanded.Add(1)
+	}
+	return status
+}
+
+// read reads the state of a job into answer. One of a tenant is known only on the route of the tenants.
+func (c *callers) read(id string, answer any) int {
+	tenant, ok := tenantOf(id)
+	if !ok {
+		return c.call(http.MethodGet, id, nil, answer)
+	}
+	return c.send(request{method: http.MethodGet, address: c.randomAddress(), host: tenantHost, key: tenantKey(tenant, keptKey), id: id}, answer)
+}
+
+func (c *callers) randomAddress() string { return c.addresses[c.intN(len(c.addresses))] }
+
+// send sends a request, decodes the body of a successful response into answer, and returns the
+// HTTP status, or 0 without a valid response.
+func (c *callers) send(q request, answer any) int {
+	r, err := http.NewRequest(q.method, "http://"+q.address+"/jobs/"+q.id, bytes.NewReader(q.body))
 	if err != nil {
 		return 0
 	}
-	r.Host = "soak.example"
+	r.Host = q.host
+	if q.key != "" {
+		r.Header.Set(keyHeader, q.key)
+	}
 	resp, err := c.client.Do(r)
 	if err != nil {
 		return 0
@@ -135,12 +167,30 @@
 	return resp.StatusCode
 }
 
+// note records the status of the answer to a submission.
+func (c *callers) note(id string, status int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	j := c.jobs[id]
+	if j == nil {
+		j = &jobState{}
+		c.jobs[id] = j
+	}
+	j.accepted = j.accepted || status == http.StatusOK
+	j.uncertain = j.uncertain || !slices.Contains(clearAnswers, status)
+}
+
+// stop stops the submissions.
+func (c *callers) stop() {
+	c.cancel()
+	c.group.Wait()
+}
+
 // finish stops the callers and waits until all accepted jobs are completed, or have failed if mayFail
 // returns true for them. It returns the number of the latter, and a message for each accepted job that
 // is neither after the timeout.
 func (c *callers) finish(timeout clock.Millis, mayFail func(id string) bool) (failed int, violations []string) {
-	c.cancel()
-	c.group.Wait()
+	c.stop()
 	deadline := time.Now().Add(timeout.Duration())
 	pending := c.accepted()
 	lastAnswers := map[string]string{}
@@ -149,7 +199,7 @@
 			var a struct {
 				State string `json:"state"`
 			}
-			status := c.call(http.MethodGet, id, nil, &a)
+			status := c.read(id, &a)
 			lastAnswers[id] = fmt.Sprint(status, " ", a.State)
 			if a.State == "failed" && mayFail(id) {
 				failed++
--- a/soaker/counts.go
+++ b/soaker/counts.go
@@ -27,6 +27,8 @@
 		// longest.
 		Gaps       int
 		LongestGap clock.Millis
+		// Tenants is nil in a soak test without tenants.
+		Tenants *TenantCounts
 	}
 
 	// floor is a count, what it counts, and the least that it must be.
@@ -40,8 +42,12 @@
 const minTasks = 2
 
 func (c Counts) String() string {
-	return fmt.Sprintf("%d jobs accepted (%d before the faults), %d refused, %d completed, %d given up after two crashes; %d runs started, %d ends acknowledged, %d polls with a stale number, %d leases shortened; %d worker restarts, %d late orders; %d daemons killed, %d ended by themselves; %d faults; tasks that last were without a run %d times, for up to %d ms",
+	text := fmt.Sprintf("%d jobs accepted (%d before the faults), %d refused, %d completed, %d given up after two crashes; %d runs started, %d ends acknowledged, %d polls with a stale number, %d leases shortened; %d worker restarts, %d late orders; %d daemons killed, %d ended by themselves; %d faults; tasks that last were without a run %d times, for up to %d ms",
 		c.Accepted, c.CalmAccepted, c.Refused, c.Completed, c.GivenUp, c.Workers.Starts, c.Workers.AckedEnds, c.Workers.StaleAcks, c.Workers.CappedLeases, c.Workers.Restarts, c.LateOrders, c.Killed, c.OwnExits, c.Faults, c.Gaps, c.LongestGap)
+	if c.Tenants != nil {
+		text += "; " + c.Tenants.String()
+	}
+	return text
 }
 
 // belowFloors returns a violation for each count that is so low that the soak test has not
@@ -50,7 +56,7 @@
 	jobs := s.minJobs()
 	cycles := int(s.FaultDuration / maxCycle)
 	var violations []string
-	for _, f := range []floor{
+	for _, f := range append([]floor{
 		{"jobs accepted before the faults", c.CalmAccepted, jobs},
 		{"jobs completed", c.Completed, jobs},
 		{"runs started", c.Workers.Starts, minTasks * max(jobs, c.Completed)},
@@ -60,7 +66,7 @@
 		{"late orders", c.LateOrders, min(1, cycles)},
 		{"daemons killed", c.Killed, cycles},
 		{"times that tasks which last were without a run", c.Gaps, lastingTasks + 1},
-	} {
+	}, c.Tenants.floors()...) {
 		if f.count < f.min {
 			violations = append(violations, fmt.Sprintf("below the floor: %s: %d, at least %d expected", f.what, f.count, f.min))
 		}
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -37,6 +37,8 @@
 		// how long faults are injected, SettleTimeout how long accepted jobs may take to
 		// complete after that.
 		CalmDuration, FaultDuration, SettleTimeout clock.Millis
+		// Tenants is whether one of the routes has tenants.
+		Tenants bool
 	}
 
 	// Soak is a deployment in a soak test.
@@ -55,6 +57,8 @@
 		callers      *callers
 		disruptions  imitator.Disruptions
 		faults       int
+		// tenants is nil unless Settings.Tenants is set.
+		tenants *tenants
 		// failed receives the first error that keeps a fault from ending.
 		failed chan error
 	}
@@ -104,6 +108,11 @@
 		k.finish(&r)
 		return r, nil
 	}
+	if k.tenants != nil {
+		k.tenants.start()
+		k.tenants.checkCalm()
+		k.tenants.startChanges()
+	}
 	time.Sleep(s.CalmDuration.Duration())
 	r.Counts.CalmAccepted = len(k.callers.accepted())
 	deadly := make(chan []string, 1)
@@ -111,6 +120,12 @@
 	if err := k.injectFaults(); err != nil {
 		return Result{}, err
 	}
+	if k.tenants != nil {
+		k.callers.stop()
+		k.tenants.endChanges()
+		k.tenants.checkCalm()
+		k.tenants.finish(&r)
+	}
 	k.finish(&r, <-deadly...)
 	return r, nil
 }
@@ -139,7 +154,11 @@
 	k.pool.SetMaxLease(maxLease)
 	k.pool.SetDeadly(isDeadly, false)
 	k.pool.OnCrash(k.crash)
-	k.log.Put("op", recorder.Item{Key: "config", Value: []byte(operatorConfig)})
+	if s.Tenants {
+		k.tenants = newTenants(k)
+	} else {
+		k.log.Put("op", recorder.Item{Key: "config", Value: []byte(operatorConfig)})
+	}
 	if err := k.startWorkers(); err != nil {
 		k.close()
 		return nil, err
@@ -250,7 +269,7 @@
 	return strings.Join([]string{
 		"node_name=" + name, "zone=a", "ip=127.0.0.1", "listen.frontend=" + ports[0], "listen.ready=" + ports[1], "listen.control_plane=" + ports[2],
 		"platform.addr=" + store, "platform.form=log", "limits.cpu_share=1", "limits.cores=1",
-		fmt.Sprintf("bounds.hold_max_ms=%d", maxLease), "bounds.status_s=600", "bounds.interference_ms=4000", "bounds.grace_s=6", "bounds.remote_factor=2", "",
+		fmt.Sprintf("bounds.hold_max_ms=%d", maxLease), "bounds.status_s=600", "bounds.interference_ms=4000", "bounds.grace_s=6", "bounds.remote_factor=2", "contracts=tenants,quota", "",
 	}, "\n")
 }
 
@@ -268,6 +287,9 @@
 			r.Violations = append(r.Violations, id+" ran although every answer refused it")
 		}
 	}
+	if n := k.callers.keysDemanded.Load(); n > 0 {
+		r.Violations = append(r.Violations, fmt.Sprintf("%d calls on the public route were refused for want of a key", n))
+	}
 	c := &r.Counts
 	c.Accepted, c.Refused, c.Faults = len(k.callers.accepted()), len(k.callers.refused()), k.faults
 	c.Completed, c.GivenUp = c.Accepted-len(pending)-failed, failed
