--- a/soaker/counts_test.go
+++ b/soaker/counts_test.go
@@ -30,7 +30,12 @@
 		"no late orders":                  {duration: 10 * clock.Second, change: func(c *Counts) { c.LateOrders = 0 }, want: []string{"below the floor: late orders: 0, at least 1 expected"}},
 		"no daemons killed":               {duration: 20 * clock.Second, change: func(c *Counts) { c.Faults, c.Workers.Restarts = 12, 2 }, want: []string{"below the floor: daemons killed: 1, at least 2 expected"}},
 		"no task that lasts lost its run": {duration: clock.Second, change: func(c *Counts) { c.Gaps = 6 }, want: []string{"below the floor: times that tasks which last were without a run: 6, at least 7 expected"}},
-		"few faults":                      {duration: 10 * clock.Second, change: func(c *Counts) { c.Faults = 5 }, want: []string{"below the floor: faults injected: 5, at least 6 expected"}},
+		"tenants without effect": {duration: clock.Second, change: func(c *Counts) { c.Tenants = &TenantCounts{} }, want: []string{
+			"below the floor: jobs of tenants accepted: 0, at least 2 expected", "below the floor: key changes: 0, at least 2 expected",
+			"below the floor: calls with an unknown key refused: 0, at least 2 expected", "below the floor: calls with a withdrawn key refused: 0, at least 2 expected",
+			"below the floor: calls with a key in force accepted: 0, at least 2 expected", "below the floor: most held by a tenant: 0, at least 3000 expected",
+		}},
+		"few faults": {duration: 10 * clock.Second, change: func(c *Counts) { c.Faults = 5 }, want: []string{"below the floor: faults injected: 5, at least 6 expected"}},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
