runner: the time that resigning takes counts as part of the grace period

Change: what has passed since the signal is taken off. Measured: TestLeavingEndsWithinGrace states the times; the former code kept 3 s for requests however long it had resigned.

--- a/runner/runner.go
+++ b/runner/runner.go
@@ -278,16 +278,25 @@
 	r.log.Emit(logger.Reloaded, logger.Text("changed", r.settings.Swap(s).Changed(s)))
 }
 
+// drainTime returns how much longer new callers may arrive, spent after this host has begun to
+// leave.
+func drainTime(spent clock.Millis) clock.Millis { return max(drainDelay-spent, 0) }
+
+// shutdownTime returns how long the requests in flight may still take, spent after this host has
+// begun to leave.
+func shutdownTime(grace, spent clock.Millis) clock.Millis { return max(grace-spent-exitReserve, 0) }
+
 // Leave shuts the daemon down gracefully: it reports itself as not ready, resigns as the
 // leader, and answers the requests in flight within the grace period.
 func (r *Runner) Leave(ctx context.Context) {
 	if err := r.state.Event(ctx, stateLeaving); err != nil {
 		return
 	}
+	began := r.now()
 	r.leaving.Store(true)
 	r.elector.Close()
-	recorder.Sleep(ctx, drainDelay)
-	c, cancel := context.WithTimeout(ctx, (r.settings.Load().Grace() - drainDelay - exitReserve).Duration())
+	recorder.Sleep(ctx, drainTime(r.now()-began))
+	c, cancel := context.WithTimeout(ctx, shutdownTime(r.settings.Load().Grace(), r.now()-began).Duration())
 	defer cancel()
 	for _, s := range r.servers {
 		if err := s.Shutdown(c); err != nil {
