scheduler, conductor, forwarder: jobs are visible only to their tenant

Cause: any caller that knows an id could read or cancel another tenant's job. Change: Phase and Cancel take the caller's tenant and answer ErrUnknown for a job of another one, Submit answers ErrConflict; calls and jobs without a tenant are exempt.

--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -131,7 +131,7 @@
 
 func allCompleted(c *conductor.Conductor, jobs int) bool {
 	for i := range jobs {
-		if p, err := c.Phase(fmt.Sprintf("%016x", i), "q"); err != nil || p != scheduler.Completed {
+		if p, err := c.Phase(fmt.Sprintf("%016x", i), "q", ""); err != nil || p != scheduler.Completed {
 			return false
 		}
 	}
--- a/conductor/deadly_test.go
+++ b/conductor/deadly_test.go
@@ -148,7 +148,7 @@
 	got := map[string]scheduler.Phase{}
 	c := s.leading()
 	for id := range want {
-		p, err := c.Phase(id, "q")
+		p, err := c.Phase(id, "q", "")
 		must.NoError(s.t, err, must.Sprint(id))
 		got[id] = p
 	}
--- a/conductor/delay_test.go
+++ b/conductor/delay_test.go
@@ -102,7 +102,7 @@
 				time.Sleep((length + 3*clock.Second).Duration())
 				must.Eq(t, tasks, l.pool.Starts(), must.Sprint("tasks that were done were started again"))
 				must.SliceEmpty(t, l.pool.Violations())
-				phase, err := l.Phase(testJob(1, tasks).ID, "q")
+				phase, err := l.Phase(testJob(1, tasks).ID, "q", "")
 				must.NoError(t, err)
 				must.Eq(t, scheduler.Completed, phase)
 			})
@@ -233,13 +233,13 @@
 		must.NoError(t, depositor.New(log.Client("entry"), clock.System, clock.System).Deposit(t.Context(), testJob(7, 1)))
 		for range 140 {
 			time.Sleep(50 * time.Millisecond)
-			if _, err := c.Phase(testJob(7, 1).ID, "q"); err != nil {
+			if _, err := c.Phase(testJob(7, 1).ID, "q", ""); err != nil {
 				must.ErrorIs(t, err, conductor.ErrDepositsStale)
 				_, err = c.Pending("q")
 				must.ErrorIs(t, err, conductor.ErrDepositsStale, must.Sprint("a job that may wait was not counted"))
 			}
 		}
-		_, err = c.Phase(testJob(7, 1).ID, "q")
+		_, err = c.Phase(testJob(7, 1).ID, "q", "")
 		must.NoError(t, err)
 	})
 }
@@ -309,7 +309,7 @@
 		must.ErrorIs(t, l.Submit(t.Context(), testJob(1, 1)), conductor.ErrUnclear)
 		time.Sleep(5 * time.Second)
 		must.Eq(t, 0, l.pool.Starts())
-		_, err := l.Phase(testJob(1, 1).ID, "q")
+		_, err := l.Phase(testJob(1, 1).ID, "q", "")
 		must.ErrorIs(t, err, scheduler.ErrUnknown)
 	})
 }
--- a/conductor/deposits_test.go
+++ b/conductor/deposits_test.go
@@ -40,14 +40,14 @@
 		defer a.elector.Close()
 		c := awaitLeader(a)
 		// A cancellation right after the takeover must not be answered with ErrUnknown.
-		must.NoError(t, c.Cancel(t.Context(), spec(0).ID))
+		must.NoError(t, c.Cancel(t.Context(), spec(0).ID, ""))
 		for i := jobs / 2; i < jobs; i++ {
 			must.NoError(t, d.Deposit(t.Context(), spec(i)))
 		}
 		must.NoError(t, c.Submit(t.Context(), spec(jobs-1)))
 		time.Sleep(20 * time.Second)
 		for i := range jobs {
-			phase, err := c.Phase(spec(i).ID, "q")
+			phase, err := c.Phase(spec(i).ID, "q", "")
 			must.NoError(t, err)
 			want := scheduler.Completed
 			if i == 0 {
@@ -93,7 +93,7 @@
 				must.NoError(t, depositor.New(l.Client("entry"), clock.System, clock.System).Deposit(t.Context(), spec))
 				for range 30 {
 					time.Sleep(100 * time.Millisecond)
-					_, err := leader.Phase(spec.ID, "q")
+					_, err := leader.Phase(spec.ID, "q", "")
 					if err != nil {
 						must.ErrorIs(t, err, c.want)
 					}
@@ -101,7 +101,7 @@
 				}
 				failing.Store(false)
 				time.Sleep(10 * time.Second)
-				phase, err := leader.Phase(spec.ID, "q")
+				phase, err := leader.Phase(spec.ID, "q", "")
 				must.NoError(t, err)
 				must.Eq(t, scheduler.Completed, phase)
 			})
--- a/conductor/guarding_test.go
+++ b/conductor/guarding_test.go
@@ -83,7 +83,7 @@
 				}
 				must.NoError(t, err)
 				time.Sleep(2 * time.Second)
-				phase, err := c.Phase(testJob(1, 2).ID, "q")
+				phase, err := c.Phase(testJob(1, 2).ID, "q", "")
 				must.NoError(t, err)
 				must.Eq(t, scheduler.Completed, phase)
 			})
--- a/conductor/requests.go
+++ b/conductor/requests.go
@@ -100,11 +100,11 @@
 	})
 }
 
-// Cancel cancels a job and returns when that is stored. Errors are those of Phase for an
+// Cancel cancels a job for a tenant, or for a caller without one, and returns when that is stored. Errors are those of Phase for an
 // unknown job, else those of Submit.
-func (c *Conductor) Cancel(ctx context.Context, id string) error {
+func (c *Conductor) Cancel(ctx context.Context, id, tenant string) error {
 	return c.awaitStored(ctx, func(stored func(error)) error {
-		err := c.sched.Cancel(id, stored)
+		err := c.sched.Cancel(id, tenant, stored)
 		if errors.Is(err, scheduler.ErrUnknown) {
 			return c.unknownJobError()
 		}
@@ -170,14 +170,14 @@
 	}
 }
 
-// Phase returns the phase of a job. The error is scheduler.ErrUnknown if there is no such
+// Phase returns the phase of a job to a tenant, or to a caller without one. The error is scheduler.ErrUnknown if there is no such
 // job, ErrUnconfirmed or ErrDepositsStale if it may have been accepted without this
 // daemon's knowledge, or ErrTermEnded.
-func (c *Conductor) Phase(id, queue string) (scheduler.Phase, error) {
+func (c *Conductor) Phase(id, queue, tenant string) (scheduler.Phase, error) {
 	var p scheduler.Phase
 	var err error
 	if !c.call(func() {
-		if p, err = c.sched.Phase(id, queue); errors.Is(err, scheduler.ErrUnknown) {
+		if p, err = c.sched.Phase(id, queue, tenant); errors.Is(err, scheduler.ErrUnknown) {
 			err = c.unknownJobError()
 		}
 	}) {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -128,9 +128,9 @@
 	case Submit:
 		err = c.Submit(ctx, q.Spec)
 	case Cancel:
-		err = c.Cancel(ctx, q.Spec.ID)
+		err = c.Cancel(ctx, q.Spec.ID, q.Spec.Tenant)
 	case Phase:
-		r.Phase, err = c.Phase(q.Spec.ID, q.Spec.Queue.Name)
+		r.Phase, err = c.Phase(q.Spec.ID, q.Spec.Queue.Name, q.Spec.Tenant)
 	case Pending:
 		r.Pending, err = c.Pending(q.Spec.Queue.Name)
 	default:
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -21,7 +21,7 @@
 	// Request is a decoded request of a caller.
 	Request struct {
 		Verb Verb `json:"verb"`
-		// Spec is the whole job for Submit; other verbs use only its id and queue.
+		// Spec is the whole job for Submit; other verbs use only its id, queue and tenant.
 		Spec scheduler.Spec `json:"spec"`
 	}
 
--- a/scheduler/capacity_test.go
+++ b/scheduler/capacity_test.go
@@ -116,7 +116,7 @@
 		t.Run(name, func(t *testing.T) {
 			s.UpdateWorker(s.resized(0, 5000))
 			s.report("w0", activeRuns(orders...))
-			must.NoError(t, s.Cancel("job", func(error) {}))
+			must.NoError(t, s.Cancel("job", "", func(error) {}))
 			s.submit(t, "second", Step{Count: 1, CPU: 3000})
 			must.SliceEmpty(t, s.placeAndStore(), must.Sprint("started beside runs that are being stopped"))
 			for _, o := range s.TakeImmediateOrders() {
--- a/scheduler/chunk_test.go
+++ b/scheduler/chunk_test.go
@@ -89,7 +89,7 @@
 					must.NoError(t, b.Submit(spec, func(error) {}))
 				case 1:
 					if r.IntN(6) == 0 {
-						_ = b.Cancel(fmt.Sprintf("job%d", 1+r.IntN(max(job, 1))), func(error) {})
+						_ = b.Cancel(fmt.Sprintf("job%d", 1+r.IntN(max(job, 1))), "", func(error) {})
 					}
 				default:
 					for _, name := range slices.Sorted(maps.Keys(running)) {
--- a/scheduler/interference_test.go
+++ b/scheduler/interference_test.go
@@ -176,7 +176,7 @@
 					w.overTime, w.servedTime = 0, 0
 				}
 				for id, at := range submitted {
-					if p, err := w.Phase(id, "f"); err == nil && p == Completed {
+					if p, err := w.Phase(id, "f", ""); err == nil && p == Completed {
 						if w.clock.Now()-at <= 2*simFillerTime+clock.Second {
 							onTime++
 						}
--- a/scheduler/protecting_test.go
+++ b/scheduler/protecting_test.go
@@ -29,7 +29,7 @@
 		removeCause func(t *testing.T, b *harness, records []Record, servingOrder, fillerOrder Order) *harness
 	}{
 		"the serving task ends": {removeCause: func(t *testing.T, b *harness, _ []Record, servingOrder, fillerOrder Order) *harness {
-			must.NoError(t, b.Cancel("s", func(error) {}))
+			must.NoError(t, b.Cancel("s", "", func(error) {}))
 			b.storeBatch(b.TakeBatch())
 			b.report(fillerOrder.Worker, activeRuns(fillerOrder), endedRun(1, servingOrder, EndStopped))
 			return b
--- a/scheduler/quarantine_test.go
+++ b/scheduler/quarantine_test.go
@@ -19,7 +19,7 @@
 		"probe lapsed":  func(b *harness, o Order, n int64) { b.report("w0", nil, endedRun(n, o, EndLapsed)) },
 		"probe refused": func(b *harness, o Order, _ int64) { b.OrderAnswered(o, Unavailable) },
 		"job cancelled": func(b *harness, o Order, n int64) {
-			must.NoError(t, b.Cancel(o.Task.Job, func(error) {}))
+			must.NoError(t, b.Cancel(o.Task.Job, "", func(error) {}))
 			b.report("w0", nil, endedRun(n, o, EndStopped))
 		},
 	}
@@ -34,7 +34,7 @@
 			}
 			must.Len(t, failures, ended)
 			b.report("w0", nil, ended...)
-			must.NoError(t, b.Cancel("bad", func(error) {}))
+			must.NoError(t, b.Cancel("bad", "", func(error) {}))
 			number := int64(failures)
 			for i := range 4 {
 				b.submit(t, fmt.Sprint("next", i), Step{Count: 1, CPU: 100})
@@ -48,7 +48,7 @@
 				b.clock.Advance(clock.Second)
 				end(b, probe[0], number)
 				// The next probe is another task's.
-				_ = b.Cancel(probe[0].Task.Job, func(error) {})
+				_ = b.Cancel(probe[0].Task.Job, "", func(error) {})
 			}
 		})
 	}
--- a/scheduler/record_test.go
+++ b/scheduler/record_test.go
@@ -35,7 +35,7 @@
 			b.Sweep()
 			b.placeAndStore()
 			must.Eq(t, 1, b.findTask("other.0.0.0").attempt)
-			p, err := b.Phase("job", "q")
+			p, err := b.Phase("job", "q", "")
 			must.NoError(t, err)
 			must.Eq(t, Running, p)
 		})
--- a/scheduler/reporting_test.go
+++ b/scheduler/reporting_test.go
@@ -122,7 +122,7 @@
 			b.clock.Advance(1)
 			b.report(o.Worker, nil, endedRun(listed+1, o, EndDone))
 			must.SliceEmpty(t, b.placeAndStore())
-			p, err := b.Phase("job", "q")
+			p, err := b.Phase("job", "q", "")
 			must.NoError(t, err)
 			must.Eq(t, Completed, p)
 		})
@@ -194,7 +194,7 @@
 	b.submit(t, "job", Step{Count: 1, CPU: 100})
 	b.Place()
 	batch := b.TakeBatch()
-	must.NoError(t, b.Cancel("job", func(error) {}))
+	must.NoError(t, b.Cancel("job", "", func(error) {}))
 	stops := b.TakeImmediateOrders()
 	must.Len(t, 1, stops)
 	must.SliceEmpty(t, b.storeBatch(batch))
@@ -214,7 +214,7 @@
 	b.submit(t, "job", Step{Count: 1, CPU: 100})
 	o := b.placeAndStore()[0]
 	must.True(t, b.IsCurrent(o))
-	must.NoError(t, b.Cancel("job", func(error) {}))
+	must.NoError(t, b.Cancel("job", "", func(error) {}))
 	must.False(t, b.IsCurrent(o))
 }
 
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -129,8 +129,8 @@
 	ErrUnknown = errors.New("no such job")
 	// ErrInvalid is returned for a job with invalid fields.
 	ErrInvalid = errors.New("the job is not valid")
-	// ErrConflict is returned for an ID that belongs to a job of another queue.
-	ErrConflict = errors.New("the id belongs to a job of another queue")
+	// ErrConflict is returned for an ID that belongs to a job of another queue or tenant.
+	ErrConflict = errors.New("the id belongs to a job of another queue or tenant")
 )
 
 // Defaults of the options. A deployment sets all of them from its settings.
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -119,11 +119,11 @@
 	must.Len(t, 1, second)
 	must.Eq(t, 1, second[0].Task.Step)
 	b.report(second[0].Worker, nil, endedRun(2, second[0], EndDone))
-	p, err := b.Phase("job", "q")
+	p, err := b.Phase("job", "q", "")
 	must.NoError(t, err)
 	must.Eq(t, Running, p)
 	b.placeAndStore()
-	p, err = b.Phase("job", "q")
+	p, err = b.Phase("job", "q", "")
 	must.NoError(t, err)
 	must.Eq(t, Completed, p)
 }
@@ -198,7 +198,7 @@
 	// The first worker answers again; its run has ended.
 	b.report(first.Worker, nil, endedRun(1, first, EndDone))
 	b.placeAndStore()
-	p, err := b.Phase("job", "q")
+	p, err := b.Phase("job", "q", "")
 	must.NoError(t, err)
 	must.Eq(t, Completed, p)
 	stops := b.TakeImmediateOrders()
@@ -294,7 +294,7 @@
 		b.OrderAnswered(o[0], Done)
 		number++
 		b.report("w0", lasting, endedRun(number, o[0], EndFailed))
-		must.NoError(t, b.Cancel(fmt.Sprint("bad", i), func(error) {}))
+		must.NoError(t, b.Cancel(fmt.Sprint("bad", i), "", func(error) {}))
 	}
 	b.submit(t, "next", Step{Count: 3, CPU: 100})
 	must.SliceEmpty(t, b.placeAndStore(), must.Sprint("a quarantined worker got a run"))
@@ -343,7 +343,7 @@
 			must.SliceEmpty(t, b.placeAndStore(), must.Sprint("a run was placed on a worker that does not answer"))
 			b.report("w0", nil, endedRun(1, o, EndDone))
 			must.SliceEmpty(t, b.placeAndStore(), must.Sprint("the task was started again"))
-			p, err := b.Phase("job", "q")
+			p, err := b.Phase("job", "q", "")
 			must.NoError(t, err)
 			must.Eq(t, Completed, p)
 		})
@@ -377,7 +377,7 @@
 			b.OrderAnswered(again[0], tt.second)
 			b.report("w0", nil, endedRun(1, o, EndDone))
 			must.SliceEmpty(t, b.placeAndStore(), must.Sprint("the task was started again"))
-			p, err := b.Phase("job", "q")
+			p, err := b.Phase("job", "q", "")
 			must.NoError(t, err)
 			must.Eq(t, Completed, p)
 			stops := b.TakeImmediateOrders()
@@ -484,7 +484,7 @@
 	must.Eq(t, 1, submitStored)
 	// Any error will do: DropUnsent is called during an outage of the store.
 	b.DropUnsent(ErrUnknown)
-	phase, err := b.Phase("job", "q")
+	phase, err := b.Phase("job", "q", "")
 	must.NoError(t, err)
 	must.Eq(t, Queued, phase)
 	must.Eq(t, 0, firstStored+secondStored)
--- a/scheduler/submission.go
+++ b/scheduler/submission.go
@@ -8,8 +8,8 @@
 
 // Submit accepts a job. It calls stored with nil once the acceptance is stored, which may
 // be at once if the job was submitted or deposited before, or with the error that DropUnsent
-// was called with. It returns ErrConflict if a job of another queue has the ID, and
-// ErrInvalid if the job has invalid fields.
+// was called with. It returns ErrConflict if a job of another queue or tenant has the
+// ID, and ErrInvalid if the job has invalid fields.
 func (s *Scheduler) Submit(spec Spec, stored func(error)) error {
 	j, err := s.accept(spec)
 	if err != nil {
@@ -44,7 +44,7 @@
 // errors are those of Submit.
 func (s *Scheduler) accept(spec Spec) (*job, error) {
 	if j := s.jobs[spec.ID]; j != nil {
-		if j.spec.Queue.Name != spec.Queue.Name {
+		if j.spec.Queue.Name != spec.Queue.Name || j.isOtherTenant(spec.Tenant) {
 			return nil, ErrConflict
 		}
 		return j, nil
@@ -62,10 +62,11 @@
 }
 
 // Cancel ends a job that has not ended yet. It calls stored with nil once the final phase
-// of the job is stored. It returns ErrUnknown if there is no such job.
-func (s *Scheduler) Cancel(id string, stored func(error)) error {
+// of the job is stored. It returns ErrUnknown if there is no such job, or it belongs to another
+// tenant; calls and jobs without a tenant are not compared.
+func (s *Scheduler) Cancel(id, tenant string, stored func(error)) error {
 	j := s.jobs[id]
-	if j == nil {
+	if j == nil || j.isOtherTenant(tenant) {
 		return ErrUnknown
 	}
 	if j.phase.final() {
@@ -87,11 +88,11 @@
 
 // Phase returns the stored phase of a job, or Queued for a deposited job without a stored
 // record. It returns ErrUnknown for a job that does not exist, belongs to another queue
-// or is not stored yet.
-func (s *Scheduler) Phase(id, queue string) (Phase, error) {
+// or tenant, or is not stored yet. Calls and jobs without a tenant are not compared.
+func (s *Scheduler) Phase(id, queue, tenant string) (Phase, error) {
 	j := s.jobs[id]
 	switch {
-	case j == nil || j.spec.Queue.Name != queue || j.storedPhase == "" && !j.deposited:
+	case j == nil || j.spec.Queue.Name != queue || j.isOtherTenant(tenant) || j.storedPhase == "" && !j.deposited:
 		return "", ErrUnknown
 	case j.storedPhase == "":
 		return Queued, nil
--- a/scheduler/suspicion_test.go
+++ b/scheduler/suspicion_test.go
@@ -42,7 +42,7 @@
 		next.WorkerReplaced(o.Worker, crashed.Address, 1, 0)
 		orders := keep(next)
 		if len(orders) == 0 {
-			p, err := next.Phase("job", "q")
+			p, err := next.Phase("job", "q", "")
 			must.NoError(t, err)
 			must.Eq(t, Failed, p)
 			must.LessEq(t, convictionCrashes, crashes)
@@ -83,7 +83,7 @@
 				b.settleRuns(w, os[w]...)
 			}
 		}
-		p, err := b.Phase("job", "q")
+		p, err := b.Phase("job", "q", "")
 		must.NoError(t, err)
 		must.Eq(t, Running, p)
 		for _, task := range b.jobs["job"].occurrences[0].steps[0] {
@@ -99,7 +99,7 @@
 	for crashes := 1; ; crashes++ {
 		os := b.start()
 		if len(os) == 0 {
-			p, err := b.Phase("job", "q")
+			p, err := b.Phase("job", "q", "")
 			must.NoError(t, err)
 			must.Eq(t, Failed, p)
 			must.Eq(t, convictionCrashes, crashes-1)
@@ -131,7 +131,7 @@
 	}
 	b.submit(t, "other", Step{Count: 1, CPU: 1000})
 	must.Len(t, 1, b.start(), must.Sprint("nothing is placed beside a task that has worked for a while"))
-	p, err := b.Phase("job", "q")
+	p, err := b.Phase("job", "q", "")
 	must.NoError(t, err)
 	must.Eq(t, Running, p)
 }
@@ -153,7 +153,7 @@
 	must.Len(t, 1, b.start())
 	restart(3)
 	b.placeAndStore()
-	p, err := b.Phase("job", "q")
+	p, err := b.Phase("job", "q", "")
 	must.NoError(t, err)
 	must.NotEq(t, Failed, p)
 }
--- a/scheduler/tenant.go
+++ b/scheduler/tenant.go
@@ -31,3 +31,9 @@
 
 // TenantStates returns the state of each tenant, in the order of their names.
 func (s *Scheduler) TenantStates() []TenantState { return nil }
+
+// isOtherTenant reports whether a caller of the given tenant must not learn of the job. Calls and jobs
+// without a tenant are exempt.
+func (j *job) isOtherTenant(tenant string) bool {
+	return tenant != "" && j.spec.Tenant != "" && tenant != j.spec.Tenant
+}
--- a/scheduler/waiting_test.go
+++ b/scheduler/waiting_test.go
@@ -379,7 +379,7 @@
 		"run confirmed": func(t *testing.T, h *waitHarness) { h.start(t) },
 		"cancelled": func(t *testing.T, h *waitHarness) {
 			h.submit(t, "task", Step{Count: 1, CPU: 9000, LongRunning: true})
-			must.NoError(t, h.Cancel("task", func(error) {}))
+			must.NoError(t, h.Cancel("task", "", func(error) {}))
 		},
 		"ends by itself": func(t *testing.T, h *waitHarness) { h.submit(t, "task", Step{Count: 1, CPU: 9000}) },
 		"step before is not done": func(t *testing.T, h *waitHarness) {
