scheduler: caps on what tenants have running

Change: the scheduler counts what each tenant may have running, in sharer: runs that have a worker, and stale runs, which a worker may still have although they are not the newest of their tasks. Stale runs are stored with their job, and ended jobs of tenants keep their runs in the record until these are over, so that a new leader counts them. Nothing is placed or sent beyond the cap; Submit refuses jobs that could never start with ErrOverCap. Jobs without a tenant are stored and placed as before.

--- a/conductor/requests.go
+++ b/conductor/requests.go
@@ -84,7 +84,7 @@
 }
 
 // Submit accepts a job and returns when it is stored. The error is ErrStoreUnavailable or an
-// OverloadError if the job will not run, that of scheduler.Submit for an invalid job, or ErrTermEnded or
+// OverloadError if the job will not run, that of scheduler.Submit for a job that is invalid or over the cap of its tenant, or ErrTermEnded or
 // ErrUnclear if the outcome is unknown.
 func (c *Conductor) Submit(ctx context.Context, s scheduler.Spec) error {
 	return c.awaitStored(ctx, func(stored func(error)) error {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -158,7 +158,7 @@
 		return refusal(err.Error())
 	case errors.Is(err, conductor.ErrTermEnded) && v.readOnly():
 		return refusal(err.Error())
-	case errors.Is(err, scheduler.ErrInvalid), errors.Is(err, scheduler.ErrConflict):
+	case errors.Is(err, scheduler.ErrInvalid), errors.Is(err, scheduler.ErrConflict), errors.Is(err, scheduler.ErrOverCap):
 		return Reply{Outcome: Invalid, Error: err.Error()}
 	default:
 		return unclear(err)
--- a/scheduler/answering.go
+++ b/scheduler/answering.go
@@ -47,6 +47,7 @@
 	}
 	if o.Kind == Stop {
 		w.stopAnswered(o, out.confirmsStop())
+		w.staleStopAnswered(o, out.confirmsStop(), s.now())
 	}
 	if t == nil || t.worker != w || t.attempt != o.Attempt {
 		return
@@ -101,7 +102,7 @@
 		t.unclear = true
 	case Withheld:
 		// Where nothing may start any more, the order will not be sent again.
-		if !t.unclear || !s.acceptsStarts(w) || w.isOverCapacity(t.spec()) {
+		if !t.unclear || !s.acceptsStarts(w) || w.isOverCapacity(t.spec()) || s.isOverCap(t) {
 			s.withdraw(t)
 		}
 	case Late, Fenced:
--- a/scheduler/bench_test.go
+++ b/scheduler/bench_test.go
@@ -6,14 +6,28 @@
 	"testing"
 
 	"galenawharf.example/galenawharf/clock"
+	"galenawharf.example/galenawharf/sizer"
 )
 
 // BenchmarkPlacementRound measures a round of placing on 490 workers that are nearly
 // full, while runs end, jobs arrive and many fillers wait.
-func BenchmarkPlacementRound(b *testing.B) {
+func BenchmarkPlacementRound(b *testing.B) { benchmarkPlacementRound(b, 0) }
+
+// BenchmarkPlacementRoundTenants measures the same round with jobs of 280 tenants, whose caps leave room.
+func BenchmarkPlacementRoundTenants(b *testing.B) { benchmarkPlacementRound(b, 280) }
+
+func benchmarkPlacementRound(b *testing.B, tenants int) {
 	const workers, longRunning, backlog = 490, 160, 120
 	c := clock.NewManual(1_000_000)
 	s := New(WithClocks(c.Now, c.Now))
+	var names []string
+	var ts []Tenant
+	for i := range tenants {
+		names = append(names, fmt.Sprint("tenant", i))
+		ts = append(ts, Tenant{Name: names[i], Weight: float64(1 + i%20), Cap: sizer.New(6_000_000, 11_000_000*sizer.MiB, 0)})
+	}
+	s.SetTenants(ts)
+	submitted := 0
 	r := rand.New(rand.NewPCG(1, 1))
 	for i := range workers {
 		w := testWorker(i)
@@ -21,7 +35,12 @@
 		s.UpdateWorker(w)
 	}
 	submit := func(id string, q Queue, steps ...Step) {
-		if err := s.Submit(Spec{ID: id, Queue: q, Steps: steps}, func(error) {}); err != nil {
+		spec := Spec{ID: id, Queue: q, Steps: steps}
+		if tenants > 0 {
+			spec.Tenant = names[submitted%tenants]
+		}
+		submitted++
+		if err := s.Submit(spec, func(error) {}); err != nil {
 			b.Fatal(err)
 		}
 	}
--- a/scheduler/ending.go
+++ b/scheduler/ending.go
@@ -92,6 +92,7 @@
 	}
 	if t.hasRun() {
 		s.immediate = append(s.immediate, s.newOrder(Stop, t))
+		s.abandonNewestRun(t, true)
 		// What is being stopped uses the worker's resources for a little longer.
 		t.worker.blockedUntil = max(t.worker.blockedUntil, s.now()+stopBackoff)
 	}
@@ -104,6 +105,7 @@
 func (s *Scheduler) completeGang(t *task) {
 	for _, m := range t.occurrence.steps[t.step] {
 		if m.hasRun() {
+			s.abandonNewestRun(m, false)
 			s.release(m)
 		}
 	}
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -57,13 +57,19 @@
 		doneOccurrences map[int]bool
 		// doneCount is the number of doneOccurrences.
 		doneCount int
+		// stale are the runs that workers may have although they are not the newest of their tasks;
+		// only for jobs of tenants. staleChanges counts their changes.
+		stale        []*staleRun
+		staleChanges int
 	}
 
 	// jobHead is what a record of a whole job has besides the tasks and what the caller
 	// submitted.
 	jobHead struct {
-		phase     Phase
-		doneCount int
+		phase        Phase
+		doneCount    int
+		staleChanges int
+		keepsRuns    bool
 	}
 
 	// occurrence is one execution of all steps of a job.
@@ -157,7 +163,7 @@
 	return true
 }
 
-func (j *job) head() jobHead { return jobHead{j.phase, j.doneCount} }
+func (j *job) head() jobHead { return jobHead{j.phase, j.doneCount, j.staleChanges, j.keepsRuns()} }
 
 // eachTask calls f for every task of every open occurrence. The order of the occurrences
 // is random.
--- a/scheduler/lease.go
+++ b/scheduler/lease.go
@@ -90,6 +90,7 @@
 		if now < w.leaseBound() {
 			continue
 		}
+		s.expireStaleRuns(w)
 		logged := s.abandonLasting(w, now)
 		if w.silentSince == 0 && known {
 			continue
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -42,6 +42,7 @@
 func (s *Scheduler) PlaceUpTo(limit int) bool {
 	defer s.holdTime()()
 	now := s.now()
+	defer s.endCapRound(now)
 	s.startsLeft = limit
 	s.round++
 	s.consultations, s.fillersWaiting = nil, false
@@ -70,7 +71,7 @@
 		if !filler {
 			unreserved = remaining
 		}
-		if d.tasks[len(d.tasks)-1].state != pending || s.startsLeft <= 0 {
+		if d.tasks[len(d.tasks)-1].state != pending || s.startsLeft <= 0 || s.capRound.isWaiting(d) {
 			continue
 		}
 		s.fillersWaiting = s.fillersWaiting || filler
@@ -175,7 +176,7 @@
 // to the next demands: all of ws, except one that it reserved.
 func (s *Scheduler) placeDemand(d demand, ws []*worker, now clock.Millis) []*worker {
 	step := &d.occurrence.job.spec.Steps[d.step]
-	if d.occurrence.lacksTickets(d.step, now) {
+	if s.waitsForCap(d, d.tasks) || d.occurrence.lacksTickets(d.step, now) {
 		return ws
 	}
 	if step.Gang {
@@ -189,11 +190,14 @@
 		w := s.chooseWorker(t, ws)
 		if w == nil {
 			if step.LongRunning && !step.Filler {
-				return s.reserve(d.tasks[i:], ws)
+				return s.reserve(s.withinCap(d.tasks[i:]), ws)
 			}
 			return ws
 		}
 		s.assign(t, w, now)
+		if s.waitsForCap(d, d.tasks[i+1:]) {
+			return ws
+		}
 	}
 	return ws
 }
@@ -223,6 +227,7 @@
 		return ws
 	}
 	slices.SortStableFunc(cs, func(a, b candidate) int { return cmp.Compare(a.shortage, b.shortage) })
+	s.reserveCap(t, min(len(cs), len(ts)))
 	for _, c := range cs[:min(len(cs), len(ts))] {
 		c.worker.reservedIn, c.worker.reservedMemory, c.worker.reservedGPU = s.round, step.Memory, step.GPU
 	}
--- a/scheduler/record.go
+++ b/scheduler/record.go
@@ -24,6 +24,8 @@
 		// Done lists the numbers of the occurrences that are done.
 		Done  []int        `json:"done,omitempty"`
 		Tasks []taskRecord `json:"tasks,omitempty"`
+		// Stale are the runs that workers may have although they are not the newest of their tasks.
+		Stale []taskRecord `json:"stale,omitempty"`
 	}
 
 	// taskRecord is the stored form of a task that has had a run.
@@ -61,8 +63,8 @@
 	j.doneOccurrences[k] = true
 }
 
-// encode returns the stored form of a whole job. The record of an ended job omits its text,
-// steps and tasks, which callers can no longer ask for.
+// encode returns the stored form of a whole job. The record of an ended job omits its text, which callers
+// can no longer ask for, and its steps and tasks, unless the next leader has to count and stop their runs.
 func encode(j *job) []byte {
 	r := jobRecord{Version: j.version, Spec: j.spec, Phase: j.phase, AcceptedAt: int64(j.acceptedAt), EndedAt: int64(j.endedAt)}
 	for k := range j.occurrenceCount() {
@@ -70,12 +72,19 @@
 			r.Done = append(r.Done, k)
 		}
 	}
-	if j.phase.final() {
-		r.Spec.Text, r.Spec.Steps, r.Done = "", nil, nil
+	ended := j.phase.final()
+	if ended {
+		r.Spec.Text, r.Done = "", nil
+	}
+	if ended && !j.keepsRuns() {
+		r.Spec.Steps = nil
 		return marshal(r)
 	}
+	for _, o := range j.stale {
+		r.Stale = append(r.Stale, o.record())
+	}
 	j.eachTask(func(t *task) {
-		if t.attempt > 0 {
+		if t.attempt > 0 && (!ended || t.hasRun()) {
 			r.Tasks = append(r.Tasks, t.record())
 		}
 	})
@@ -139,17 +148,27 @@
 		j.markDone(k)
 		j.doneCount++
 	}
-	if j.phase.final() {
+	s.giveUp(s.loadRuns(j, &r, leaseEnd))
+	return nil
+}
+
+// loadRuns restores the tasks of a job, and of an ended job of a tenant those that have a run. It returns
+// the tasks to be given up, as loadTask does.
+func (s *Scheduler) loadRuns(j *job, r *jobRecord, leaseEnd clock.Millis) (convicted []*task) {
+	ended := j.phase.final()
+	switch {
+	case !ended:
+		s.active[j] = struct{}{}
+		s.openDueOccurrences(j)
+	case j.spec.Tenant == "":
 		return nil
 	}
-	s.active[j] = struct{}{}
-	s.openDueOccurrences(j)
-	var convicted []*task
 	for _, tr := range r.Tasks {
-		convicted = append(convicted, s.loadTask(j, tr, leaseEnd)...)
+		if !ended || tr.Worker != "" && len(j.spec.Steps) > 0 {
+			convicted = append(convicted, s.loadTask(j, tr, leaseEnd)...)
+		}
 	}
-	s.giveUp(convicted)
-	return nil
+	return append(convicted, s.loadStaleRuns(j, r.Stale, leaseEnd)...)
 }
 
 // loadTask restores a task. It returns the tasks to be given up, because the processes that had their
@@ -174,7 +193,25 @@
 	if r.Worker == "" {
 		return nil
 	}
-	w := s.workers[r.Worker]
+	w, convicted := s.loadWorker(r, leaseEnd)
+	// The former leader may have sent the order without getting an answer.
+	t.state, t.worker, t.pace, t.recorded, t.unclear = placed, w, 100, true, true
+	t.paceUnknown, t.inherited = t.spec().Filler, true
+	if w.info.Born > r.Born {
+		// An order to the former process may have reached its successor.
+		t.unresolvedSince = s.now()
+		if s.noteFormerCrash(t, w) {
+			convicted = append(convicted, t)
+		}
+	}
+	w.addTask(t)
+	return convicted
+}
+
+// loadWorker returns the worker of a stored run, which may have it still. It returns the tasks to be given
+// up, as loadTask does.
+func (s *Scheduler) loadWorker(r taskRecord, leaseEnd clock.Millis) (w *worker, convicted []*task) {
+	w = s.workers[r.Worker]
 	if w == nil {
 		w = &worker{info: WorkerInfo{ID: r.Worker, Born: r.Born, Address: r.Address}}
 		s.setWorker(r.Worker, w)
@@ -191,19 +228,8 @@
 			}
 		}
 	}
-	// The former leader may have sent the order without getting an answer.
-	t.state, t.worker, t.pace, t.recorded, t.unclear = placed, w, 100, true, true
-	t.paceUnknown, t.inherited = t.spec().Filler, true
-	if w.info.Born > r.Born {
-		// An order to the former process may have reached its successor.
-		t.unresolvedSince = now
-		if s.noteFormerCrash(t, w) {
-			convicted = append(convicted, t)
-		}
-	}
 	w.inherited.end, w.inherited.grantedAt, w.unreconciled = leaseEnd, now, true
-	w.addTask(t)
-	return convicted
+	return w, convicted
 }
 
 // Inherit marks every worker as possibly having runs of a former leader, until it reports
--- a/scheduler/replacing.go
+++ b/scheduler/replacing.go
@@ -50,6 +50,7 @@
 func (s *Scheduler) dropWorker(w *worker, reason string) {
 	s.emit(logger.WorkerGone, logger.String("worker", w.info.ID), logger.Int("born", w.info.Born), logger.String("reason", reason), logger.Int("runs", int64(len(w.tasks))))
 	s.abandonRuns(w, reason)
+	s.expireStaleRuns(w)
 	s.noteEnded(w)
 	s.deleteWorker(w.info.ID)
 }
@@ -114,6 +115,7 @@
 		n.doubtful[k].stopInFlight = false
 	}
 	s.setWorker(i.ID, n)
+	s.moveStaleRuns(w, n)
 	for _, t := range slices.Clone(w.tasks) {
 		w.removeTask(t)
 		t.worker = n
--- a/scheduler/reporting.go
+++ b/scheduler/reporting.go
@@ -56,6 +56,7 @@
 			listed[t] = struct{}{}
 		}
 	}
+	s.reconcileStaleRuns(w, r)
 	s.updateModels(w)
 	w.groupsValid = false
 	s.searches.noteChange(w)
@@ -118,6 +119,7 @@
 			return nil
 		}
 		s.immediate = append(s.immediate, Order{Kind: Stop, Worker: w.info.ID, Address: w.info.Address, Born: w.info.Born, Task: n, Attempt: a.Attempt})
+		s.addStaleRun(staleRun{job: s.jobs[n.Job], task: n, attempt: a.Attempt, worker: w})
 		// It uses the worker's resources until it has stopped.
 		w.blockedUntil = max(w.blockedUntil, s.now()+stopBackoff)
 		return nil
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -9,6 +9,7 @@
 
 	"galenawharf.example/galenawharf/clock"
 	"galenawharf.example/galenawharf/logger"
+	"galenawharf.example/galenawharf/sharer"
 )
 
 type (
@@ -111,6 +112,10 @@
 		waves        map[string]*wave
 		upkeepOrders []UpkeepOrder
 		waits        waitChecks
+		// tenants are those with caps by name, sharer has what each tenant holds.
+		tenants  map[string]*tenant
+		sharer   *sharer.Sharer
+		capRound capRound
 	}
 
 	// reply is a pending call of notify: with nil once the job's change is stored, or
@@ -179,7 +184,7 @@
 		jobs: map[string]*job{}, active: map[*job]struct{}{}, workers: map[string]*worker{},
 		evacuatedDataCentres: map[string]bool{}, sensitivities: map[string]*sensitivity{}, periodSelector: newPeriodSelector(), meanWorkByQueue: map[string]float64{},
 		dirty: map[*job]struct{}{}, acks: map[string]Ack{}, upkeepLength: defaultUpkeepLength, waves: map[string]*wave{}, round: 1,
-		silences: map[string]*silence{}, ended: map[string]endedProcess{},
+		silences: map[string]*silence{}, ended: map[string]endedProcess{}, sharer: newSharer(),
 	}
 	for _, o := range opts {
 		o(s)
@@ -333,14 +338,14 @@
 
 // MayStart reports whether a run may still be started on the worker of an order: the worker is
 // known not to leave, its data centre is not evacuated, and its capacity has not shrunk below what is
-// assigned to it.
+// assigned to it, and the tenant of the task holds at most its cap.
 func (s *Scheduler) MayStart(o Order) bool {
 	w := s.workers[o.Worker]
 	if w == nil || w.info.Born != o.Born || !s.acceptsStarts(w) {
 		return false
 	}
 	t := s.findTask(o.Task.String())
-	return t == nil || !w.isOverCapacity(t.spec())
+	return t == nil || !w.isOverCapacity(t.spec()) && !s.isOverCap(t)
 }
 
 // acceptsStarts reports whether runs that were assigned to a worker may still start there.
@@ -360,7 +365,7 @@
 	}
 	wall := s.wall()
 	for id, j := range s.jobs {
-		if j.phase.final() && j.storedPhase.final() && wall-j.endedAt > s.retention && !j.hasRuns() {
+		if j.phase.final() && j.storedPhase.final() && wall-j.endedAt > s.retention && !j.hasRuns() && len(j.stale) == 0 {
 			delete(s.jobs, id)
 			s.deletedKeys = append(append(s.deletedKeys, jobKey(id)), j.chunkKeys...)
 		}
--- a/scheduler/scoring.go
+++ b/scheduler/scoring.go
@@ -28,8 +28,12 @@
 )
 
 // hasRoom reports whether any of the workers could run a task. Workers that still need a
-// ticket of the policy count; those that it has denied do not.
+// ticket of the policy count; those that it has denied do not. A task whose tenant holds more than its
+// cap could not start again.
 func (s *Scheduler) hasRoom(t *task, ws []*worker) bool {
+	if s.isOverCap(t) {
+		return false
+	}
 	step, tolerance := t.spec(), s.tolerance(t)
 	return slices.ContainsFunc(ws, func(w *worker) bool { return s.canRun(t, step, w, tolerance) })
 }
--- a/scheduler/session.go
+++ b/scheduler/session.go
@@ -64,11 +64,11 @@
 	silence := s.silences[w.info.ID]
 	return Session{
 		Worker: w.info.ID, Address: w.info.Address, Born: w.info.Born, Acked: w.storedEnd,
-		Busy:               len(w.tasks) > 0 || w.lastEnd > w.storedEnd || w.unreconciled || w.registered && (len(w.doubtful) > 0 || w.silentSince != 0 || w.unheard) || w.storedEnd > w.ackedEnd,
+		Busy:               len(w.tasks) > 0 || len(w.stale) > 0 || w.lastEnd > w.storedEnd || w.unreconciled || w.registered && (len(w.doubtful) > 0 || w.silentSince != 0 || w.unheard) || w.storedEnd > w.ackedEnd,
 		OnTrial:            w.isOnTrial(),
 		ServingWithFillers: w.serving > 0 && w.fillerCPU > 0,
 		Blocked:            w.lastEnd > w.storedEnd || silence != nil && silence.deleting, Silent: w.silentSince != 0,
-		Idle: len(w.tasks) == 0 && len(w.doubtful) == 0, Inherited: w.unreconciled,
+		Idle: len(w.tasks) == 0 && len(w.doubtful) == 0 && len(w.stale) == 0, Inherited: w.unreconciled,
 		Unresolved: w.unheard || slices.ContainsFunc(w.tasks, func(t *task) bool { return t.unresolvedSince != 0 }),
 	}
 }
--- a/scheduler/submission.go
+++ b/scheduler/submission.go
@@ -9,8 +9,14 @@
 // Submit accepts a job. It calls stored with nil once the acceptance is stored, which may
 // be at once if the job was submitted or deposited before, or with the error that DropUnsent
 // was called with. It returns ErrConflict if a job of another queue or tenant has the
-// ID, and ErrInvalid if the job has invalid fields.
+// ID, ErrInvalid if the job has invalid fields, and ErrOverCap if the job is new and could never start within
+// the cap of its tenant.
 func (s *Scheduler) Submit(spec Spec, stored func(error)) error {
+	if s.jobs[spec.ID] == nil {
+		if err := s.checkCap(&spec); err != nil {
+			return err
+		}
+	}
 	j, err := s.accept(spec)
 	if err != nil {
 		return err
@@ -25,7 +31,8 @@
 
 // SubmitDeposited accepts a job that was deposited in the store. Phase returns its phase at once,
 // since the deposit is already stored. SubmitDeposited calls stored when a record of the job is
-// stored too, so that the deposit is no longer needed. Its errors are those of Submit.
+// stored too, so that the deposit is no longer needed. Its errors are those of Submit, except that caps are not checked, as the deposit was
+// answered with success.
 func (s *Scheduler) SubmitDeposited(spec Spec, stored func(error)) error {
 	j, err := s.accept(spec)
 	if err != nil {
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"galenawharf.example/galenawharf/clock"
+	"galenawharf.example/galenawharf/sharer"
 )
 
 type (
@@ -114,6 +115,11 @@
 		// order to start them may still be carried out. The worker gets no new lease and no
 		// new runs until it has confirmed that they are stopped.
 		doubtful []doubtfulRun
+		// stale are the runs of tenants that the worker may have although they are not the newest of
+		// their tasks.
+		stale []*staleRun
+		// sharer counts what tenants hold here.
+		sharer *sharer.Sharer
 		// absences is the number of machine lists in a row that lack the worker since it
 		// seems to have left.
 		absences int
@@ -186,6 +192,13 @@
 		w.serving += int(sign)
 		w.servingCPU += sign * s.CPU
 	}
+	switch tenant := t.job().spec.Tenant; {
+	case tenant == "":
+	case sign > 0:
+		w.sharer.Hold(tenant, s.Size())
+	default:
+		w.sharer.Release(tenant, s.Size())
+	}
 }
 
 // fits reports whether the worker has room for a task of step s. One filler fits
