--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -20,6 +20,7 @@
 		"no such job":               {err: scheduler.ErrUnknown, verb: Cancel, want: Unknown},
 		"invalid job":               {err: errors.Wrap(scheduler.ErrInvalid, "no steps"), verb: Submit, want: Invalid},
 		"id used in another queue":  {err: scheduler.ErrConflict, verb: Submit, want: Invalid},
+		"over the tenant's cap":     {err: errors.Wrap(scheduler.ErrOverCap, "step 0"), verb: Submit, want: Invalid},
 		"store unavailable":         {err: conductor.ErrStoreUnavailable, verb: Submit, want: Refused},
 		"another daemon may lead":   {err: conductor.ErrUnconfirmed, verb: Phase, want: Refused},
 		"submission not stored yet": {err: conductor.ErrUnclear, verb: Submit, want: Unclear},
--- a/imitator/pool.go
+++ b/imitator/pool.go
@@ -439,6 +439,22 @@
 	return p.ledger.started(job)
 }
 
+// Running returns the number of runs of the tasks for which match returns true.
+func (p *Pool) Running(match func(scheduler.TaskName) bool) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, w := range p.workers {
+		p.expireLease(w)
+		for _, r := range w.runs {
+			if match(r.order.Task) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // Busy returns the workers with at least one run, in no particular order.
 func (p *Pool) Busy() []string {
 	p.mu.Lock()
--- a/scheduler/capmachine_test.go
+++ b/scheduler/capmachine_test.go
@@ -383,7 +383,10 @@
 	starts := 0
 	rapid.Check(t, func(t *rapid.T) {
 		m := newCapMachine(t)
-		t.Repeat(m.actions())
+		// The default number of steps is too low to fill the workers.
+		for range 3 {
+			t.Repeat(m.actions())
+		}
 		m.settle()
 		starts += m.starts
 	})
