--- a/scheduler/capmachine_test.go
+++ b/scheduler/capmachine_test.go
@@ -32,7 +32,9 @@
 
 	// modelWorker carries out orders as the platform describes it.
 	modelWorker struct {
-		info           WorkerInfo
+		info WorkerInfo
+		// entry is that of the registry, which lags behind.
+		entry          WorkerInfo
 		leaseUntil     clock.Millis
 		runs           map[string]sentOrder
 		highestAttempt map[string]int
@@ -65,6 +67,7 @@
 	for i := range 4 {
 		w := &modelWorker{info: testWorker(i)}
 		w.restart()
+		w.entry = w.info
 		m.workers = append(m.workers, w)
 	}
 	for _, n := range capTenants[1:] {
@@ -84,8 +87,9 @@
 	m.epoch++
 	m.s = New(WithClocks(m.clock.Now, m.clock.Now))
 	for _, w := range m.workers {
-		w.info.Clock = m.clock.Now()
-		m.s.UpdateWorker(w.info)
+		if !m.chance(10, "not registered") {
+			m.s.UpdateWorker(w.entry)
+		}
 	}
 	m.setTenants()
 	until := LeaseBound(m.clock.Now(), defaultLease)
@@ -287,6 +291,12 @@
 	})
 }
 
+func (m *capMachine) register(w *modelWorker) {
+	w.info.Clock = m.clock.Now()
+	w.entry = w.info
+	m.s.UpdateWorker(w.entry)
+}
+
 // settle plays without faults until what the leader counts should be what runs.
 func (m *capMachine) settle() {
 	m.faultless = true
@@ -298,8 +308,7 @@
 		m.clock.Advance(100)
 		for _, w := range m.workers {
 			w.silent = false
-			w.info.Clock = m.clock.Now()
-			m.s.UpdateWorker(w.info)
+			m.register(w)
 			m.poll(w)
 		}
 		m.step()
@@ -359,7 +368,9 @@
 				m.execute(m.worker(q.Worker), q)
 			}
 		},
-		"silence": func(t *rapid.T) { w := m.anyWorker(); w.silent = !w.silent },
+		"silence":  func(*rapid.T) { w := m.anyWorker(); w.silent = !w.silent },
+		"register": func(*rapid.T) { m.register(m.anyWorker()) },
+		"leave":    func(*rapid.T) { m.s.RemoveWorker(m.anyWorker().info.ID) },
 		"restart": func(*rapid.T) {
 			if m.chance(3, "restart") {
 				m.anyWorker().restart()
--- a/scheduler/doc.go
+++ b/scheduler/doc.go
@@ -24,6 +24,11 @@
 // Some queues have a policy: an external service that decides which workers may run a
 // step. A consultation is a request to it, and a ticket is its permission for one worker.
 //
+// A tenant is a team with a cap on what it may have running. All of its runs count that may
+// be active: those of the newest attempts, and stale runs, which a worker may have although
+// they are not, or no longer, the newest of their tasks. Both are stored until they are known
+// to be over, so that a new leader counts at least what the former one did.
+//
 // Upkeep is the maintenance of a worker's machine, which is down meanwhile. A wave is the
 // upkeep of a set of machines that an operator has requested.
 package scheduler
--- a/scheduler/waiting.go
+++ b/scheduler/waiting.go
@@ -272,7 +272,7 @@
 		if counts[g] == nil {
 			counts[g] = s.countExclusions(t, now)
 		}
-		fields = append(fields, logger.Int("workers", int64(len(s.workers))))
+		fields = append(fields, logger.Int("workers", int64(len(s.workers))), logger.Text("over-cap", !s.admitsStart(t.job().spec.Tenant, t.spec().startSize())))
 		for e, n := range counts[g] {
 			if n > 0 || exclusion(e) == notExcluded {
 				fields = append(fields, logger.Int("workers-"+exclusion(e).String(), int64(n)))
