--- a/conductor/requests.go
+++ b/conductor/requests.go
@@ -87,7 +87,7 @@
 }
 
 // Submit accepts a job and returns when it is stored. The error is ErrStoreUnavailable or an
-// OverloadError if the job will not run, that of scheduler.Submit for an invalid job, or ErrTermEnded or
+// OverloadError if the job will not run, that of scheduler.Submit for a job that is invalid or over the cap of its tenant, or ErrTermEnded or
 // ErrUnclear if the outcome is unknown.
 func (c *Conductor) Submit(ctx context.Context, s scheduler.Spec) error {
 	return c.awaitStored(ctx, func(stored func(error)) error {
@@ -103,11 +103,11 @@
 	})
 }
 
-// Cancel cancels a job and returns when that is stored. Errors are those of Phase for an
+// Cancel cancels a job for a tenant, or for a caller without one, and returns when that is stored. Errors are those of Phase for an
 // unknown job, else those of Submit.
-func (c *Conductor) Cancel(ctx context.Context, id string) error {
+func (c *Conductor) Cancel(ctx context.Context, id, tenant string) error {
 	return c.awaitStored(ctx, func(stored func(error)) error {
-		err := c.sched.Cancel(id, stored)
+		err := c.sched.Cancel(id, tenant, stored)
 		if errors.Is(err, scheduler.ErrUnknown) {
 			return c.unknownJobError()
 		}
@@ -180,14 +180,14 @@
 	}
 }
 
-// Phase returns the phase of a job. The error is scheduler.ErrUnknown if there is no such
+// Phase returns the phase of a job to a tenant, or to a caller without one. The error is scheduler.ErrUnknown if there is no such
 // job, ErrUnconfirmed or ErrDepositsStale if it may have been accepted without this
 // daemon's knowledge, or ErrTermEnded.
-func (c *Conductor) Phase(id, queue string) (scheduler.Phase, error) {
+func (c *Conductor) Phase(id, queue, tenant string) (scheduler.Phase, error) {
 	var p scheduler.Phase
 	var err error
 	if !c.call(func() {
-		if p, err = c.sched.Phase(id, queue); errors.Is(err, scheduler.ErrUnknown) {
+		if p, err = c.sched.Phase(id, queue, tenant); errors.Is(err, scheduler.ErrUnknown) {
 			err = c.unknownJobError()
 		}
 	}) {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -159,9 +159,9 @@
 	case Submit:
 		err = c.Submit(ctx, q.Spec)
 	case Cancel:
-		err = c.Cancel(ctx, q.Spec.ID)
+		err = c.Cancel(ctx, q.Spec.ID, q.Spec.Tenant)
 	case Phase:
-		r.Phase, err = c.Phase(q.Spec.ID, q.Spec.Queue.Name)
+		r.Phase, err = c.Phase(q.Spec.ID, q.Spec.Queue.Name, q.Spec.Tenant)
 	case Pending:
 		r.Pending, err = c.Pending(q.Spec.Queue.Name)
 	default:
@@ -191,6 +191,8 @@
 		return refusal(err.Error())
 	case errors.Is(err, scheduler.ErrInvalid), errors.Is(err, scheduler.ErrConflict):
 		return Reply{Outcome: Invalid, Error: err.Error(), Code: codeOf(err)}
+	case errors.Is(err, scheduler.ErrOverCap):
+		return Reply{Outcome: Invalid, Error: err.Error(), Code: coder.OverCap}
 	default:
 		return unclear(err)
 	}
