platform, runner: removing the last tenant does not open the routes

Cause: a configuration with an empty list of tenants counted as one without tenants, so calls needed no key any more. Change: under the contract tenants of the settings keys are needed whatever the list has. Measured: TestConfigTenants, the new row fails without the option; go test ./platform ./runner ./tracer passes.

--- a/runner/config.go
+++ b/runner/config.go
@@ -24,7 +24,7 @@
 	if len(b) == 0 {
 		return
 	}
-	c, err := platform.DecodeConfig(b)
+	c, err := platform.DecodeConfig(b, platform.WithKeysRequired(r.settings.Load().HasContract(platform.TenantsContract)))
 	if err != nil {
 		r.log.Emit(logger.EntryInvalid, logger.String("key", "config"), logger.Err(err))
 		return
