sharer: weights, room and fair shares

Cause: tenants share a deployment by weight, and the sharer knows only quotas. Change: weights, the room, and the dominant share of a team as a multiple of its fair share among the teams that hold or wait for something.

--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -1,5 +1,6 @@
 // Package sharer implements quotas and fair sharing between teams. It tracks the resources
-// granted to each team, and orders waiting tasks by tier, priority and dominant share.
+// granted to each team, orders waiting tasks by tier, priority and dominant share, and computes
+// fair shares by weight.
 package sharer
 
 import (
@@ -18,16 +19,22 @@
 		deadlineWindow clock.Millis
 		borrowing      bool
 		jobOrder       bool
+		// room has the resources of which teams with a weight have a fair share; activeWeight is
+		// the sum of the weights of the teams that hold or wait for something.
+		room         sizer.Size
+		activeWeight int64
 	}
 
 	// Option configures a Sharer.
 	Option func(*Sharer)
 
-	// account is the quota and usage of one team. The quota applies only if limited is
-	// set.
+	// account is the quota, the weight and the usage of one team. The quota applies only if
+	// limited is set. The weight is in units of 1/weightUnit; 0 is none.
 	account struct {
 		quota   sizer.Size
 		limited bool
+		weight  int64
+		waiting bool
 		held    sizer.Size
 	}
 )
@@ -77,14 +84,12 @@
 
 // Hold adds size to the resources that a team holds.
 func (s *Sharer) Hold(team string, size sizer.Size) {
-	a := s.account(team)
-	a.held = a.held.Add(size)
+	s.update(team, func(a *account) { a.held = a.held.Add(size) })
 }
 
 // Release subtracts size from the resources that a team holds.
 func (s *Sharer) Release(team string, size sizer.Size) {
-	a := s.account(team)
-	a.held = a.held.Sub(size)
+	s.update(team, func(a *account) { a.held = a.held.Sub(size) })
 }
 
 // Held returns the resources that a team holds.
@@ -119,11 +124,7 @@
 	if !a.limited {
 		return 0
 	}
-	return max(
-		ratio(a.held.Millicores(), a.quota.Millicores()),
-		ratio(a.held.MemoryBytes(), a.quota.MemoryBytes()),
-		ratio(a.held.Accelerators(), a.quota.Accelerators()),
-	)
+	return a.shareOf(a.quota)
 }
 
 func ratio(held, quota int64) float64 {
