scheduler: count what tenants hold

Cause: fair shares need what each tenant holds. Change: workers count their runs with the sharer, and SetTenants sets the weights.

--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -9,6 +9,7 @@
 
 	"galenawharf.example/galenawharf/clock"
 	"galenawharf.example/galenawharf/logger"
+	"galenawharf.example/galenawharf/sharer"
 )
 
 type (
@@ -111,6 +112,9 @@
 		waves        map[string]*wave
 		upkeepOrders []UpkeepOrder
 		waits        waitChecks
+		// tenants are ordered by name, shares has what they hold.
+		tenants []Tenant
+		shares  *sharer.Sharer
 	}
 
 	// reply is a pending call of notify: with nil once the job's change is stored, or
@@ -179,7 +183,7 @@
 		jobs: map[string]*job{}, active: map[*job]struct{}{}, workers: map[string]*worker{},
 		evacuatedDataCentres: map[string]bool{}, sensitivities: map[string]*sensitivity{}, periodSelector: newPeriodSelector(), meanWorkByQueue: map[string]float64{},
 		dirty: map[*job]struct{}{}, acks: map[string]Ack{}, upkeepLength: defaultUpkeepLength, waves: map[string]*wave{}, round: 1,
-		silences: map[string]*silence{}, ended: map[string]endedProcess{},
+		silences: map[string]*silence{}, ended: map[string]endedProcess{}, shares: newShares(),
 	}
 	for _, o := range opts {
 		o(s)
--- a/scheduler/tenant.go
+++ b/scheduler/tenant.go
@@ -1,6 +1,13 @@
 package scheduler
 
-import "galenawharf.example/galenawharf/sizer"
+import (
+	"slices"
+
+	"github.com/pkg/errors"
+
+	"galenawharf.example/galenawharf/sharer"
+	"galenawharf.example/galenawharf/sizer"
+)
 
 type (
 	// Tenant is a team that shares the deployment with others.
@@ -25,9 +32,36 @@
 	}
 )
 
+// newShares returns a sharer without tenants.
+func newShares() *sharer.Sharer {
+	s, err := sharer.New()
+	if err != nil {
+		// Its defaults are valid, so this is a programming error.
+		panic(errors.Wrap(err, "scheduler.newShares"))
+	}
+	return s
+}
+
 // SetTenants replaces the tenants, in the order of their names. Without any, jobs are scheduled
 // regardless of their tenant.
-func (s *Scheduler) SetTenants(_ []Tenant) {}
+func (s *Scheduler) SetTenants(ts []Tenant) {
+	for _, t := range s.tenants {
+		s.shares.ClearWeight(t.Name)
+	}
+	for _, t := range ts {
+		s.shares.SetWeight(t.Name, t.Weight)
+	}
+	s.tenants = slices.Clone(ts)
+}
 
 // TenantStates returns the state of each tenant, in the order of their names.
-func (s *Scheduler) TenantStates() []TenantState { return nil }
+func (s *Scheduler) TenantStates() []TenantState {
+	out := make([]TenantState, 0, len(s.tenants))
+	for _, t := range s.tenants {
+		out = append(out, TenantState{Name: t.Name, Held: s.shares.Held(t.Name), Cap: t.Cap, Share: s.shares.Share(t.Name)})
+	}
+	return out
+}
+
+// size returns the resources that a task of the step holds.
+func (s *Step) size() sizer.Size { return sizer.New(s.CPU, s.Memory*sizer.MiB, s.GPU) }
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"galenawharf.example/galenawharf/clock"
+	"galenawharf.example/galenawharf/sharer"
 )
 
 type (
@@ -40,7 +41,9 @@
 		// fillerCPU instead of cpu, at their full speed even while they are slowed or
 		// paused, as they are to continue soon.
 		cpu, memory, gpu int64
-		fillerCPU        int64
+		// shares counts what the tenants hold on all workers.
+		shares    *sharer.Sharer
+		fillerCPU int64
 		// serving is the number of tasks with a latency objective, servingCPU the CPU
 		// reserved for them.
 		serving    int
@@ -182,6 +185,13 @@
 	} else {
 		w.cpu += sign * s.CPU
 	}
+	switch tenant := t.job().spec.Tenant; {
+	case tenant == "":
+	case sign > 0:
+		w.shares.Hold(tenant, s.size())
+	default:
+		w.shares.Release(tenant, s.size())
+	}
 	if s.Objective > 0 {
 		w.serving += int(sign)
 		w.servingCPU += sign * s.CPU
--- a/scheduler/workerset.go
+++ b/scheduler/workerset.go
@@ -7,7 +7,10 @@
 )
 
 // setWorker adds a worker, or replaces the one with its ID.
-func (s *Scheduler) setWorker(id string, w *worker) { s.workers[id], s.workersByID = w, nil }
+func (s *Scheduler) setWorker(id string, w *worker) {
+	w.shares = s.shares
+	s.workers[id], s.workersByID = w, nil
+}
 
 func (s *Scheduler) deleteWorker(id string) {
 	delete(s.workers, id)
