scheduler: tenants within their fair shares go first

Cause: the rank alone lets one tenant's backlog take all room that others wait for. Change: of demands that are equally long-running and of one priority, the parts within the fair shares start first, the others after them in the same round. Workers are reserved for a tenant within its share that finds no room for a second, as smaller tasks of others would take the room that comes back. WaitingAhead leaves out the work of tenants beyond what they may ask for. A share is no longer exceeded by the last start: with 280 tenants those sums of fractions left the heaviest ones nothing.

--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -47,43 +47,59 @@
 	s.consultations, s.fillersWaiting = nil, false
 	ds := s.demands(now)
 	if len(ds) == 0 {
+		s.noteWaiting(nil)
 		return false
 	}
+	available := s.availableWorkers(now)
+	s.updateShares(ds, available)
 	// Workers that are reserved for long-running tasks get no other tasks except fillers,
 	// which use no reserved processors.
-	workers := s.placeTrials(ds, s.availableWorkers(now), now)
-	unreserved := workers
+	workers := s.placeTrials(ds, available, now)
 	s.racks = racksOf(workers)
-	var unplaced unplacedSet
+	r := &placementRound{now: now, workers: workers, unreserved: workers}
+	if s.sharesRoom() {
+		s.placeByShare(ds, r)
+		return s.startsLeft <= 0
+	}
 	for _, d := range ds {
 		if s.startsLeft <= 0 {
 			return true
 		}
-		if len(d.tasks) == 0 || unplaced.covers(&d.occurrence.job.spec, d.step) {
-			continue
-		}
-		ws, filler := unreserved, d.occurrence.job.spec.Steps[d.step].Filler
-		if filler {
-			ws = workers
-		}
-		remaining := s.placeDemand(d, ws, now)
-		if !filler {
-			unreserved = remaining
-		}
-		if d.tasks[len(d.tasks)-1].state != pending || s.startsLeft <= 0 {
-			continue
-		}
-		s.fillersWaiting = s.fillersWaiting || filler
-		if len(remaining) == len(ws) {
-			unplaced.add(&d.occurrence.job.spec, d.step)
-		}
-		if d.occurrence.job.spec.Queue.Advice != nil {
-			s.queueConsultation(d, remaining, now)
-		}
+		s.placeNext(d, r)
 	}
 	return s.startsLeft <= 0
 }
 
+// placeNext places the next demand of a round. It returns false if some of its tasks found no room.
+func (s *Scheduler) placeNext(d demand, r *placementRound) bool {
+	if len(d.tasks) == 0 {
+		return true
+	}
+	spec := &d.occurrence.job.spec
+	if r.unplaced.covers(spec, d.step) {
+		return false
+	}
+	ws, filler := r.unreserved, spec.Steps[d.step].Filler
+	if filler {
+		ws = r.workers
+	}
+	remaining := s.placeDemand(d, ws, r.now)
+	if !filler {
+		r.unreserved = remaining
+	}
+	if d.tasks[len(d.tasks)-1].state != pending || s.startsLeft <= 0 {
+		return true
+	}
+	s.fillersWaiting = s.fillersWaiting || filler
+	if len(remaining) == len(ws) {
+		r.unplaced.add(spec, d.step)
+	}
+	if spec.Queue.Advice != nil {
+		s.queueConsultation(d, remaining, r.now)
+	}
+	return false
+}
+
 // holdTime stops the scheduler's clock until the returned function is called, so that the decisions
 // of a round agree on the time and predictions for it are made once.
 func (s *Scheduler) holdTime() func() {
@@ -94,10 +110,13 @@
 
 // Waiting returns the number of tasks without a run that have to run before the jobs which end by
 // themselves have ended.
-func (s *Scheduler) Waiting() int {
+func (s *Scheduler) Waiting() int { return s.waitingOf(func(*job) bool { return true }) }
+
+// waitingOf is Waiting for the jobs for which counts returns true.
+func (s *Scheduler) waitingOf(counts func(*job) bool) int {
 	n := 0
 	for j := range s.active {
-		if j.longRunning {
+		if j.longRunning || !counts(j) {
 			continue
 		}
 		for _, o := range j.occurrences {
@@ -108,7 +127,7 @@
 	}
 	for _, w := range s.workers {
 		for _, t := range w.tasks {
-			if !t.job().longRunning {
+			if j := t.job(); !j.longRunning && counts(j) {
 				n--
 			}
 		}
@@ -281,7 +300,7 @@
 		if w.availableIn != s.round || w.isOnTrial() || s.reservedForOthers(w, step) || !s.admitted(t, w) || !s.canRun(t, step, w, tolerance) {
 			continue
 		}
-		if score := s.score(t, step, w); best == nil || score > bestScore {
+		if score := s.score(t, step, w) - s.keptPenalty(w); best == nil || score > bestScore {
 			best, bestScore = w, score
 		}
 		if compared++; compared >= maxCandidates && !step.LongRunning && step.Rack == "" && !step.Colocate {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -115,6 +115,8 @@
 		// tenants are ordered by name, shares has what they hold.
 		tenants []Tenant
 		shares  *sharer.Sharer
+		// waitingTenants are those that waited in the last round of placing.
+		waitingTenants map[string]bool
 	}
 
 	// reply is a pending call of notify: with nil once the job's change is stored, or
@@ -376,6 +378,7 @@
 	s.recordSilences()
 	s.paceAllFillers()
 	s.checkWaits()
+	s.measureRoom()
 }
 
 func (j *job) hasRuns() bool {
--- a/sharer/fairshare.go
+++ b/sharer/fairshare.go
@@ -12,6 +12,8 @@
 	weightUnit = 1_000_000
 	// maxWeight bounds a weight so that the sum over many teams can't overflow.
 	maxWeight = 1_000_000_000
+	// roundingError is more than the rounding errors of a fair share in tasks, and less than a task.
+	roundingError = 1e-6
 )
 
 // SetWeight sets the weight of a team, by which it has a fair share of the room. A weight below a
@@ -47,18 +49,23 @@
 	return a.shareOf(s.room) / s.fairShare(a)
 }
 
-// StartsWithin returns how many of n tasks of a size, started one after the other, begin while
-// their team holds less than its fair share. It is n for a team without a weight.
+// StartsWithin returns how many of n tasks of a size may start until their team would hold more than
+// its fair share. A team that holds nothing may start one, so that one whose fair share is smaller
+// than a task gets a turn. It is n for a team without a weight.
 func (s *Sharer) StartsWithin(team string, size sizer.Size, n int) int {
 	a := s.teams[team]
 	if a == nil || a.weight == 0 {
 		return n
 	}
-	fair := s.fairShare(a)
-	return min(n,
-		startsBelow(fair, a.held.Millicores(), size.Millicores(), s.room.Millicores()),
-		startsBelow(fair, a.held.MemoryBytes(), size.MemoryBytes(), s.room.MemoryBytes()),
-		startsBelow(fair, a.held.Accelerators(), size.Accelerators(), s.room.Accelerators()))
+	fair, least := s.fairShare(a), 0
+	if a.held.IsZero() {
+		least = 1
+	}
+	starts := min(
+		startsUpTo(fair, a.held.Millicores(), size.Millicores(), s.room.Millicores()),
+		startsUpTo(fair, a.held.MemoryBytes(), size.MemoryBytes(), s.room.MemoryBytes()),
+		startsUpTo(fair, a.held.Accelerators(), size.Accelerators(), s.room.Accelerators()))
+	return min(n, max(starts, least))
 }
 
 // fairShare returns the fair share of a team with a weight. A team that neither holds nor waits for
@@ -95,18 +102,16 @@
 	)
 }
 
-// startsBelow returns how many starts of a size begin while less than a share of the room is held.
-func startsBelow(share float64, held, size, room int64) int {
-	if held <= 0 && size <= 0 {
-		return math.MaxInt
-	}
-	free := share*float64(max(room, 1)) - float64(max(held, 0))
+// startsUpTo returns how many starts of a size there can be until more than a share of the room is
+// held.
+func startsUpTo(share float64, held, size, room int64) int {
+	free := (share*float64(max(room, 0))-float64(max(held, 0)))/float64(max(size, 1)) + roundingError
 	switch {
-	case free <= 0:
+	case free < 0:
 		return 0
-	case size <= 0 || free/float64(size) >= math.MaxInt32:
+	case size <= 0:
 		return math.MaxInt
 	default:
-		return int(math.Ceil(free / float64(size)))
+		return int(min(free, math.MaxInt32))
 	}
 }
