conductor, forwarder: rates of tenants; refusals fall first on those beyond

Cause: a tenant may submit its weight in jobs a second, and under overload it must not have others refused. Change: new jobs are checked by limiter.Rates, deposits only counted, stored jobs counted from their times when a tenant comes into force; a refusal is a TenantLimitError, which forwarder replies as Refused with coder.OverRate. Work of tenants beyond their plain rate or fair share does not count as waiting ahead of others.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -20,6 +20,7 @@
 
 	"galenawharf.example/galenawharf/clock"
 	"galenawharf.example/galenawharf/depositor"
+	"galenawharf.example/galenawharf/limiter"
 	"galenawharf.example/galenawharf/logger"
 	"galenawharf.example/galenawharf/recorder"
 	"galenawharf.example/galenawharf/regulator"
@@ -74,6 +75,11 @@
 		operatorRead                      func() clock.Millis
 		// regulator limits the work that is taken on.
 		regulator *regulator.Regulator
+		// rates bounds the jobs of each tenant. hasTenants is whether there are any, tenantAge the
+		// age of the operator's records up to which tasks may be started then.
+		rates      *limiter.Rates
+		hasTenants bool
+		tenantAge  clock.Millis
 		// startsInFlight is the number of orders of batches that are not answered.
 		startsInFlight atomic.Int64
 		// provenAt is the time of the newest time record that is stored, in ms.
@@ -164,6 +170,7 @@
 		store: s, fleet: f, sched: sched, epoch: t.Epoch, lastRenewal: t.LastRenewal, decode: decode, lease: lease, relay: t.Relay, leaveClocks: t.LeaveClocks,
 		now: clock.System, emit: func(logger.Event, ...logger.Field) {}, metrics: noMetrics(), operatorRead: func() clock.Millis { return clock.Never },
 		events: make(chan func(), eventQueueSize), sessions: map[sessionKey]*session{}, batches: make(chan *scheduler.Batch, 1),
+		rates: limiter.NewRates(defaultRateWindow, defaultRateExcess, defaultRateTolerance), tenantAge: maxOperatorAge,
 	}
 	for _, o := range opts {
 		o(c)
--- a/conductor/delay.go
+++ b/conductor/delay.go
@@ -24,9 +24,13 @@
 )
 
 // startsUntil returns the time until which tasks may be started by what is known of workers that
-// leave and of evacuations.
+// leave, of evacuations and of tenants.
 func (c *Conductor) startsUntil() clock.Millis {
-	return min(c.lastRegistryRead.Add(maxRegistryAge), c.operatorRead().Add(maxOperatorAge))
+	age := maxOperatorAge
+	if c.hasTenants {
+		age = min(age, c.tenantAge)
+	}
+	return min(c.lastRegistryRead.Add(maxRegistryAge), c.operatorRead().Add(age))
 }
 
 // noteDelay measures the delay of the scheduler's goroutine, and logs when it crosses delayLimit.
--- a/conductor/deposits.go
+++ b/conductor/deposits.go
@@ -27,11 +27,15 @@
 func (c *Conductor) submitDeposit(i recorder.Item) {
 	s, err := depositor.Decode(i)
 	if err == nil {
+		known := c.sched.HasJob(s.ID)
 		err = c.sched.SubmitDeposited(s, func(storeErr error) {
 			if storeErr == nil {
 				c.storedDeposits = append(c.storedDeposits, recorder.Item{Key: i.Key})
 			}
 		})
+		if err == nil && !known {
+			c.countAccepted(&s)
+		}
 	}
 	if err != nil {
 		// The job is deleted, since no leader could run it. This should not occur: hosts
--- a/conductor/requests.go
+++ b/conductor/requests.go
@@ -80,11 +80,21 @@
 	if lasts || s.Repeat > 0 {
 		return 0, true
 	}
-	return c.regulator.Admit(func() int { return c.sched.Waiting() + tasks }, s.Objective())
+	return c.regulator.Admit(func() int { return c.waitingAhead(s.Tenant) + tasks }, s.Objective())
 }
 
-// Submit accepts a job and returns when it is stored. The error is ErrStoreUnavailable or an
-// OverloadError if the job will not run, that of scheduler.Submit for an invalid job, or ErrTermEnded or
+// admitNew returns an OverloadError or a TenantLimitError for a new job that is not accepted.
+func (c *Conductor) admitNew(s *scheduler.Spec) error {
+	now := c.now()
+	c.rates.Asked(s.Tenant, now)
+	if after, ok := c.admit(s); !ok {
+		return OverloadError{after}
+	}
+	return c.admitRate(s, now)
+}
+
+// Submit accepts a job and returns when it is stored. The error is ErrStoreUnavailable, an
+// OverloadError or a TenantLimitError if the job will not run, that of scheduler.Submit for an invalid job, or ErrTermEnded or
 // ErrUnclear if the outcome is unknown.
 func (c *Conductor) Submit(ctx context.Context, s scheduler.Spec) error {
 	return c.awaitStored(ctx, func(stored func(error)) error {
@@ -92,8 +102,8 @@
 			if c.storeUnavailable() {
 				return ErrStoreUnavailable
 			}
-			if after, ok := c.admit(&s); !ok {
-				return OverloadError{after}
+			if err := c.admitNew(&s); err != nil {
+				return err
 			}
 		}
 		return c.sched.Submit(s, stored)
@@ -202,11 +212,6 @@
 	return n, err
 }
 
-// SetTenants replaces the tenants that share the deployment.
-func (c *Conductor) SetTenants(ts []scheduler.Tenant) {
-	c.post(func() { c.sched.SetTenants(ts) })
-}
-
 // SetEvacuated replaces the set of data centres in which no task may start.
 func (c *Conductor) SetEvacuated(dataCentres []string) {
 	c.post(func() { c.sched.SetEvacuated(dataCentres) })
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"galenawharf.example/galenawharf/clock"
+	"galenawharf.example/galenawharf/coder"
 	"galenawharf.example/galenawharf/conductor"
 	"galenawharf.example/galenawharf/depositor"
 	"galenawharf.example/galenawharf/elector"
@@ -143,6 +144,7 @@
 // that leave open whether a change was stored become Unclear, never Refused.
 func replyOf(err error, v Verb, r Reply) Reply {
 	var overload conductor.OverloadError
+	var limit conductor.TenantLimitError
 	switch {
 	case err == nil:
 		return r
@@ -154,6 +156,8 @@
 		return r
 	case errors.As(err, &overload):
 		return Reply{Outcome: Refused, RetryAfter: overload.RetryAfter(), Error: err.Error(), Overloaded: true}
+	case errors.As(err, &limit):
+		return Reply{Outcome: Refused, RetryAfter: limit.RetryAfter(), Error: err.Error(), Overloaded: true, Code: coder.OverRate}
 	case errors.Is(err, conductor.ErrUnconfirmed), errors.Is(err, conductor.ErrDepositsStale):
 		return refusal(err.Error())
 	case errors.Is(err, conductor.ErrTermEnded) && v.readOnly():
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -27,6 +27,7 @@
 		"term ended, submission":    {err: conductor.ErrTermEnded, verb: Submit, want: Unclear},
 		"term ended, cancel":        {err: conductor.ErrTermEnded, verb: Cancel, want: Unclear},
 		"term ended, read":          {err: conductor.ErrTermEnded, verb: Phase, want: Refused},
+		"more than the tenant may":  {err: conductor.TenantLimitError{}, verb: Submit, want: Refused},
 		"unexpected error, unclear": {err: errors.New("x"), verb: Submit, want: Unclear},
 	}
 	for name, tc := range tests {
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -7,6 +7,7 @@
 
 import (
 	"galenawharf.example/galenawharf/clock"
+	"galenawharf.example/galenawharf/coder"
 	"galenawharf.example/galenawharf/elector"
 	"galenawharf.example/galenawharf/scheduler"
 )
@@ -37,7 +38,10 @@
 		Error      string       `json:"error,omitempty"`
 		// StoreUnavailable is set if the leader refused because the store doesn't answer it.
 		StoreUnavailable bool `json:"store-away,omitempty"`
-		// Overloaded is set if the leader refused because it could not start the job in time.
+		// Code is the number of the error, 0 if it has none.
+		Code coder.Code `json:"code,omitempty"`
+		// Overloaded is set if the leader refused because it could not start the job in time, or
+		// because the job's tenant submits more than it may.
 		Overloaded bool `json:"overloaded,omitempty"`
 		// Leader is the newest claim known to the daemon; only set with NotLeading.
 		Leader *elector.Claim `json:"leader,omitempty"`
--- a/limiter/rates.go
+++ b/limiter/rates.go
@@ -80,6 +80,9 @@
 	r.tenants = tenants
 }
 
+// Window returns the length of the window.
+func (r *Rates) Window() clock.Millis { return r.window }
+
 // Has reports whether a tenant has a rate.
 func (r *Rates) Has(name string) bool { return r.tenants[name] != nil }
 
