limiter: slots that callers don't use leave room for others of their tenant

Cause: slots are reserved for refused callers; if these never return, new jobs found all reserved, and a tenant that sent ten times its rate got 2.0 jobs a second of 18. Change: the most slots of a tenant grow with each that is used and shrink with each that is not, down to what leaves its plain rate.

--- a/limiter/rates.go
+++ b/limiter/rates.go
@@ -29,6 +29,9 @@
 		// slots are the reservations that may still be used, slotOf has their times by job.
 		slots  []slot
 		slotOf map[string]clock.Millis
+		// maxSlots is the most slots at a time. It grows with each slot that is used, and shrinks
+		// with each that is not.
+		maxSlots int
 		// asked counts the jobs of the last second by parts of it; askedPart is the newest part.
 		asked     [askedParts]int
 		askedPart int64
@@ -51,6 +54,9 @@
 	// maxSlots bounds the slots of a tenant, so that a flood costs at most about 100 KB of memory a
 	// tenant. 10 s at the rate of the heaviest tenants known have a tenth of that.
 	maxSlots = 1024
+	// unusedDivisor sets by how much a slot that was not used lowers the most slots at a time: by
+	// 1/unusedDivisor. If one caller in ten does not return, some 250 slots remain.
+	unusedDivisor = 32
 	// askedParts is the number of parts of the second over which the plain rate is measured.
 	askedParts  = 10
 	askedLength = clock.Second / askedParts
@@ -69,12 +75,16 @@
 	tenants := make(map[string]*tenantRate, len(perSecond))
 	for name, rate := range perSecond {
 		t := r.tenants[name]
-		if t == nil {
+		added := t == nil
+		if added {
 			t = &tenantRate{window: r.window, slotOf: map[string]clock.Millis{}}
 		}
 		t.perSecond = max(rate, 0)
 		limit := t.perSecond*float64(r.window)/float64(clock.Second)*(1+r.excess) + float64(r.tolerance)
 		t.limit = int(min(limit+roundingError, math.MaxInt32))
+		if added {
+			t.maxSlots = min(t.limit, maxSlots)
+		}
 		tenants[name] = t
 	}
 	r.tenants = tenants
@@ -98,6 +108,7 @@
 	if reserved && now >= at {
 		t.drop(id)
 		t.count(now)
+		t.maxSlots = min(t.maxSlots+1, maxSlots)
 		return 0, true
 	}
 	if reserved {
--- a/limiter/rates_test.go
+++ b/limiter/rates_test.go
@@ -165,6 +165,24 @@
 	t.Logf("accepted %d of %d, %.1f a second", len(accepted), 10*rate*seconds, float64(len(accepted))/seconds)
 }
 
+// TestRatesOfCallersThatDoNotReturn guards against a tenant that is refused all, as slots are reserved
+// for callers that never return. The load: ten times the rate for a minute, each job once.
+func TestRatesOfCallersThatDoNotReturn(t *testing.T) {
+	const rate, seconds = 18, 60
+	r := NewRates(testWindow, testExcess, testTolerance)
+	r.SetRates(map[string]float64{"a": rate})
+	accepted := 0
+	for now := clock.Millis(0); now < seconds*clock.Second; now += 50 {
+		for n := range 10 * rate / 20 {
+			if _, ok := r.Admit("a", fmt.Sprint(now, "-", n), now); ok {
+				accepted++
+			}
+		}
+	}
+	must.GreaterEq(t, rate*seconds*9/10, accepted)
+	t.Logf("accepted %.1f a second", float64(accepted)/seconds)
+}
+
 // TestRatesCount guards against a takeover that gives a tenant its whole window again: jobs that were
 // accepted before count from their own times.
 func TestRatesCount(t *testing.T) {
--- a/limiter/slots.go
+++ b/limiter/slots.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"galenawharf.example/galenawharf/clock"
@@ -13,11 +14,19 @@
 	n := 0
 	for n < len(t.slots) && t.slots[n].at+slotValidity < now {
 		delete(t.slotOf, t.slots[n].id)
+		t.maxSlots = max(t.maxSlots-t.maxSlots/unusedDivisor-1, t.leastSlots())
 		n++
 	}
 	t.slots = slices.Delete(t.slots, 0, n)
 }
 
+// leastSlots returns the slots that there may be at a time even if none is ever used: these leave jobs
+// without a slot the plain rate.
+func (t *tenantRate) leastSlots() int {
+	plain := t.perSecond * float64(t.window) / float64(clock.Second)
+	return min(max(t.limit-int(math.Ceil(min(plain, math.MaxInt32))), 1), maxSlots)
+}
+
 // count adds an accepted job.
 func (t *tenantRate) count(at clock.Millis) {
 	t.accepted = slices.Insert(t.accepted, searchTime(t.accepted, at+1), at)
@@ -62,7 +71,7 @@
 // more than limit jobs, even if each other slot is used in the window. It returns false if there is
 // none up to maxRetryAfter ahead.
 func (t *tenantRate) nextSlot(now clock.Millis) (clock.Millis, bool) {
-	if len(t.slots) >= maxSlots || t.limit < 1 {
+	if len(t.slots) >= t.maxSlots || t.limit < 1 {
 		return 0, false
 	}
 	at := now + 1
