--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -54,7 +54,8 @@
 		Code coder.Code `json:"code,omitempty"`
 		// StoreUnavailable is set if the leader refused because the store doesn't answer it.
 		StoreUnavailable bool `json:"store-away,omitempty"`
-		// Overloaded is set if the leader refused because it could not start the job in time.
+		// Overloaded is set if the leader refused because it could not start the job in time, or
+		// because the job's tenant submits more than it may.
 		Overloaded bool `json:"overloaded,omitempty"`
 		// Leader is the newest claim known to the daemon; only set with NotLeading.
 		Leader *elector.Claim `json:"leader,omitempty"`
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -98,6 +98,9 @@
 	// exitReserve is the part of the grace period that is kept for the end of the
 	// process.
 	exitReserve = 800 * clock.Millis(1)
+	// tenantAgeMargin is the part of the time in which a configuration takes effect that is kept for
+	// a start that was decided by it to be carried out.
+	tenantAgeMargin = 500 * clock.Millis(1)
 	// maxLease bounds the lease of workers. It is long enough for a takeover (two
 	// seconds) and the first reports after it, and short enough that tasks of a lost
 	// worker soon restart elsewhere.
@@ -257,6 +260,8 @@
 	c, err := conductor.New(ctx, TermOf(t),
 		r.store, r.workers.Fleet(), s, lease, platform.DecodeWorker,
 		conductor.WithClock(r.now), conductor.WithMetrics(r.conductorMetrics()), conductor.WithEvents(r.log.Emit), conductor.WithCloud(cloud),
+		conductor.WithTenantRates(settings.QuotaWindow(), settings.QuotaExcess(), settings.QuotaTolerance()),
+		conductor.WithTenantAge(max(settings.ConfigApply()-tenantAgeMargin, 0)),
 		conductor.WithOperatorRead(func() clock.Millis { return clock.Millis(r.operatorReadAt.Load()) }))
 	if err != nil {
 		r.log.Emit(logger.TermEnded, logger.Int("epoch", t.Epoch), logger.String("reason", err.Error()))
--- a/scheduler/capping_test.go
+++ b/scheduler/capping_test.go
@@ -296,7 +296,7 @@
 		b.clock.Advance(100)
 	}
 	must.Eq(t, 3, lines[logger.TenantWaits])
-	must.Eq(t, []TenantState{{Name: "a", Held: sizer.New(2000, 0, 0), Cap: sizer.New(2000, 0, 0), Waiting: 4}, {Name: "b"}}, b.TenantStates())
+	must.Eq(t, []TenantState{{Name: "a", Held: sizer.New(2000, 0, 0), Cap: sizer.New(2000, 0, 0), Share: 0.25, Waiting: 4}, {Name: "b"}}, b.TenantStates())
 	must.Eq(t, 0, lines[logger.TenantChanged])
 	b.capCores(1)
 	b.capCores(1)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -116,6 +116,8 @@
 		tenants  map[string]*tenant
 		sharer   *sharer.Sharer
 		capRound capRound
+		// waitingTenants are those that waited in the last round of placing.
+		waitingTenants map[string]bool
 	}
 
 	// reply is a pending call of notify: with nil once the job's change is stored, or
@@ -377,6 +379,7 @@
 	s.recordSilences()
 	s.paceAllFillers()
 	s.checkWaits()
+	s.measureRoom()
 }
 
 func (j *job) hasRuns() bool {
--- a/scheduler/tenant.go
+++ b/scheduler/tenant.go
@@ -57,10 +57,12 @@
 		}
 		s.tenants[t.Name] = n
 		s.sharer.SetQuota(t.Name, quotaOf(t.Cap))
+		s.sharer.SetWeight(t.Name, t.Weight)
 	}
 	for name := range old {
 		if s.tenants[name] == nil {
 			s.sharer.ClearQuota(name)
+			s.sharer.ClearWeight(name)
 		}
 	}
 }
@@ -82,7 +84,7 @@
 	}
 	states := make([]TenantState, 0, len(s.tenants))
 	for _, t := range slices.SortedFunc(maps.Values(s.tenants), func(a, b *tenant) int { return cmp.Compare(a.Name, b.Name) }) {
-		states = append(states, TenantState{Name: t.Name, Held: s.sharer.Held(t.Name), Cap: t.Cap, Waiting: waiting[t.Name]})
+		states = append(states, TenantState{Name: t.Name, Held: s.sharer.Held(t.Name), Cap: t.Cap, Share: s.sharer.Share(t.Name), Waiting: waiting[t.Name]})
 	}
 	return states
 }
