--- a/cmd/galenawharf-soak/main.go
+++ b/cmd/galenawharf-soak/main.go
@@ -18,7 +18,7 @@
 	// calmDuration is how long jobs are submitted before the first fault.
 	calmDuration = 3 * clock.Second
 	// defaultTenants is whether soak tests have tenants unless the flag says otherwise.
-	defaultTenants = false
+	defaultTenants = true
 )
 
 func main() { os.Exit(run()) }
