scheduler: reservations and best fit for large tasks that wait

Small tasks fragment the free room of workers, and those that come later take what others leave, so that large tasks wait for long. A task that ends by itself, fits on no worker and has waited for 300 ms now keeps the room of the worker that is forecast to be the first to have space for it, by declared run times. Others start beside it if they end in time or leave the room free. While larger tasks wait, smaller ones go where least room is left over. The fields for long-running tasks are extended by CPU and a holder; their reservations are as before. Reserved workers stay among the candidates of cached failures, as whether a task may start there depends on its run time.

--- a/logger/events.go
+++ b/logger/events.go
@@ -115,3 +115,11 @@
 	TenantAdded   = Event{6083, log.InfoLevel, "tenant added"}
 	TenantRemoved = Event{6084, log.InfoLevel, "tenant removed"}
 )
+
+// Reservations of room for large tasks.
+var (
+	RoomReserved       = Event{6090, log.InfoLevel, "room on a worker is reserved for a task"}
+	ReservationUsed    = Event{6091, log.InfoLevel, "task starts in the room reserved for it"}
+	ReservationMoves   = Event{6092, log.InfoLevel, "reserved room has not become free, another worker is sought"}
+	ReservationDropped = Event{6093, log.InfoLevel, "reservation of room on a worker is dropped"}
+)
--- a/scheduler/exclusion.go
+++ b/scheduler/exclusion.go
@@ -38,7 +38,7 @@
 	probing
 	interfering
 	noTicket
-	// reserved: it is kept for a long-running task that needs more room.
+	// reserved: it is kept for a task that needs more room.
 	reserved
 	exclusionCount
 )
@@ -122,10 +122,24 @@
 	}
 }
 
-// reservedForOthers reports whether the current round of placing reserves a worker for a
-// long-running task, so that tasks of a step which would take its processors are not placed.
-func (s *Scheduler) reservedForOthers(w *worker, step *Step) bool {
-	return w.reservedIn == s.round && !w.fitsBesideReserved(step)
+// reservedForOthers reports whether the current round of placing reserves a worker for another task, so
+// that tasks which would take its room are not placed. Long-running tasks are held up only by others of
+// their kind.
+func (s *Scheduler) reservedForOthers(t *task, step *Step, w *worker) bool {
+	switch r := w.reservation; {
+	case w.reservedIn != s.round:
+		return false
+	case r == nil:
+		return !w.fitsBesideReserved(step)
+	default:
+		return r.task != t && !step.LongRunning && !w.fitsBesideReserved(step) && (step.Filler || s.now()+s.forecast(t, w) > r.at)
+	}
+}
+
+// isReservedForLasting reports whether the current round of placing reserves a worker for a
+// long-running task.
+func (s *Scheduler) isReservedForLasting(w *worker) bool {
+	return w.reservedIn == s.round && w.reservation == nil
 }
 
 // countExclusions returns how many workers each reason excludes from getting a task. Each worker
@@ -152,7 +166,7 @@
 		return unsuitable
 	case !s.admitted(t, w):
 		return noTicket
-	case s.reservedForOthers(w, step):
+	case s.reservedForOthers(t, step, w):
 		return reserved
 	default:
 		return notExcluded
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -43,6 +43,7 @@
 	defer s.holdTime()()
 	now := s.now()
 	defer s.endCapRound(now)
+	defer s.endPacking(now)
 	s.startsLeft = limit
 	s.round++
 	s.consultations, s.fillersWaiting = nil, false
@@ -55,12 +56,23 @@
 	workers := s.placeTrials(ds, s.availableWorkers(now), now)
 	unreserved := workers
 	s.racks = racksOf(workers)
+	s.keepRoom(workers, now)
 	var unplaced unplacedSet
-	for _, d := range ds {
+	holders := slices.IndexFunc(ds, func(d demand) bool { return d.rank.finite != 0 })
+	for i := range ds {
+		if i == holders {
+			s.placeHolders(ds[i:], now)
+		}
+		d := ds[i]
 		if s.startsLeft <= 0 {
 			return true
 		}
-		if len(d.tasks) == 0 || unplaced.covers(&d.occurrence.job.spec, d.step) {
+		if len(d.tasks) == 0 {
+			continue
+		}
+		if unplaced.covers(&d.occurrence.job.spec, d.step) {
+			s.placeBeside(d, now)
+			s.noteNoRoom(d, now)
 			continue
 		}
 		ws, filler := unreserved, d.occurrence.job.spec.Steps[d.step].Filler
@@ -75,6 +87,7 @@
 			continue
 		}
 		s.fillersWaiting = s.fillersWaiting || filler
+		s.noteNoRoom(d, now)
 		if len(remaining) == len(ws) {
 			unplaced.add(&d.occurrence.job.spec, d.step)
 		}
@@ -213,7 +226,7 @@
 	t, step := ts[0], ts[0].spec()
 	var cs []candidate
 	for _, w := range ws {
-		if w.info.Service != t.job().spec.Queue.Service || !w.hasLabel(step.Label) || t.denied(w) || w.isProbing() || w.reservedIn == s.round {
+		if w.info.Service != t.job().spec.Queue.Service || !w.hasLabel(step.Label) || t.denied(w) || w.isProbing() || s.isReservedForLasting(w) {
 			continue
 		}
 		if step.PerWorker > 0 && w.countOfStep(t) >= step.PerWorker {
@@ -229,9 +242,12 @@
 	slices.SortStableFunc(cs, func(a, b candidate) int { return cmp.Compare(a.shortage, b.shortage) })
 	s.reserveCap(t, min(len(cs), len(ts)))
 	for _, c := range cs[:min(len(cs), len(ts))] {
-		c.worker.reservedIn, c.worker.reservedMemory, c.worker.reservedGPU = s.round, step.Memory, step.GPU
+		if r := c.worker.reservation; r != nil {
+			s.dropReservation(r, "long-running", s.now())
+		}
+		c.worker.reservedIn, c.worker.reserved, c.worker.leaving = s.round, step.held(), resourceSize{}
 	}
-	return slices.DeleteFunc(slices.Clone(ws), func(w *worker) bool { return w.reservedIn == s.round })
+	return slices.DeleteFunc(slices.Clone(ws), s.isReservedForLasting)
 }
 
 // assign creates a new run of a task on a worker. Its record and its order are part of
@@ -246,6 +262,7 @@
 	t.inherited, t.lossNoted, t.trialWorker = false, false, nil
 	t.ordersInFlight, t.unclear, t.recorded, t.slowSince, t.paceUnknown = 0, false, false, 0, false
 	w.addTask(t)
+	s.noteStart(t, w, now)
 	s.markExploring(t.spec(), w)
 	if w.failures >= quarantineScore {
 		w.probedAt, w.probe = now, t
@@ -267,6 +284,9 @@
 	}
 	k, size := requirementsOf(spec, t.step)
 	candidates, onlyChanged := s.searches.candidates(k, size, ws, s.now())
+	if onlyChanged {
+		candidates = s.withReserved(candidates)
+	}
 	best := s.bestWorker(t, candidates)
 	if best == nil {
 		s.searches.noteFailure(k, size, onlyChanged, s.now())
@@ -279,17 +299,17 @@
 	var best *worker
 	var bestScore float64
 	step := t.spec()
-	tolerance, compared := s.tolerance(t), 0
+	tolerance, compared, limit := s.tolerance(t), 0, s.candidateLimit()
 	s.searchOffset++
 	for i := range ws {
 		w := ws[(i+s.searchOffset)%len(ws)]
-		if w.availableIn != s.round || w.isOnTrial() || s.reservedForOthers(w, step) || !s.admitted(t, w) || !s.canRun(t, step, w, tolerance) {
+		if w.availableIn != s.round || w.isOnTrial() || s.reservedForOthers(t, step, w) || !s.admitted(t, w) || !s.canRun(t, step, w, tolerance) {
 			continue
 		}
 		if score := s.score(t, step, w); best == nil || score > bestScore {
 			best, bestScore = w, score
 		}
-		if compared++; compared >= maxCandidates && !step.LongRunning && step.Rack == "" && !step.Colocate {
+		if compared++; compared >= limit && !step.LongRunning && step.Rack == "" && !step.Colocate {
 			break
 		}
 	}
--- a/scheduler/ranking.go
+++ b/scheduler/ranking.go
@@ -28,6 +28,8 @@
 	// uselessFactor is the age, as a multiple of its objective, from which a job is too
 	// late to be of use.
 	uselessFactor = 3
+	// uselessLateness is the lateness of jobs of that age.
+	uselessLateness = 2
 	// The value of a job is partly fixed and partly proportional to its work.
 	// fixedValueShare is the fixed share for a job with the mean work of its queue.
 	fixedValueShare = 0.3
@@ -48,7 +50,7 @@
 		objective := j.spec.Queue.objective(criticalPath)
 		switch age := s.wall() - j.acceptedAt; {
 		case age > uselessFactor*objective:
-			r.lateness = 2
+			r.lateness = uselessLateness
 		case age > objective:
 			r.lateness = 1
 		}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -116,6 +116,7 @@
 		tenants  map[string]*tenant
 		sharer   *sharer.Sharer
 		capRound capRound
+		packing  packing
 	}
 
 	// reply is a pending call of notify: with nil once the job's change is stored, or
--- a/scheduler/scoring.go
+++ b/scheduler/scoring.go
@@ -86,10 +86,9 @@
 }
 
 // score rates a worker for a task; higher is better. It is the free share of the worker's
-// processors plus imageBonus less the penalties.
+// processors, or how well the task fits while larger ones wait, plus imageBonus less the penalties.
 func (s *Scheduler) score(t *task, step *Step, w *worker) float64 {
-	total := float64(max(w.info.CPU, 1))
-	free := float64(w.info.CPU-w.cpu-w.fillerCPU) / total
+	free := s.roomScore(t, step, w)
 	switch {
 	case step.Filler:
 		free -= interferencePenalty * s.interference(step, w)
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -90,6 +90,10 @@
 		waitingSince, waitedSince clock.Millis
 		// rejections is the number of runs that workers have rejected as malformed, to this leader.
 		rejections int
+		// reservation keeps room for the task; nil if there is none. noRoomIn is the last round of
+		// placing in which the task fitted on no worker after a wait of roomWait.
+		reservation *reservation
+		noRoomIn    int
 		// retryAt is the earliest time of the next run.
 		retryAt clock.Millis
 		// slowSince is when the pace of a filler became slow; 0 if it is not.
--- a/scheduler/trial.go
+++ b/scheduler/trial.go
@@ -130,7 +130,7 @@
 // long-running task, so that a trial of a task of another kind would take its room. Trials are placed
 // before a round reserves workers.
 func (s *Scheduler) isKeptForLasting(w *worker, step *Step) bool {
-	return !step.LongRunning && w.reservedIn > 0 && w.reservedIn >= s.round-1 && !w.fitsBesideReserved(step)
+	return !step.LongRunning && w.reservation == nil && w.reservedIn > 0 && w.reservedIn >= s.round-1 && !w.fitsBesideReserved(step)
 }
 
 // lossCost returns what a crash of the worker would cost, in runs.
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -5,6 +5,7 @@
 
 	"galenawharf.example/galenawharf/clock"
 	"galenawharf.example/galenawharf/sharer"
+	"galenawharf.example/galenawharf/sizer"
 )
 
 type (
@@ -88,10 +89,17 @@
 		// isOnTrial.
 		trial *task
 		// availableIn and reservedIn are the last rounds of placing in which the worker could
-		// get a new run, and in which it was reserved for a long-running task.
+		// get a new run, and in which it was reserved for a task.
 		availableIn, reservedIn int
-		// reservedMemory and reservedGPU are the resources of that task.
-		reservedMemory, reservedGPU int64
+		// reserved are the resources of that task, leaving those of the runs that are forecast to
+		// end before it starts.
+		reserved, leaving resourceSize
+		// reservation is kept for a task that ends by itself; nil if there is none, or the worker
+		// is reserved for a long-running task.
+		reservation *reservation
+		// emptiedRoom caches the result of emptied in the round emptiedIn.
+		emptiedRoom sizer.Size
+		emptiedIn   int
 		// blockedUntil is the end of the backoff after a refused or failed start.
 		blockedUntil clock.Millis
 		// clockReading is a reading of the worker's clock that was received at clockReadAt;
@@ -229,10 +237,13 @@
 	return w.memory > w.info.Memory || w.gpu > w.info.GPU || !s.Filler && w.cpu > w.info.CPU
 }
 
-// fitsBesideReserved reports whether a worker that is reserved for a long-running task keeps the room
-// for it beside a task of step s. The CPU of fillers is not reserved.
+// fitsBesideReserved reports whether a reserved worker keeps the reserved room beside a task of step
+// s. The CPU of fillers is not reserved. Beside a reservation for a long-running task there is no CPU
+// for others.
 func (w *worker) fitsBesideReserved(s *Step) bool {
-	return s.Filler && w.memory+w.reservedMemory+s.Memory <= w.info.Memory && w.gpu+w.reservedGPU+s.GPU <= w.info.GPU
+	need := w.reserved.plus(s.held())
+	return (s.Filler || w.reservation != nil && w.cpu-w.leaving.cpu+need.cpu <= w.info.CPU) &&
+		w.memory-w.leaving.memory+need.memory <= w.info.Memory && w.gpu-w.leaving.gpu+need.gpu <= w.info.GPU
 }
 
 // shortageOf returns the room that the worker lacks for a long-running task of step s, as a share of
