estimator, scheduler: run times are learned by queue

Declared run times may be far off, and a task that is declared too short starts beside a reservation and delays it.

--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -29,7 +29,9 @@
 		millicores histogram
 		memory     histogram
 		runTime    histogram
-		lastSeen   clock.Millis
+		// ratio has those of actual to declared run times, in thousandths.
+		ratio    histogram
+		lastSeen clock.Millis
 	}
 )
 
--- a/estimator/histogram.go
+++ b/estimator/histogram.go
@@ -48,6 +48,7 @@
 		f.millicores.scale(factor)
 		f.memory.scale(factor)
 		f.runTime.scale(factor)
+		f.ratio.scale(factor)
 	}
 	e.weightReference = now
 }
--- a/scheduler/ending.go
+++ b/scheduler/ending.go
@@ -27,6 +27,9 @@
 	if how == EndDone || how == EndFailed {
 		s.clearSuspicion(t)
 	}
+	if how == EndDone {
+		s.learnRunTime(t)
+	}
 	s.release(t)
 	s.markDirty(j)
 	if j.phase.final() {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -117,6 +117,7 @@
 		sharer   *sharer.Sharer
 		capRound capRound
 		packing  packing
+		runTimes runTimes
 	}
 
 	// reply is a pending call of notify: with nil once the job's change is stored, or
@@ -185,7 +186,7 @@
 		jobs: map[string]*job{}, active: map[*job]struct{}{}, workers: map[string]*worker{},
 		evacuatedDataCentres: map[string]bool{}, sensitivities: map[string]*sensitivity{}, periodSelector: newPeriodSelector(), meanWorkByQueue: map[string]float64{},
 		dirty: map[*job]struct{}{}, acks: map[string]Ack{}, upkeepLength: defaultUpkeepLength, waves: map[string]*wave{}, round: 1,
-		silences: map[string]*silence{}, ended: map[string]endedProcess{}, sharer: newSharer(),
+		silences: map[string]*silence{}, ended: map[string]endedProcess{}, sharer: newSharer(), runTimes: newRunTimes(),
 	}
 	for _, o := range opts {
 		o(s)
