--- a/conductor/metrics.go
+++ b/conductor/metrics.go
@@ -22,6 +22,8 @@
 		Delay func(clock.Millis)
 		// Tenants is called once per tenantInterval with the states of all tenants. It may be nil.
 		Tenants func([]scheduler.TenantState)
+		// Room is called once per tenantInterval with what large tasks wait for. It may be nil.
+		Room func(scheduler.RoomState)
 		// TenantRefused is called for each job that is refused because its tenant submits more
 		// than it may. It may be nil.
 		TenantRefused func(tenant string)
@@ -38,6 +40,9 @@
 	if m.Tenants == nil {
 		m.Tenants = none.Tenants
 	}
+	if m.Room == nil {
+		m.Room = none.Room
+	}
 	if m.TenantRefused == nil {
 		m.TenantRefused = none.TenantRefused
 	}
@@ -47,14 +52,15 @@
 func noMetrics() Metrics {
 	return Metrics{
 		Order: func(clock.Millis, bool) {}, Poll: func(clock.Millis) {}, Append: func(clock.Millis) {}, Totals: func(int, int, int, int) {},
-		Delay: func(clock.Millis) {}, Tenants: func([]scheduler.TenantState) {}, TenantRefused: func(string) {},
+		Delay: func(clock.Millis) {}, Tenants: func([]scheduler.TenantState) {}, TenantRefused: func(string) {}, Room: func(scheduler.RoomState) {},
 	}
 }
 
-// reportTenants passes the states of the tenants to the metrics once per tenantInterval.
+// reportTenants passes the states of the tenants and of the room to the metrics once per tenantInterval.
 func (c *Conductor) reportTenants() {
 	if now := c.now(); now >= c.nextTenantReport {
 		c.nextTenantReport = now + tenantInterval
 		c.metrics.Tenants(c.sched.TenantStates())
+		c.metrics.Room(c.sched.RoomState())
 	}
 }
--- a/measurer/names.go
+++ b/measurer/names.go
@@ -78,6 +78,20 @@
 	// LongRunningWaiting is the number of long-running tasks without a run that their worker
 	// has confirmed. Only the leader reports it.
 	LongRunningWaiting Gauge = "long_running_tasks_waiting"
+	// WaitingForRoom is the number of tasks that end by themselves, have waited for a while and fit on
+	// no worker. Only the leader reports it, as the next six.
+	WaitingForRoom Gauge = "tasks_waiting_for_room"
+	// RoomReservations is the number of workers with room reserved for these tasks.
+	RoomReservations Gauge = "room_reservations"
+	// FragmentedCores, FragmentedMemory and FragmentedGPUs are the free room, in cores, bytes and
+	// devices, of workers on which none of these tasks fits.
+	FragmentedCores  Gauge = "fragmented_cores"
+	FragmentedMemory Gauge = "fragmented_memory_bytes"
+	FragmentedGPUs   Gauge = "fragmented_gpus"
+	// ForecastRatio is the mean ratio of the actual to the forecast run time.
+	ForecastRatio Gauge = "run_forecast_ratio"
+	// ForecastLate is the fraction of runs that end after their forecast.
+	ForecastLate Gauge = "run_forecast_late"
 	// ProcessDelay is how late the leader's scheduler got its last turn, in seconds.
 	ProcessDelay Gauge = "process_delay_seconds"
 	// ConfigVersion is the version of the configuration in force.
@@ -121,7 +135,8 @@
 	// counters doesn't contain Results, which has a counter for each result code.
 	counters = []Counter{Appends, AppendedBytes, ReadBytes, LogErrors, CorruptRecords, PeerErrors, Orders, OrderErrors, Starts, Evictions,
 		RequestsServed, RequestsUnknown, RequestsInvalid, RequestsRefused, RequestsUnclear, OrdersUnclear, WorkerPolls, Terms, WorkerCrashes, RunsLost, TasksGivenUp}
-	gauges = []Gauge{OwnedShards, RunningTasks, WaitingTasks, ConfigOffset, ReadyGauge, InFlight, Leading, QueuedJobs, ActiveJobs, SilentWorkers, LongRunningWaiting, ProcessDelay, ConfigVersion}
+	gauges = []Gauge{OwnedShards, RunningTasks, WaitingTasks, ConfigOffset, ReadyGauge, InFlight, Leading, QueuedJobs, ActiveJobs, SilentWorkers, LongRunningWaiting, ProcessDelay, ConfigVersion,
+		WaitingForRoom, RoomReservations, FragmentedCores, FragmentedMemory, FragmentedGPUs, ForecastRatio, ForecastLate}
 	// tenantGauges and TenantRefused have series for each tenant.
 	tenantGauges = []Gauge{TenantRunning, TenantWaiting, TenantShare}
 	timers       = []Timer{CheckTime, OrderTime, AppendTime, RequestTime, FirstStartTime, WorkerPollTime, StepTime}
--- a/runner/metrics.go
+++ b/runner/metrics.go
@@ -67,6 +67,7 @@
 		},
 		Tenants:       func(ts []scheduler.TenantState) { r.metrics.SetTenants(tenantsOf(ts)) },
 		TenantRefused: r.metrics.CountTenantRefused,
+		Room:          r.setRoom,
 	}
 }
 
@@ -81,3 +82,15 @@
 	}
 	return all
 }
+
+// setRoom sets the metrics of the room that large tasks wait for.
+func (r *Runner) setRoom(s scheduler.RoomState) {
+	for g, v := range map[measurer.Gauge]float64{
+		measurer.WaitingForRoom: float64(s.Waiting), measurer.RoomReservations: float64(s.Reserved),
+		measurer.FragmentedCores:  float64(s.Fragmented.Millicores()) / 1000,
+		measurer.FragmentedMemory: float64(s.Fragmented.MemoryBytes()), measurer.FragmentedGPUs: float64(s.Fragmented.Accelerators()),
+		measurer.ForecastRatio: s.ForecastRatio, measurer.ForecastLate: s.ForecastLate,
+	} {
+		r.metrics.Set(g, v)
+	}
+}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -270,6 +270,7 @@
 	r.forward.SetLocal(nil)
 	r.metrics.Set(measurer.Leading, 0)
 	r.metrics.SetTenants(nil)
+	r.setRoom(scheduler.RoomState{})
 }
 
 // Reload applies changed settings: limits on work apply from the next term that this
--- a/scheduler/packing.go
+++ b/scheduler/packing.go
@@ -59,11 +59,10 @@
 func (s *Scheduler) keepRoom(ws []*worker, now clock.Millis) {
 	p := &s.packing
 	p.waiting = slices.DeleteFunc(p.waiting, func(t *task) bool { return !t.waitsForRoom() })
-	clear(p.pools)
+	p.collectSizes()
 	if len(p.waiting) == 0 && len(p.reservations) == 0 {
 		return
 	}
-	p.collectSizes()
 	avoided := map[*task]*worker{}
 	for _, r := range slices.Clone(p.reservations) {
 		if why := s.lapse(r, now); why != "" {
@@ -90,6 +89,7 @@
 	}
 	p.waiting = append(slices.DeleteFunc(p.waiting, func(t *task) bool { return t.noRoomIn == s.round }), p.found...)
 	p.found = p.found[:0]
+	p.collectSizes()
 	for _, r := range slices.Clone(p.reservations) {
 		if !r.task.waitsForRoom() {
 			s.dropReservation(r, "not-needed", now)
@@ -208,6 +208,7 @@
 
 // collectSizes sets the sizes of the waiting tasks.
 func (p *packing) collectSizes() {
+	clear(p.pools)
 	if p.pools == nil {
 		p.pools = map[string]*waitingSizes{}
 	}
--- a/scheduler/packing_test.go
+++ b/scheduler/packing_test.go
@@ -9,6 +9,7 @@
 	"github.com/shoenig/test/must"
 
 	"galenawharf.example/galenawharf/clock"
+	"galenawharf.example/galenawharf/sizer"
 )
 
 // mixFleet is a busyFleet of large workers on which long-running tasks leave little room, and that
@@ -107,3 +108,18 @@
 		})
 	}
 }
+
+// TestFragmentationIsReported guards against large waits whose cause nobody can see: free room in pieces
+// that are too small.
+func TestFragmentationIsReported(t *testing.T) {
+	b := newHarness(2)
+	b.submit(t, "small", Step{Count: 2, CPU: 5000, Memory: 100, Estimate: clock.Minute})
+	b.placeAndStore()
+	must.Eq(t, RoomState{}, b.RoomState())
+	b.submit(t, "large", Step{Count: 1, CPU: 5000, Memory: 100, Estimate: clock.Minute})
+	b.placeAndStore()
+	b.clock.Advance(roomWait)
+	b.placeAndStore()
+	b.placeAndStore()
+	must.Eq(t, RoomState{Waiting: 1, Reserved: 1, Fragmented: sizer.New(6000, 2*15_900*sizer.MiB, 0)}, b.RoomState())
+}
