--- a/scheduler/packing_test.go
+++ b/scheduler/packing_test.go
@@ -53,10 +53,10 @@
 	for i := range int(d / step) {
 		per := int(clock.Second / step)
 		for n := range small*(i+1)/per - small*i/per {
-			m.submitOne(tb, fmt.Sprintf("s%d-%d", i, n), 4000)
+			m.submitOne(tb, fmt.Sprintf("s%d-%d", m.clock.Now(), n), 4000)
 		}
 		for n := range large*(i+1)/per - large*i/per {
-			m.submitOne(tb, fmt.Sprintf("l%d-%d", i, n), int64(10_000+1000*m.random.IntN(3)))
+			m.submitOne(tb, fmt.Sprintf("l%d-%d", m.clock.Now(), n), int64(10_000+1000*m.random.IntN(3)))
 		}
 		for id := range m.workers {
 			m.Lease(id, 1)
--- a/scheduler/reserving_test.go
+++ b/scheduler/reserving_test.go
@@ -1,6 +1,9 @@
 package scheduler
 
 import (
+	"maps"
+	"slices"
+	"strings"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -29,8 +32,8 @@
 	began, last := f.clock.Now(), clock.Millis(0)
 	for f.clock.Now() < began+d {
 		f.clock.Advance(50)
-		for w := range f.workers {
-			f.reportRuns(w)
+		for _, w := range f.sortedWorkers() {
+			f.reportRuns(w.info.ID)
 		}
 		f.Sweep()
 		for _, o := range append(f.TakeImmediateOrders(), f.placeAndStore()...) {
@@ -53,8 +56,8 @@
 func (f *busyFleet) reportRuns(w string) {
 	var active []ActiveRun
 	var ended []EndedRun
-	for o, end := range f.ends[w] {
-		if end > f.clock.Now() {
+	for _, o := range slices.SortedFunc(maps.Keys(f.ends[w]), func(a, b Order) int { return strings.Compare(a.Task.String(), b.Task.String()) }) {
+		if end := f.ends[w][o]; end > f.clock.Now() {
 			active = append(active, ActiveRun{Task: o.Task.String(), Attempt: o.Attempt, Percent: int(f.clock.Now()/50) % 100})
 			continue
 		}
