--- a/scheduler/doc.go
+++ b/scheduler/doc.go
@@ -29,6 +29,10 @@
 // they are not, or no longer, the newest of their tasks. Both are stored until they are known
 // to be over, so that a new leader counts at least what the former one did.
 //
+// A reservation keeps the room of a worker for a task. Long-running tasks that fit nowhere get one for
+// a round of placing. Other tasks that fit nowhere get one after a while, which lasts until they start;
+// it is not stored. A run is backfilled if it starts beside a reservation without delaying its holder.
+//
 // Upkeep is the maintenance of a worker's machine, which is down meanwhile. A wave is the
 // upkeep of a set of machines that an operator has requested.
 package scheduler
--- a/scheduler/packingrules_test.go
+++ b/scheduler/packingrules_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"galenawharf.example/galenawharf/clock"
+	"galenawharf.example/galenawharf/sizer"
 )
 
 // TestReservedRoomIsKept guards against runs beside a reservation that neither end before its time nor
@@ -153,6 +154,21 @@
 	}
 }
 
+// TestTenantAtItsCapReservesNothing guards against room that is kept for a task which may not start.
+// Load: the tenant of the large task uses its cap after the task has waited for room.
+func TestTenantAtItsCapReservesNothing(t *testing.T) {
+	b, r, _ := reservedHarness(t)
+	b.SetTenants([]Tenant{{Name: "a", Weight: 1, Cap: sizer.New(9000, 0, 0)}})
+	r.task.job().spec.Tenant = "a"
+	b.placeAndStore()
+	must.Eq(t, []*reservation{r}, b.packing.reservations)
+	b.sharer.Hold("a", sizer.New(4000, 0, 0))
+	b.placeAndStore()
+	must.SliceEmpty(t, b.packing.reservations)
+	b.placeAndStore()
+	must.Eq(t, 0, b.RoomState().Waiting)
+}
+
 // TestNewLeaderReservesAgain guards against large tasks that lose their turn with the leader, which
 // doesn't store reservations. Load: a large task that waits for one of two full workers.
 func TestNewLeaderReservesAgain(t *testing.T) {
