--- a/recorder/loader.go
+++ b/recorder/loader.go
@@ -15,9 +15,10 @@
 )
 
 // Load returns the newest item of every key of a topic and the offset up to which they
-// are complete, which is at least the end of the topic at the last page. It reads no further,
-// as others may append faster than it reads: the entries of 3,000 workers, for example, change
-// 2,000 times a second.
+// are complete, which is at least the end of the topic at the last page. It includes items that
+// are appended while it reads, as far as the reads up to that offset have them. It reads no
+// further, as others may append faster than it reads: the entries of 3,000 workers, for example,
+// change 2,000 times a second.
 func Load(ctx context.Context, s Store, topic string) (map[string][]byte, int64, error) {
 	items := map[string][]byte{}
 	first, last := int64(-1), int64(0)
@@ -37,17 +38,18 @@
 		more = p.More && len(p.Items) > 0
 	}
 	end := first
-	for end < last {
+	for {
 		found, next, err := applyNext(ctx, s, topic, end, items)
 		if err != nil {
 			return nil, 0, errors.Wrap(err, "recorder.Load")
 		}
 		if !found {
-			break
+			return items, end, nil
+		}
+		if end = next; end >= last {
+			return items, end, nil
 		}
-		end = next
 	}
-	return items, end, nil
 }
 
 // CatchUp applies the items from an offset on to the map until there are none, and returns the new
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -118,6 +118,8 @@
 		capRound capRound
 		// waitingTenants are those that waited in the last round of placing.
 		waitingTenants map[string]bool
+		packing        packing
+		runTimes       runTimes
 	}
 
 	// reply is a pending call of notify: with nil once the job's change is stored, or
@@ -186,7 +188,7 @@
 		jobs: map[string]*job{}, active: map[*job]struct{}{}, workers: map[string]*worker{},
 		evacuatedDataCentres: map[string]bool{}, sensitivities: map[string]*sensitivity{}, periodSelector: newPeriodSelector(), meanWorkByQueue: map[string]float64{},
 		dirty: map[*job]struct{}{}, acks: map[string]Ack{}, upkeepLength: defaultUpkeepLength, waves: map[string]*wave{}, round: 1,
-		silences: map[string]*silence{}, ended: map[string]endedProcess{}, sharer: newSharer(),
+		silences: map[string]*silence{}, ended: map[string]endedProcess{}, sharer: newSharer(), runTimes: newRunTimes(),
 	}
 	for _, o := range opts {
 		o(s)
