scheduler: tests of short tasks beside reservations

They guard against cached failures that rule out short tasks because longer ones of the same size would delay a reserved start. The property test draws smaller memories and more rounds, so that it fails at 100 checks if nothing keeps tasks off reserved workers.

--- a/scheduler/packingrules_test.go
+++ b/scheduler/packingrules_test.go
@@ -22,10 +22,10 @@
 			}
 			return 100 + clock.Millis(o.Task.Index%7)*300
 		})
-		for i := range rapid.IntRange(5, 25).Draw(rt, "rounds") {
+		for i := range rapid.IntRange(15, 30).Draw(rt, "rounds") {
 			for n := range rapid.IntRange(0, 3).Draw(rt, "jobs") {
 				step := Step{
-					Count: rapid.IntRange(1, 8).Draw(rt, "count"), CPU: rapid.Int64Range(1, 8).Draw(rt, "cpu") * 1000, Memory: rapid.Int64Range(1, 16).Draw(rt, "memory") * 1000,
+					Count: rapid.IntRange(1, 8).Draw(rt, "count"), CPU: rapid.Int64Range(1, 8).Draw(rt, "cpu") * 1000, Memory: rapid.Int64Range(1, 5).Draw(rt, "memory") * 1000,
 					Estimate: clock.Millis(rapid.Int64Range(50, 3000).Draw(rt, "estimate")), Filler: rapid.IntRange(0, 5).Draw(rt, "filler") == 0,
 				}
 				step.Gang = !step.Filler && rapid.IntRange(0, 7).Draw(rt, "gang") == 0
@@ -154,6 +154,35 @@
 	}
 }
 
+// TestShortTaskStartsBesideReservation guards against short tasks that wait because longer ones of the
+// same size, which would delay a reserved start, have found no worker. Load: one worker with some room.
+func TestShortTaskStartsBesideReservation(t *testing.T) {
+	tests := map[string]struct{ later, cancelled bool }{"in the same round": {}, "in the next round": {later: true}, "when the long one is cancelled": {later: true, cancelled: true}}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := newHarness(1)
+			b.submit(t, "base", Step{Count: 2, CPU: 3000, Memory: 100, Estimate: clock.Second})
+			b.placeAndStore()
+			b.submit(t, "large", Step{Count: 1, CPU: 7000, Memory: 100, Estimate: clock.Second})
+			b.placeAndStore()
+			b.clock.Advance(roomWait)
+			b.placeAndStore()
+			b.submit(t, "long", Step{Count: 1, CPU: 2000, Memory: 100, Estimate: clock.Minute})
+			if tt.later {
+				b.placeAndStore()
+			}
+			if tt.cancelled {
+				b.finishJob(b.jobs["long"], Cancelled)
+			}
+			q := Queue{Name: "short", Service: testService, Priority: 1, MaxAttempts: 2, Slack: 2}
+			must.NoError(t, b.Submit(Spec{ID: "short", Queue: q, Steps: []Step{{Count: 1, CPU: 2000, Memory: 100, Estimate: 100}}}, func(error) {}))
+			orders := b.placeAndStore()
+			must.Len(t, 1, orders)
+			must.Eq(t, "short", orders[0].Task.Job)
+		})
+	}
+}
+
 // TestTenantAtItsCapReservesNothing guards against room that is kept for a task which may not start.
 // Load: the tenant of the large task uses its cap after the task has waited for room.
 func TestTenantAtItsCapReservesNothing(t *testing.T) {
