--- a/scheduler/trial.go
+++ b/scheduler/trial.go
@@ -58,8 +58,9 @@
 }
 
 // placeTrial starts a suspect on the worker that is kept for it, or keeps one for it. It returns false
-// if no worker has room, or the task has to wait for the cap of its tenant. trials is the number of workers in use for trials. A suspect that has waited
-// for maxTrialWait waits neither for other trials nor for an empty worker.
+// if no worker has room, or the task has to wait for the cap of its tenant. trials is the number of
+// workers in use for trials. A suspect that has waited for maxTrialWait waits neither for other trials
+// nor for an empty worker.
 func (s *Scheduler) placeTrial(t *task, ws []*worker, trials *int, now clock.Millis) bool {
 	if !s.admitsStart(t.job().spec.Tenant, t.spec().Size()) {
 		// The demand is noted as waiting when its turn comes.
