--- a/review/standin/consumer.go
+++ b/review/standin/consumer.go
@@ -37,7 +37,7 @@
 func (w *world) newJob(class, spec string, phases []wireStep) *job {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	j := &job{id: fmt.Sprintf("%016x", w.random.Uint64()), spec: spec, class: class, phases: phases, running: map[string]int{}, seen: map[string]bool{}, doneTasks: map[string]int{}}
+	j := &job{id: fmt.Sprintf("%016x", w.random.Uint64()), spec: spec, class: class, phases: phases, running: map[string]int{}, seen: map[string]bool{}, noted: map[string]bool{}, doneTasks: map[string]int{}}
 	w.jobs[j.id] = j
 	return j
 }
--- a/review/standin/executor.go
+++ b/review/standin/executor.go
@@ -42,6 +42,9 @@
 		changed          chan struct{}
 		cpuUsed, memUsed int64
 		dead             bool
+		// lapses is how often the lease has lapsed, lapsed whether it has and was not extended since.
+		lapses int
+		lapsed bool
 	}
 
 	taskRun struct {
@@ -58,6 +61,8 @@
 		task    string
 		attempt int
 		how     string
+		// lapses is that of the process when the run ended.
+		lapses int
 	}
 
 	executorCall struct {
@@ -210,6 +215,7 @@
 
 func (f *life) extend(deadline int64) {
 	f.leaseUntil = max(f.leaseUntil, min(clock.Millis(deadline), f.clock()+holdMax))
+	f.lapsed = f.clock() >= f.leaseUntil
 }
 
 // startRun starts a run and returns "", or returns why it does not.
@@ -272,7 +278,7 @@
 	delete(f.runs, r.task)
 	f.cpuUsed, f.memUsed = f.cpuUsed-r.step.CPU, f.memUsed-r.step.MemMB
 	f.endCount++
-	f.ends = append(f.ends, end{f.endCount, r.task, r.attempt, how})
+	f.ends = append(f.ends, end{f.endCount, r.task, r.attempt, how, f.lapses})
 	close(f.changed)
 	f.changed = make(chan struct{})
 	f.e.world.onEnd(f, r, how)
@@ -283,6 +289,10 @@
 	if f.clock() < f.leaseUntil {
 		return
 	}
+	if !f.lapsed {
+		f.lapsed = true
+		f.lapses++
+	}
 	for _, r := range f.runs {
 		f.endRun(r, "lapsed")
 	}
@@ -290,6 +300,9 @@
 
 func (f *life) renew(c executorCall) {
 	for len(f.ends) > 0 && f.ends[0].number <= c.Acked {
+		if e := f.ends[0]; e.how == "done" && e.lapses == f.lapses {
+			f.e.world.onNoted(e.task)
+		}
 		f.ends = f.ends[1:]
 	}
 	if c.DeadlineMS > 0 {
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -54,6 +54,11 @@
 		// seen are the tasks that have ended done, doneTasks their number by occurrence and step.
 		seen      map[string]bool
 		doneTasks map[string]int
+		// noted are the tasks of which an end done was taken note of, again those that were started after
+		// that. shown is the state that a consumer was told last.
+		noted map[string]bool
+		again []string
+		shown string
 	}
 
 	wireStep struct {
@@ -134,6 +139,9 @@
 			now := w.rec.now()
 			e.mu.Lock()
 			f := e.life
+			if f != nil {
+				f.expire()
+			}
 			e.mu.Unlock()
 			switch {
 			case f != nil && (present[e] != f || now-written[e] >= heartbeat):
@@ -211,6 +219,9 @@
 	defer w.mu.Unlock()
 	j := w.jobs[strings.Split(r.task, ".")[0]]
 	j.starts++
+	if j.noted[r.task] {
+		j.again = append(j.again, r.task)
+	}
 	j.running[r.task]++
 	if r.step.Count <= 16 {
 		w.rec.write("%s starts %s attempt %d", f.e.id, r.task, r.attempt)
@@ -233,6 +244,14 @@
 	}
 }
 
+// onNoted must be called when the end of a run that was done is acknowledged, if the lease has not lapsed
+// since.
+func (w *world) onNoted(task string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.jobs[strings.Split(task, ".")[0]].noted[task] = true
+}
+
 // onLost must be called for each run that ends with its executor.
 func (w *world) onLost(task string) {
 	w.mu.Lock()
