review: ports of its own for each process of the stand-ins

Cause: with six scripts started at once, one could not run in two of seven such batches ("the hosts do not answer"): a port that a host was to use was taken by another process before the host had started.

Change: each process chooses its ports from a range of its own, below those that the system hands out. Executors may run tasks that serve and tasks that fill, with an image.

--- a/review/standin/executor.go
+++ b/review/standin/executor.go
@@ -88,11 +88,13 @@
 
 // start begins a process of the executor at its address, or at any free port if it has none yet.
 func (e *executor) start() error {
-	address := e.address
-	if address == "" {
-		address = "127.0.0.1:0"
+	var l net.Listener
+	var err error
+	if e.address == "" {
+		l, err = listen()
+	} else {
+		l, err = net.Listen("tcp", e.address)
 	}
-	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return errors.Wrap(err, "executor")
 	}
@@ -234,13 +236,13 @@
 		return "old"
 	case clock.Millis(c.DeadlineMS) <= f.clock():
 		return "late"
-	case f.cpuUsed+step.CPU > f.e.cpu || f.memUsed+step.MemMB > f.e.memory:
+	case f.cpuUsed+step.heldCPU() > f.e.cpu || f.memUsed+step.MemMB > f.e.memory:
 		f.extend(c.DeadlineMS)
 		return "room"
 	}
 	f.extend(c.DeadlineMS)
 	f.highest[c.Task] = c.Attempt
-	f.cpuUsed, f.memUsed = f.cpuUsed+step.CPU, f.memUsed+step.MemMB
+	f.cpuUsed, f.memUsed = f.cpuUsed+step.heldCPU(), f.memUsed+step.MemMB
 	d := durationOf(c.Task, c.Spec)
 	n := &taskRun{task: c.Task, attempt: c.Attempt, step: step, started: clock.System(), duration: d}
 	f.runs[c.Task] = n
@@ -276,7 +278,7 @@
 	}
 	r.stopTimer()
 	delete(f.runs, r.task)
-	f.cpuUsed, f.memUsed = f.cpuUsed-r.step.CPU, f.memUsed-r.step.MemMB
+	f.cpuUsed, f.memUsed = f.cpuUsed-r.step.heldCPU(), f.memUsed-r.step.MemMB
 	f.endCount++
 	f.ends = append(f.ends, end{f.endCount, r.task, r.attempt, how, f.lapses})
 	close(f.changed)
@@ -330,7 +332,7 @@
 	dead := f.dead
 	active, finished := [][]any{}, [][]any{}
 	for _, n := range f.runs {
-		active = append(active, []any{n.task, n.attempt, "", n.percent(), n.step.CPU})
+		active = append(active, []any{n.task, n.attempt, "", n.percent(), n.step.measured()})
 	}
 	for _, e := range f.ends[:min(len(f.ends), listedEnds)] {
 		finished = append(finished, []any{e.number, e.task, e.attempt, e.how, ""})
@@ -343,6 +345,22 @@
 	writeJSON(w, http.StatusOK, map[string]any{"clock_ms": now, "born": f.born, "active": active, "finished": finished})
 }
 
+// heldCPU is what a task of the step takes of the capacity.
+func (s *wireStep) heldCPU() int64 {
+	if s.Utilization {
+		return 0
+	}
+	return s.CPU
+}
+
+// measured is the figure of the last half second of a task of the step.
+func (s *wireStep) measured() int64 {
+	if s.TargetMS > 0 {
+		return s.TargetMS / 10
+	}
+	return s.CPU
+}
+
 // percent returns how far the run is.
 func (r *taskRun) percent() int {
 	elapsed := clock.System() - r.started
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -69,6 +70,11 @@
 		After       []int `json:"after,omitempty"`
 		Gang        bool  `json:"gang,omitempty"`
 		LongRunning bool  `json:"long_running,omitempty"`
+		// TargetMS is set for tasks that serve, Utilization for those that fill.
+		TargetMS     int64  `json:"target_ms,omitempty"`
+		Utilization  bool   `json:"utilization,omitempty"`
+		AntiAffinity int    `json:"anti_affinity,omitempty"`
+		Image        string `json:"image,omitempty"`
 	}
 )
 
@@ -83,8 +89,14 @@
 	finishTime = 14 * clock.Second
 	// maxAttempts is max_attempts of the queue.
 	maxAttempts = 3
+	// lowestPort is the first of the ports that listen chooses from, which are divided among the processes.
+	lowestPort                     = 20_000
+	portProcesses, portsPerProcess = 120, 100
 )
 
+// portsTried is the number of ports that listen has tried.
+var portsTried atomic.Int64
+
 // newWorld starts the stand-ins and writes the settings of the hosts to dir.
 func newWorld(dir string, rec *recorder, c scenario) (*world, error) {
 	w := &world{
@@ -116,9 +128,9 @@
 
 // serve serves a handler until the process ends, and returns the address.
 func serve(h http.Handler) (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := listen()
 	if err != nil {
-		return "", errors.Wrap(err, "listen")
+		return "", err
 	}
 	go func() {
 		s := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
@@ -158,11 +170,25 @@
 	}
 }
 
+// listen listens on loopback at a port below those that the system hands out by itself. Each process of the
+// stand-ins has ports of its own, so that no other gets one while its listener is closed for a while.
+func listen() (net.Listener, error) {
+	var err error
+	for range portsPerProcess {
+		port := lowestPort + os.Getpid()%portProcesses*portsPerProcess + int(portsTried.Add(1)-1)%portsPerProcess
+		var l net.Listener
+		if l, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port)); err == nil {
+			return l, nil
+		}
+	}
+	return nil, errors.Wrap(err, "listen")
+}
+
 // freeAddress returns an address on loopback whose port is free.
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := listen()
 	if err != nil {
-		return "", errors.Wrap(err, "port")
+		return "", err
 	}
 	return l.Addr().String(), errors.Wrap(l.Close(), "port")
 }
