review: record how the images of ordinary jobs stop the system

Cause: what is known of each pair of images goes into one record that only grows; the store refuses it above record_bytes, and the refused append is sent again without end.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -37,6 +37,7 @@
 		"wide":     {3, 16, statusTime, playWide},
 		"crashes":  {3, 32, statusTime, playCrashes},
 		"lasting":  {3, 8, statusTime, playLasting},
+		"images":   {3, 8, statusTime, playImages},
 	}
 	if len(os.Args) != 4 {
 		fmt.Fprintln(os.Stderr, "usage: standin SCENARIO DIRECTORY RECORD")
