--- a/review/standin/images.go
+++ b/review/standin/images.go
@@ -8,13 +8,14 @@
 )
 
 const (
-	// servingImages is the number of images of tasks that serve; each executor runs one task of each.
-	servingImages = 15
-	// releases is the number of batches of jobs that fill, one each releaseInterval; each has
-	// imagesPerRelease jobs with an image of their own each, whose tasks run for fillTime on all executors.
-	releases, imagesPerRelease = 10, 12
-	releaseInterval            = 4500 * clock.Millis(1)
-	fillTime                   = 2500 * clock.Millis(1)
+	// servingImages is the number of images of tasks that serve, imagesPerRelease that of jobs that fill at
+	// a time; as on xg-wharf. Each executor runs one task of each.
+	servingImages, imagesPerRelease = 5, 9
+	// releases is the number of batches of jobs that fill, one each releaseInterval. Their tasks run for
+	// fillTime.
+	releases        = 24
+	releaseInterval = 3200 * clock.Millis(1)
+	fillTime        = 2200 * clock.Millis(1)
 	// servingTarget is the bound of the response times of tasks that serve, in ms. Theirs are a tenth of
 	// it, as they have little to do.
 	servingTarget = 500
@@ -62,5 +63,5 @@
 
 // imageName returns the name of an image as registries of images write it: with a digest.
 func imageName(kind string, i, release int) string {
-	return fmt.Sprintf("registry.example/%s-%02d:%d@sha256:%064x", kind, i, release, (i+1)*1_000_003+release)
+	return fmt.Sprintf("registry.example/crossing-faults/%s-%02d:release-%04d@sha256:%064x", kind, i, release, (i+1)*1_000_003+release)
 }
