--- a/review/standin/crashes.go
+++ b/review/standin/crashes.go
@@ -8,15 +8,17 @@
 )
 
 const (
-	// crashTime is how long executors crash, crashed of them each crashInterval, for downTime.
-	crashTime     = 33 * clock.Second
+	// crashTime is how long jobs are sent. Meanwhile executors crash, crashed of them each crashInterval or up
+	// to crashJitter later, for downTime. No more than crashed are down at a time.
+	crashTime     = 36 * clock.Second
 	crashInterval = clock.Second
-	crashed       = 4
-	downTime      = clock.Second
+	crashJitter   = 200 // ms
+	crashed       = 3
+	downTime      = 900 * clock.Millis(1)
 	// startTries bounds the attempts to start at the same port.
 	startTries = 100
 	// jobInterval is the time between two jobs.
-	jobInterval = 60 * clock.Millis(1)
+	jobInterval = 40 * clock.Millis(1)
 )
 
 // playCrashes sends jobs all the while, as executors crash and start again.
@@ -46,7 +48,7 @@
 	return w.judgeLost(), true
 }
 
-// crashInTurns crashes random executors that are up until the given time.
+// crashInTurns crashes random executors that are up, until the given time.
 func (w *world) crashInTurns(until clock.Millis) {
 	sleep(3 * clock.Second)
 	var group sync.WaitGroup
@@ -55,9 +57,17 @@
 		order := w.random.Perm(len(w.executors))
 		w.mu.Unlock()
 		down := 0
+		for _, e := range w.executors {
+			if !e.isUp() {
+				down++
+			}
+		}
 		for _, i := range order {
 			e := w.executors[i]
-			if down == crashed || !e.isUp() {
+			if down >= crashed {
+				break
+			}
+			if !e.isUp() {
 				continue
 			}
 			down++
@@ -74,7 +84,10 @@
 				w.rec.write("executor %s does not start again, its port is in use", e.id)
 			})
 		}
-		sleep(crashInterval)
+		w.mu.Lock()
+		jitter := clock.Millis(w.random.IntN(crashJitter))
+		w.mu.Unlock()
+		sleep(crashInterval + jitter)
 	}
 	group.Wait()
 }
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -35,7 +35,7 @@
 	scenarios := map[string]scenario{
 		"leftover": {3, 8, leftoverStatus, playLeftover},
 		"wide":     {3, 16, statusTime, playWide},
-		"crashes":  {3, 32, statusTime, playCrashes},
+		"crashes":  {3, 50, statusTime, playCrashes},
 		"lasting":  {3, 8, statusTime, playLasting},
 		"images":   {3, 8, statusTime, playImages},
 	}
