conductor: keep the record of a job while its deposit may be in the store

Cause: the append that deletes deposits had no timeout, so one response that was lost ended all deletions of the term. The record of an ended job was dropped after its retention whether or not a deposit of the job was left in the store, and the next leader took what was left for new jobs. A store that refuses the deletion, a topic that is loaded again within a term, and deposits that can't be read for longer than the retention lead to the same end without the lost response.

The scheduler counts the deposits of a job, and drops its record only when the deletion of all is confirmed and the deposits have been read as of a time after its retention.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -102,7 +102,9 @@
 		// storedDeposits are the deposits that can be deleted: their jobs are stored as
 		// the leader's own records, or are invalid.
 		storedDeposits []recorder.Item
-		batches        chan *scheduler.Batch
+		// deletionsFailSince is since when the store has not confirmed their deletion, 0 while it does.
+		deletionsFailSince clock.Millis
+		batches            chan *scheduler.Batch
 	}
 
 	// topicItems is the result of loading a whole topic.
@@ -338,6 +340,7 @@
 	if deposits.err != nil {
 		return deposits.err
 	}
+	c.sched.NoteDepositsRead(c.lastDepositRead)
 	until, reading := c.inheritedLeases(t, former)
 	if reading == clock.Never {
 		c.sched.DistrustSilences()
--- a/conductor/metrics.go
+++ b/conductor/metrics.go
@@ -31,6 +31,9 @@
 		Overloaded func(OverloadCause)
 		// OddEntry is called for each registry entry that names no worker to use. It may be nil.
 		OddEntry func()
+		// Deposits is called several times a second with the number of deposits whose jobs are stored
+		// and which the store has not deleted. It may be nil.
+		Deposits func(undeleted int)
 	}
 )
 
@@ -56,6 +59,9 @@
 	if m.OddEntry == nil {
 		m.OddEntry = none.OddEntry
 	}
+	if m.Deposits == nil {
+		m.Deposits = none.Deposits
+	}
 	return func(c *Conductor) { c.metrics = m }
 }
 
@@ -63,7 +69,7 @@
 	return Metrics{
 		Order: func(clock.Millis, bool) {}, Poll: func(clock.Millis) {}, Append: func(clock.Millis) {}, Totals: func(int, int, int, int) {},
 		Delay: func(clock.Millis) {}, Tenants: func([]scheduler.TenantState) {}, TenantRefused: func(string) {}, Room: func(scheduler.RoomState) {},
-		Overloaded: func(OverloadCause) {}, OddEntry: func() {},
+		Overloaded: func(OverloadCause) {}, OddEntry: func() {}, Deposits: func(int) {},
 	}
 }
 
--- a/measurer/names.go
+++ b/measurer/names.go
@@ -86,6 +86,9 @@
 	// LongRunningWaiting is the number of long-running tasks without a run that their worker
 	// has confirmed. Only the leader reports it.
 	LongRunningWaiting Gauge = "long_running_tasks_waiting"
+	// UndeletedDeposits is the number of deposited jobs that the leader has stored itself and whose
+	// deposits the store has not deleted. Only the leader reports it.
+	UndeletedDeposits Gauge = "deposits_undeleted"
 	// WaitingForRoom is the number of tasks that end by themselves, have waited for a while and fit on
 	// no worker. Only the leader reports it, as the next seven.
 	WaitingForRoom Gauge = "tasks_waiting_for_room"
@@ -147,7 +150,7 @@
 	counters = []Counter{Appends, AppendedBytes, ReadBytes, LogErrors, CorruptRecords, PeerErrors, Orders, OrderErrors, Starts, Evictions,
 		RequestsServed, RequestsUnknown, RequestsInvalid, RequestsRefused, RequestsUnclear, OrdersUnclear, WorkerPolls, Terms, WorkerCrashes, RunsLost, TasksGivenUp,
 		RefusedSlowAppends, RefusedSlowStarts, OddEntries}
-	gauges = []Gauge{OwnedShards, RunningTasks, WaitingTasks, ConfigOffset, ReadyGauge, InFlight, Leading, QueuedJobs, ActiveJobs, SilentWorkers, LongRunningWaiting, ProcessDelay, ConfigVersion,
+	gauges = []Gauge{OwnedShards, RunningTasks, WaitingTasks, ConfigOffset, ReadyGauge, InFlight, Leading, QueuedJobs, ActiveJobs, SilentWorkers, LongRunningWaiting, UndeletedDeposits, ProcessDelay, ConfigVersion,
 		WaitingForRoom, LongestWait, RoomReservations, FragmentedCores, FragmentedMemory, FragmentedGPUs, ForecastRatio, ForecastLate}
 	// tenantGauges and TenantRefused have series for each tenant.
 	tenantGauges = []Gauge{TenantRunning, TenantWaiting, TenantShare}
--- a/runner/metrics.go
+++ b/runner/metrics.go
@@ -73,6 +73,7 @@
 		Tenants:       func(ts []scheduler.TenantState) { r.metrics.SetTenants(tenantsOf(ts)) },
 		TenantRefused: r.metrics.CountTenantRefused,
 		OddEntry:      func() { r.metrics.Add(measurer.OddEntries, 1) },
+		Deposits:      func(undeleted int) { r.metrics.Set(measurer.UndeletedDeposits, float64(undeleted)) },
 		Room:          r.setRoom,
 		Overloaded:    func(cause conductor.OverloadCause) { r.metrics.Add(overloadCounters[cause], 1) },
 	}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -285,6 +285,7 @@
 	r.forward.SetLocal(nil)
 	r.metrics.Set(measurer.Leading, 0)
 	r.metrics.SetTenants(nil)
+	r.metrics.Set(measurer.UndeletedDeposits, 0)
 	r.setRoom(scheduler.RoomState{})
 }
 
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -58,6 +58,9 @@
 		// deposited is whether the job was accepted from a deposit in the store, which
 		// keeps the job until its record is stored.
 		deposited bool
+		// deposits is the number of deposits of the job that were passed to SubmitDeposited and may
+		// still be in the store.
+		deposits int
 		// occurrences holds the occurrences that are due and not done, by number.
 		occurrences     map[int]*occurrence
 		doneOccurrences map[int]bool
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -45,6 +45,8 @@
 		jobs    map[string]*job
 		active  map[*job]struct{}
 		workers map[string]*worker
+		// depositsReadAt is as of when all deposits in the store are known, 0 if there are none to know.
+		depositsReadAt clock.Millis
 		// workersByID are the workers ordered by ID, nil after a change of workers.
 		workersByID []*worker
 		// evacuatedDataCentres are the data centres where nothing may start.
@@ -255,7 +257,7 @@
 	for j, p := range b.phases {
 		if j.storedPhase == "" {
 			s.emit(logger.JobAccepted, logger.String("id", j.spec.ID), logger.String("queue", j.spec.Queue.Name),
-				logger.Int("steps", int64(len(j.spec.Steps))), logger.Int("stored-after-ms", int64(s.wall()-j.acceptedAt)))
+				logger.Int("steps", int64(len(j.spec.Steps))), logger.Text("deposited", j.deposited), logger.Int("stored-after-ms", int64(s.wall()-j.acceptedAt)))
 		}
 		j.storedPhase = p
 	}
@@ -377,13 +379,7 @@
 			s.openDueOccurrences(j)
 		}
 	}
-	wall := s.wall()
-	for id, j := range s.jobs {
-		if j.phase.final() && j.storedPhase.final() && wall-j.endedAt > s.retention && !j.hasRuns() && len(j.stale) == 0 {
-			delete(s.jobs, id)
-			s.deletedKeys = append(append(s.deletedKeys, jobKey(id)), j.chunkKeys...)
-		}
-	}
+	s.dropEndedJobs()
 	s.dropOrphanedChunks()
 	s.moveStalledRuns()
 	s.moveOffDraining()
@@ -393,9 +389,3 @@
 	s.checkWaits()
 	s.measureRoom()
 }
-
-func (j *job) hasRuns() bool {
-	held := false
-	j.eachTask(func(t *task) { held = held || t.hasRun() })
-	return held
-}
--- a/scheduler/submission.go
+++ b/scheduler/submission.go
@@ -31,14 +31,16 @@
 
 // SubmitDeposited accepts a job that was deposited in the store. Phase returns its phase at once,
 // since the deposit is already stored. SubmitDeposited calls stored when a record of the job is
-// stored too, so that the deposit is no longer needed. Its errors are those of Submit, except that caps are not checked, as the deposit was
-// answered with success.
+// stored too, so that the deposit is no longer needed; the record is kept until DepositDeleted is called.
+// Its errors are those of Submit, except that caps are not checked, as the deposit was answered with
+// success.
 func (s *Scheduler) SubmitDeposited(spec Spec, stored func(error)) error {
 	j, err := s.accept(spec)
 	if err != nil {
 		return err
 	}
 	j.deposited = true
+	j.deposits++
 	if j.storedPhase != "" {
 		stored(nil)
 	} else {
