scheduler: start a job whatever the time of day of the leader that accepted it

Cause: a job that isn't repeated was due at its acceptance by the time of day of the leader that accepted it. A next leader whose time of day is behind found it not due when it loaded the record, and only the occurrences of repeated jobs are looked at again later. The same comparison delayed such jobs in the forecast of waiting starts, and a clock that steps back while a job is accepted left it unopened in the same term.

Evidence: TestJobStartsUnderAnyTimeOfDay (5 s and an hour behind) and TestJobStartsThoughClockStepsBack failed before (no start), and pass now, also 5 s and an hour ahead.

--- a/scheduler/backlog.go
+++ b/scheduler/backlog.go
@@ -17,7 +17,7 @@
 			continue
 		}
 		for _, o := range j.occurrences {
-			as = o.appendArrivals(as, max(j.due(o.number)-wall, 0), now)
+			as = o.appendArrivals(as, j.untilDue(o.number, wall), now)
 		}
 	}
 	return as
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -177,6 +177,16 @@
 	return j.spec.FirstDue + clock.Millis(k)*j.spec.Period
 }
 
+// untilDue returns how long after a time of day occurrence k is due, 0 if it is due. Only the times of a
+// repeated job are compared with the time of day, as its caller gives them in that: a job that isn't
+// repeated was due when it was accepted, also if this leader's time of day is earlier.
+func (j *job) untilDue(k int, wall clock.Millis) clock.Millis {
+	if j.spec.Repeat == 0 {
+		return 0
+	}
+	return max(j.due(k)-wall, 0)
+}
+
 // openOccurrence returns occurrence k, which it creates with all tasks pending if it is
 // absent.
 func (j *job) openOccurrence(k int) *occurrence {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -339,7 +339,7 @@
 	}
 	wall := s.wall()
 	for k := range j.occurrenceCount() {
-		if j.due(k) > wall || len(j.occurrences) > 0 && (len(j.occurrences)+1)*tasks > maxOpenTasks {
+		if j.untilDue(k, wall) > 0 || len(j.occurrences) > 0 && (len(j.occurrences)+1)*tasks > maxOpenTasks {
 			return
 		}
 		if j.occurrences[k] == nil && !j.isDone(k) {
