scheduler: start a gang that lasts again when its runs end done

Cause: endRun asked whether the task belongs to a gang before it asked whether the task lasts, so one end done completed the whole gang. A task that lasts without a gang, and a gang whose run ends in another way, were handled rightly.

Change: a task that lasts is never done. A record in which an earlier program marked one as done is read as pending. The end of such a run is logged (GE6027) also if it ended done.

Evidence: TestLastingGangStartsAgain failed before in the six cases with an end done (0 of 3 members started again): all at once or apart, under the same or the next leader, with members that work on or lapse. Its cases of failed, lapsed and stopped members held before. All pass now.

--- a/scheduler/ending.go
+++ b/scheduler/ending.go
@@ -20,7 +20,7 @@
 	if checkpoint != "" {
 		t.checkpoint = checkpoint
 	}
-	if how != EndDone {
+	if how != EndDone || t.spec().LongRunning {
 		s.emit(logger.RunEnded, logger.String("task", t.name().String()), logger.Int("attempt", int64(t.attempt)),
 			logger.String("how", string(how)), logger.String("worker", w.info.ID), logger.Int("percent", int64(t.percent)))
 	}
@@ -40,18 +40,15 @@
 		t.state = pending
 		return
 	}
-	if t.spec().Gang && how == EndDone {
+	switch {
+	case how == EndDone && t.spec().LongRunning:
+		// It starts again, as a gang once all its members have ended.
+	case how == EndDone && t.spec().Gang:
 		s.completeGang(t)
-		return
-	}
-	switch how {
-	case EndDone:
-		if t.spec().LongRunning {
-			return
-		}
+	case how == EndDone:
 		w.failures /= 2
 		s.completeTask(t)
-	case EndFailed:
+	case how == EndFailed:
 		s.recordFailure(t, w)
 	}
 }
--- a/scheduler/record.go
+++ b/scheduler/record.go
@@ -197,7 +197,7 @@
 	if r.RunEnded != 0 {
 		t.runEndedAt = j.acceptedReading + clock.Millis(r.RunEnded)
 	}
-	if r.Done {
+	if r.Done && !t.spec().LongRunning {
 		t.state = done
 		o.done[r.Step]++
 		if o.done[r.Step] == t.spec().Count {
