scheduler: measure ages and the retention by the clock that leaders hand on

A leader whose time of day is ahead forgot ended jobs before their retention was over, so that their callers were told that there is no such job, and a deposit that was left of one started it again; one that is behind kept them longer. Jobs counted as late that were not, and went behind others, or tenants' rates began anew.

A step within a term has the same effect.

Change: the record of an ended job has its end on the clock that leaders hand on, as it has its acceptance, and both are compared on that clock. A record without such a reading, of an earlier program, is kept for the whole retention after it was loaded. Only the due times of repeated jobs are still compared with the time of day.

Evidence: with elapsed() by the time of day as before, the tests TestRetentionUnderAnyTimeOfDay, TestRetentionThoughClockSteps, TestRetentionOfRecordWithoutReading and TestAgeUnderAnyTimeOfDay fail for clocks 5 s and an hour ahead and behind; all pass now.

--- a/logger/events.go
+++ b/logger/events.go
@@ -58,6 +58,7 @@
 	ClaimFailed     = Event{6007, log.WarnLevel, "claim to leadership failed"}
 	JobAccepted     = Event{6010, log.InfoLevel, "job accepted"}
 	JobRefused      = Event{6011, log.WarnLevel, "request refused"}
+	ClocksDiffer    = Event{6019, log.WarnLevel, "time of day differs from that of the former leader"}
 	DepositsKept    = Event{6017, log.WarnLevel, "store does not confirm that deposits are deleted"}
 	DepositsDeleted = Event{6018, log.InfoLevel, "store deletes deposits again"}
 	JobDeposited    = Event{6014, log.InfoLevel, "job stored for a leader that can't be reached"}
--- a/scheduler/finitewaiting.go
+++ b/scheduler/finitewaiting.go
@@ -123,7 +123,7 @@
 	r := s.rankOf(j)
 	fields := []logger.Field{
 		logger.String("task", t.name().String()), logger.Int("attempt", int64(t.attempt)), logger.Int("waited-ms", int64(now-t.waitingSince)),
-		logger.Int("job-age-ms", int64(s.wall()-j.acceptedAt)), logger.Text("job-has-runs", j.hasRuns()), logger.Text("filler", step.Filler),
+		logger.Int("job-age-ms", int64(s.ageOf(j))), logger.Text("job-has-runs", j.hasRuns()), logger.Text("filler", step.Filler),
 		logger.Int("lateness", int64(r.lateness)), logger.Int("cpu", step.CPU), logger.Int("memory", step.Memory), logger.Int("gpu", step.GPU),
 		logger.Text("over-cap", s.isOverCap(t)), logger.Text("lacks-tickets", t.occurrence.lacksTickets(t.step, now)), logger.Text("suspect", t.isSuspect()),
 	}
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -39,8 +39,11 @@
 		acceptedReading clock.Millis
 		// runEndedAt is when a run of one of its tasks last ended that may have begun; 0 if none has.
 		runEndedAt clock.Millis
-		// endedAt is when the phase became final, in Unix time.
-		endedAt clock.Millis
+		// endedAt is when the phase became final, in Unix time; endedReading is that on the clock that
+		// leaders hand on, 0 if it is not known.
+		endedAt, endedReading clock.Millis
+		// loaded is whether the job was loaded from the record of a former leader.
+		loaded bool
 		// longRunning is whether a step runs until the job is cancelled.
 		longRunning bool
 		// version counts the batches with records of the job.
@@ -168,14 +171,8 @@
 // occurrenceCount returns how often the job's steps run.
 func (j *job) occurrenceCount() int { return max(j.spec.Repeat, 1) }
 
-// due returns when occurrence k is due, in Unix time. A job that isn't repeated is due
-// when it is accepted.
-func (j *job) due(k int) clock.Millis {
-	if j.spec.Repeat == 0 {
-		return j.acceptedAt
-	}
-	return j.spec.FirstDue + clock.Millis(k)*j.spec.Period
-}
+// due returns when occurrence k of a repeated job is due, in Unix time.
+func (j *job) due(k int) clock.Millis { return j.spec.FirstDue + clock.Millis(k)*j.spec.Period }
 
 // untilDue returns how long after a time of day occurrence k is due, 0 if it is due. Only the times of a
 // repeated job are compared with the time of day, as its caller gives them in that: a job that isn't
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -179,7 +179,7 @@
 	if o.done[i]+o.runs[i] >= o.job.spec.Steps[i].Count || !o.ready(i) {
 		return demand{}, false
 	}
-	d := demand{occurrence: o, step: i, due: o.job.due(o.number)}
+	d := demand{occurrence: o, step: i, due: s.dueAt(o, now)}
 	for _, t := range o.steps[i] {
 		if t.state == pending && t.retryAt <= now {
 			if t.waitingSince == 0 {
--- a/scheduler/ranking.go
+++ b/scheduler/ranking.go
@@ -54,7 +54,7 @@
 	remaining, total, criticalPath := j.work()
 	if j.spec.Repeat == 0 && !j.longRunning {
 		objective := j.spec.Queue.objective(criticalPath)
-		switch age := s.wall() - j.acceptedAt; {
+		switch age := s.ageOf(j); {
 		case age > uselessFactor*objective:
 			r.lateness = uselessLateness
 		case age > objective:
--- a/scheduler/record.go
+++ b/scheduler/record.go
@@ -23,6 +23,8 @@
 		EndedAt    int64 `json:"ended-at,omitempty"`
 		// AcceptedReading is AcceptedAt on the clock that leaders hand on.
 		AcceptedReading clock.Millis `json:"accepted-reading,omitempty"`
+		// EndedReading is EndedAt on that clock.
+		EndedReading clock.Millis `json:"ended-reading,omitempty"`
 		// Done lists the numbers of the occurrences that are done.
 		Done  []int        `json:"done,omitempty"`
 		Tasks []taskRecord `json:"tasks,omitempty"`
@@ -71,7 +73,7 @@
 // encode returns the stored form of a whole job. The record of an ended job omits its text, which callers
 // can no longer ask for, and its steps and tasks, unless the next leader has to count and stop their runs.
 func encode(j *job) []byte {
-	r := jobRecord{Version: j.version, Spec: j.spec, Phase: j.phase, AcceptedAt: int64(j.acceptedAt), EndedAt: int64(j.endedAt), AcceptedReading: j.acceptedReading}
+	r := jobRecord{Version: j.version, Spec: j.spec, Phase: j.phase, AcceptedAt: int64(j.acceptedAt), EndedAt: int64(j.endedAt), AcceptedReading: j.acceptedReading, EndedReading: j.endedReading}
 	for k := range j.occurrenceCount() {
 		if j.doneOccurrences[k] {
 			r.Done = append(r.Done, k)
@@ -144,7 +146,11 @@
 		return errors.Wrapf(err, "scheduler.Load: record %q", key)
 	}
 	j := &job{spec: r.Spec, phase: r.Phase, storedPhase: r.Phase, acceptedAt: clock.Millis(r.AcceptedAt), endedAt: clock.Millis(r.EndedAt), acceptedReading: r.AcceptedReading, occurrences: map[int]*occurrence{}}
-	j.sent = true
+	j.sent, j.loaded = true, true
+	if j.phase.final() {
+		j.endedReading = s.plausibleReading(r.EndedReading)
+	}
+	s.noteClockDifference(j)
 	s.mergeChunks(j, &r)
 	s.jobs[r.Spec.ID] = j
 	if err := r.Spec.Validate(); err != nil && !j.phase.final() {
--- a/scheduler/reporting.go
+++ b/scheduler/reporting.go
@@ -182,7 +182,7 @@
 	}
 	if j := t.job(); j.phase == Queued {
 		j.phase = Running
-		s.onFirstStart(s.wall() - j.acceptedAt)
+		s.onFirstStart(s.ageOf(j))
 		s.markDirty(j)
 	}
 }
--- a/scheduler/retention.go
+++ b/scheduler/retention.go
@@ -21,9 +21,8 @@
 	if s.depositsReadAt != 0 {
 		unread = max(s.now()-s.depositsReadAt, 0)
 	}
-	wall := s.wall() - unread
 	for id, j := range s.jobs {
-		if wall-j.endedAt > s.retention && s.isDroppable(j) {
+		if s.elapsed(j.endedReading, j.endedAt)-unread > s.retention && s.isDroppable(j) {
 			delete(s.jobs, id)
 			s.deletedKeys = append(append(s.deletedKeys, jobKey(id)), j.chunkKeys...)
 		}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -103,6 +103,9 @@
 		// as far as they show it.
 		witnesses *witnesses
 		unseen    clock.Millis
+		// wallAhead is how far this host's time of day is ahead of that of the former leader, 0 once that is
+		// logged; newestLoaded is the reading at the acceptance of the newest loaded job.
+		wallAhead, newestLoaded clock.Millis
 		// delayedAt is when the daemon was last delayed, 0 if it was not.
 		delayedAt clock.Millis
 		// crashes are the recent crashes of workers.
@@ -257,7 +260,7 @@
 	for j, p := range b.phases {
 		if j.storedPhase == "" {
 			s.emit(logger.JobAccepted, logger.String("id", j.spec.ID), logger.String("queue", j.spec.Queue.Name),
-				logger.Int("steps", int64(len(j.spec.Steps))), logger.Text("deposited", j.deposited), logger.Int("stored-after-ms", int64(s.wall()-j.acceptedAt)))
+				logger.Int("steps", int64(len(j.spec.Steps))), logger.Text("deposited", j.deposited), logger.Int("stored-after-ms", int64(s.ageOf(j))))
 		}
 		j.storedPhase = p
 	}
@@ -299,7 +302,7 @@
 // finishJob sets the final phase of a job and stops its runs.
 func (s *Scheduler) finishJob(j *job, p Phase) {
 	j.phase = p
-	j.endedAt = s.wall()
+	j.endedAt, j.endedReading = s.wall(), s.reading()
 	s.markDirty(j)
 	j.eachTask(func(t *task) {
 		if t.hasRun() {
@@ -308,7 +311,7 @@
 	})
 	delete(s.active, j)
 	s.emit(logger.JobEnded, logger.String("id", j.spec.ID), logger.String("phase", string(p)),
-		logger.Int("since-accepted-ms", int64(j.endedAt-j.acceptedAt)))
+		logger.Int("since-accepted-ms", int64(s.ageOf(j))))
 }
 
 // stop orders the newest run of a task to stop. The run keeps its resources until the
@@ -379,6 +382,7 @@
 			s.openDueOccurrences(j)
 		}
 	}
+	s.logClockDifference()
 	s.dropEndedJobs()
 	s.dropOrphanedChunks()
 	s.moveStalledRuns()
--- a/scheduler/sharing.go
+++ b/scheduler/sharing.go
@@ -216,9 +216,8 @@
 // EachAccepted calls f with the tenant, the ID and the age of each known job of a tenant that was
 // accepted up to the given time ago.
 func (s *Scheduler) EachAccepted(within clock.Millis, f func(tenant, id string, age clock.Millis)) {
-	wall := s.wall()
 	for id, j := range s.jobs {
-		if age := max(wall-j.acceptedAt, 0); j.spec.Tenant != "" && age <= within {
+		if age := s.ageOf(j); j.spec.Tenant != "" && age <= within {
 			f(j.spec.Tenant, id, age)
 		}
 	}
