scheduler: remember the cancellation of a job that is not known yet

A job started although it was cancelled and its caller had been told that there is no such job (410).

Cause: the leader answered by what it knew of the deposits up to 1.4 s ago. A deposit that was stored within that time, or that the store carries out late because its response was lost, was taken in after the answer and started.

Change: the cancellation of a job that is not known is stored as an ended job without a submission before it is answered, for the retention of ended jobs. It stays unknown to callers until a submission or deposit with its ID arrives, which is then a cancelled job. New events GE6094 and GE6095.

Evidence: TestCancelBeforeDepositIsRead failed before in all of its five cases (both tasks started): a deposit that is read late, stored late, or a submission that arrives after all, also under the next leader. All pass now.

--- a/conductor/requests.go
+++ b/conductor/requests.go
@@ -112,14 +112,23 @@
 }
 
 // Cancel cancels a job for a tenant, or for a caller without one, and returns when that is stored. Errors are those of Phase for an
-// unknown job, else those of Submit.
+// unknown job, else those of Submit. A submission that arrives after scheduler.ErrUnknown was returned does
+// not start the job. The error is scheduler.ErrTooManyCancels if that can't be remembered.
 func (c *Conductor) Cancel(ctx context.Context, id, tenant string) error {
 	return c.awaitStored(ctx, func(stored func(error)) error {
 		err := c.sched.Cancel(id, tenant, stored)
-		if errors.Is(err, scheduler.ErrUnknown) {
-			return c.unknownJobError()
+		if !errors.Is(err, scheduler.ErrUnknown) {
+			return err
 		}
-		return err
+		if err := c.unknownJobError(); !errors.Is(err, scheduler.ErrUnknown) {
+			return err
+		}
+		return c.sched.CancelUnknown(id, tenant, func(err error) {
+			if err == nil {
+				err = scheduler.ErrUnknown
+			}
+			stored(err)
+		})
 	})
 }
 
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -190,7 +190,7 @@
 		return Reply{Outcome: Refused, RetryAfter: overload.RetryAfter(), Error: err.Error(), Overloaded: true}
 	case errors.As(err, &limit):
 		return Reply{Outcome: Refused, RetryAfter: limit.RetryAfter(), Error: err.Error(), Overloaded: true, Code: coder.OverRate}
-	case errors.Is(err, conductor.ErrUnconfirmed), errors.Is(err, conductor.ErrDepositsStale):
+	case errors.Is(err, conductor.ErrUnconfirmed), errors.Is(err, conductor.ErrDepositsStale), errors.Is(err, scheduler.ErrTooManyCancels):
 		return refusal(err.Error())
 	case errors.Is(err, conductor.ErrTermEnded) && v.readOnly():
 		return refusal(err.Error())
--- a/logger/events.go
+++ b/logger/events.go
@@ -58,6 +58,8 @@
 	ClaimFailed     = Event{6007, log.WarnLevel, "claim to leadership failed"}
 	JobAccepted     = Event{6010, log.InfoLevel, "job accepted"}
 	JobRefused      = Event{6011, log.WarnLevel, "request refused"}
+	CancelledEarly  = Event{6094, log.InfoLevel, "job cancelled of which no submission is known"}
+	SubmittedLate   = Event{6095, log.WarnLevel, "submission of a job that was cancelled before"}
 	ClocksDiffer    = Event{6019, log.WarnLevel, "time of day differs from that of the former leader"}
 	DepositsKept    = Event{6017, log.WarnLevel, "store does not confirm that deposits are deleted"}
 	DepositsDeleted = Event{6018, log.InfoLevel, "store deletes deposits again"}
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -42,6 +42,9 @@
 		// endedAt is when the phase became final, in Unix time; endedReading is that on the clock that
 		// leaders hand on, 0 if it is not known.
 		endedAt, endedReading clock.Millis
+		// unsubmitted is whether the job was cancelled and no submission of it is known. Its spec has only
+		// the ID and the tenant of the caller then.
+		unsubmitted bool
 		// loaded is whether the job was loaded from the record of a former leader.
 		loaded bool
 		// longRunning is whether a step runs until the job is cancelled.
@@ -82,6 +85,7 @@
 		doneCount    int
 		staleChanges int
 		keepsRuns    bool
+		unsubmitted  bool
 	}
 
 	// occurrence is one execution of all steps of a job.
@@ -212,7 +216,9 @@
 	return true
 }
 
-func (j *job) head() jobHead { return jobHead{j.phase, j.doneCount, j.staleChanges, j.keepsRuns()} }
+func (j *job) head() jobHead {
+	return jobHead{j.phase, j.doneCount, j.staleChanges, j.keepsRuns(), j.unsubmitted}
+}
 
 // eachTask calls f for every task of every open occurrence. The order of the occurrences
 // is random.
--- a/scheduler/record.go
+++ b/scheduler/record.go
@@ -25,6 +25,8 @@
 		AcceptedReading clock.Millis `json:"accepted-reading,omitempty"`
 		// EndedReading is EndedAt on that clock.
 		EndedReading clock.Millis `json:"ended-reading,omitempty"`
+		// Unsubmitted is whether the job was cancelled and no submission of it is known.
+		Unsubmitted bool `json:"unsubmitted,omitempty"`
 		// Done lists the numbers of the occurrences that are done.
 		Done  []int        `json:"done,omitempty"`
 		Tasks []taskRecord `json:"tasks,omitempty"`
@@ -73,7 +75,7 @@
 // encode returns the stored form of a whole job. The record of an ended job omits its text, which callers
 // can no longer ask for, and its steps and tasks, unless the next leader has to count and stop their runs.
 func encode(j *job) []byte {
-	r := jobRecord{Version: j.version, Spec: j.spec, Phase: j.phase, AcceptedAt: int64(j.acceptedAt), EndedAt: int64(j.endedAt), AcceptedReading: j.acceptedReading, EndedReading: j.endedReading}
+	r := jobRecord{Version: j.version, Spec: j.spec, Phase: j.phase, AcceptedAt: int64(j.acceptedAt), EndedAt: int64(j.endedAt), AcceptedReading: j.acceptedReading, EndedReading: j.endedReading, Unsubmitted: j.unsubmitted}
 	for k := range j.occurrenceCount() {
 		if j.doneOccurrences[k] {
 			r.Done = append(r.Done, k)
@@ -146,7 +148,10 @@
 		return errors.Wrapf(err, "scheduler.Load: record %q", key)
 	}
 	j := &job{spec: r.Spec, phase: r.Phase, storedPhase: r.Phase, acceptedAt: clock.Millis(r.AcceptedAt), endedAt: clock.Millis(r.EndedAt), acceptedReading: r.AcceptedReading, occurrences: map[int]*occurrence{}}
-	j.sent, j.loaded = true, true
+	j.sent, j.loaded, j.unsubmitted = true, true, r.Unsubmitted
+	if j.unsubmitted {
+		s.earlyCancels++
+	}
 	if j.phase.final() {
 		j.endedReading = s.plausibleReading(r.EndedReading)
 	}
--- a/scheduler/retention.go
+++ b/scheduler/retention.go
@@ -23,7 +23,7 @@
 	}
 	for id, j := range s.jobs {
 		if s.elapsed(j.endedReading, j.endedAt)-unread > s.retention && s.isDroppable(j) {
-			delete(s.jobs, id)
+			s.forget(j)
 			s.deletedKeys = append(append(s.deletedKeys, jobKey(id)), j.chunkKeys...)
 		}
 	}
@@ -35,6 +35,14 @@
 	return j.phase.final() && j.storedPhase.final() && j.deposits == 0 && !j.hasRuns() && len(j.stale) == 0
 }
 
+// forget removes a job from what is known.
+func (s *Scheduler) forget(j *job) {
+	delete(s.jobs, j.spec.ID)
+	if j.unsubmitted {
+		s.earlyCancels--
+	}
+}
+
 func (j *job) hasRuns() bool {
 	held := false
 	j.eachTask(func(t *task) { held = held || t.hasRun() })
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -45,6 +45,8 @@
 		jobs    map[string]*job
 		active  map[*job]struct{}
 		workers map[string]*worker
+		// earlyCancels is the number of jobs that are unsubmitted.
+		earlyCancels int
 		// depositsReadAt is as of when all deposits in the store are known, 0 if there are none to know.
 		depositsReadAt clock.Millis
 		// workersByID are the workers ordered by ID, nil after a change of workers.
@@ -258,7 +260,7 @@
 // while the batch was being stored.
 func (s *Scheduler) Stored(b *Batch) {
 	for j, p := range b.phases {
-		if j.storedPhase == "" {
+		if j.storedPhase == "" && !j.unsubmitted {
 			s.emit(logger.JobAccepted, logger.String("id", j.spec.ID), logger.String("queue", j.spec.Queue.Name),
 				logger.Int("steps", int64(len(j.spec.Steps))), logger.Text("deposited", j.deposited), logger.Int("stored-after-ms", int64(s.ageOf(j))))
 		}
--- a/scheduler/sharing.go
+++ b/scheduler/sharing.go
@@ -217,7 +217,7 @@
 // accepted up to the given time ago.
 func (s *Scheduler) EachAccepted(within clock.Millis, f func(tenant, id string, age clock.Millis)) {
 	for id, j := range s.jobs {
-		if age := s.ageOf(j); j.spec.Tenant != "" && age <= within {
+		if age := s.ageOf(j); j.spec.Tenant != "" && !j.unsubmitted && age <= within {
 			f(j.spec.Tenant, id, age)
 		}
 	}
--- a/scheduler/submission.go
+++ b/scheduler/submission.go
@@ -53,6 +53,9 @@
 // errors are those of Submit.
 func (s *Scheduler) accept(spec Spec) (*job, error) {
 	if j := s.jobs[spec.ID]; j != nil {
+		if j.unsubmitted {
+			return j, s.acceptCancelled(j, spec)
+		}
 		if j.spec.Queue.Name != spec.Queue.Name || j.isOtherTenant(spec.Tenant) {
 			return nil, ErrConflict
 		}
@@ -75,7 +78,7 @@
 // tenant; calls and jobs without a tenant are not compared.
 func (s *Scheduler) Cancel(id, tenant string, stored func(error)) error {
 	j := s.jobs[id]
-	if j == nil || j.isOtherTenant(tenant) {
+	if j == nil || j.unsubmitted || j.isOtherTenant(tenant) {
 		return ErrUnknown
 	}
 	if j.phase.final() {
@@ -91,8 +94,8 @@
 	return nil
 }
 
-// HasJob reports whether a job with this ID was accepted and has not been dropped after
-// its retention.
+// HasJob reports whether a job with this ID was accepted, or cancelled before that, and has not been dropped
+// after its retention.
 func (s *Scheduler) HasJob(id string) bool { return s.jobs[id] != nil }
 
 // Phase returns the stored phase of a job, or Queued for a deposited job without a stored
@@ -101,7 +104,7 @@
 func (s *Scheduler) Phase(id, queue, tenant string) (Phase, error) {
 	j := s.jobs[id]
 	switch {
-	case j == nil || j.spec.Queue.Name != queue || j.isOtherTenant(tenant) || j.storedPhase == "" && !j.deposited:
+	case j == nil || j.unsubmitted || j.spec.Queue.Name != queue || j.isOtherTenant(tenant) || j.storedPhase == "" && !j.deposited:
 		return "", ErrUnknown
 	case j.storedPhase == "":
 		return Queued, nil
@@ -158,7 +161,7 @@
 // nor an order about it was sent.
 func (s *Scheduler) removeUnsent(j *job) {
 	j.eachTask(func(t *task) { s.release(t) })
-	delete(s.jobs, j.spec.ID)
+	s.forget(j)
 	delete(s.active, j)
 	delete(s.dirty, j)
 	s.orders = slices.DeleteFunc(s.orders, func(o Order) bool { return o.Task.Job == j.spec.ID })
