scheduler: count the end of an abandoned run of a gang

Cause: the condition for such ends left out gangs together with tasks that last. One end done stands for all members of a gang.

Change: such an end completes the gang and stops its newest runs.

Evidence: TestAbandonedRunOfGangCounts failed before (the job stays running, its second run goes on) and passes now; its cases of a failed run and of a gang that lasts held before.

--- a/scheduler/ending.go
+++ b/scheduler/ending.go
@@ -95,12 +95,27 @@
 	}
 }
 
-// completeByAbandonedRun marks a task as done because one of its abandoned runs has
-// completed after all, and stops its newest run.
+// completeByAbandonedRun marks a task, or its whole gang, as done because one of its abandoned
+// runs has completed after all, and stops the newest runs.
 func (s *Scheduler) completeByAbandonedRun(t *task) {
 	if t.job().phase.final() {
 		return
 	}
+	ts := []*task{t}
+	if t.spec().Gang {
+		ts = t.occurrence.steps[t.step]
+	}
+	s.markDirty(t.job())
+	for _, m := range ts {
+		if m.state != done {
+			s.stopNeedlessRun(m)
+			s.completeTask(m)
+		}
+	}
+}
+
+// stopNeedlessRun stops the newest run of a task that is done, if there is one.
+func (s *Scheduler) stopNeedlessRun(t *task) {
 	if t.hasRun() {
 		s.immediate = append(s.immediate, s.newOrder(Stop, t))
 		s.abandonNewestRun(t, true)
@@ -108,8 +123,6 @@
 		t.worker.blockedUntil = max(t.worker.blockedUntil, s.now()+stopBackoff)
 	}
 	s.release(t)
-	s.markDirty(t.job())
-	s.completeTask(t)
 }
 
 // completeGang marks all tasks of a gang as done when one of them has completed.
--- a/scheduler/reporting.go
+++ b/scheduler/reporting.go
@@ -85,11 +85,11 @@
 	s.deleteSilence(w.info.ID)
 }
 
-// completedByAbandonedRun reports whether the end of an abandoned run shows that the task
-// is done after all. A newer run is then needless: if it ended in another way, the task
-// would start again although the worker has forgotten the end.
+// completedByAbandonedRun reports whether the end of an abandoned run shows that the task, or
+// the gang that it belongs to, is done after all. A newer run is then needless: if it ended in
+// another way, the task would start again although the worker has forgotten the end.
 func (t *task) completedByAbandonedRun(w *worker, e EndedRun) bool {
-	return e.How == EndDone && t.state != done && !t.spec().LongRunning && !t.spec().Gang && (t.worker != w || t.attempt != e.Attempt)
+	return e.How == EndDone && t.state != done && !t.spec().LongRunning && (t.worker != w || t.attempt != e.Attempt)
 }
 
 // findTask returns the task with a name, or nil if its job is unknown or its occurrence
