--- a/conductor/depositdeletion_test.go
+++ b/conductor/depositdeletion_test.go
@@ -20,7 +20,7 @@
 // TestDepositOutlivesNoRecord guards against a job that runs again because the record of its end was
 // dropped while a deposit of it was left in the store.
 func TestDepositOutlivesNoRecord(t *testing.T) {
-	const ids, deletion, read = "deposits", "append", "read"
+	const deletion, read = "append", "read"
 	tests := map[string]struct {
 		// fault is that of the leader's calls on the topic of the deposits until the takeover, n the
 		// number of its calls of that kind before.
@@ -67,7 +67,7 @@
 				var faulty, trimmed atomic.Bool
 				calls := map[string]int{}
 				l := imitator.NewKeyedLog(4, func(client, call, topic string) imitator.StoreFault {
-					if client != "a" || topic != ids || !faulty.Load() {
+					if client != "a" || topic != depositor.Topic || !faulty.Load() {
 						return imitator.StoreFine
 					}
 					calls[call]++
@@ -76,7 +76,7 @@
 				store := l.Client("a")
 				storeRead := store.Read
 				store.Read = func(ctx context.Context, topic string, from int64, wait clock.Millis) ([]recorder.Item, int64, error) {
-					if topic == ids && trimmed.CompareAndSwap(true, false) {
+					if topic == depositor.Topic && trimmed.CompareAndSwap(true, false) {
 						return nil, 0, recorder.ErrTrimmed
 					}
 					return storeRead(ctx, topic, from, wait)
@@ -108,7 +108,7 @@
 				must.Eq(t, jobs, p.Starts(), must.Sprint("jobs that were done run again"))
 				must.SliceEmpty(t, p.Violations())
 				time.Sleep(150 * time.Second)
-				page, err := l.Client("entry").ReadNewest(t.Context(), ids, "")
+				page, err := l.Client("entry").ReadNewest(t.Context(), depositor.Topic, "")
 				must.NoError(t, err)
 				must.SliceEmpty(t, page.Items, must.Sprint("deposits were not deleted"))
 				page, err = l.Client("entry").ReadNewest(t.Context(), "jobs", "job/")
