--- a/conductor/depositdeletion_test.go
+++ b/conductor/depositdeletion_test.go
@@ -23,7 +23,7 @@
 	const deletion, read = "append", "read"
 	tests := map[string]struct {
 		// fault is that of the leader's calls on the topic of the deposits until the takeover, n the
-		// number of its calls of that kind before.
+		// number of such calls before, of the deletions or of the others.
 		fault func(call string, n int) imitator.StoreFault
 		// reread is whether the history of the topic is dropped half a minute before the takeover, so
 		// that the same leader loads the deposits again.
@@ -65,13 +65,16 @@
 			synctest.Test(t, func(t *testing.T) {
 				const jobs = 4
 				var faulty, trimmed atomic.Bool
-				calls := map[string]int{}
+				var deletions, others atomic.Int64
 				l := imitator.NewKeyedLog(4, func(client, call, topic string) imitator.StoreFault {
 					if client != "a" || topic != depositor.Topic || !faulty.Load() {
 						return imitator.StoreFine
 					}
-					calls[call]++
-					return tc.fault(call, calls[call]-1)
+					calls := &others
+					if call == deletion {
+						calls = &deletions
+					}
+					return tc.fault(call, int(calls.Add(1))-1)
 				})
 				store := l.Client("a")
 				storeRead := store.Read
