scheduler: count a cancellation that is dropped once only

Found on reading the change again. A caller who sends the cancellation of an unknown job twice while the store is away has two replies waiting for one remembered job.

Change: a job that is not known any more is not counted again.

Evidence: TestEarlyCancelsAreBounded, extended by the second cancellation, failed before (-1 for 0) and passes now.

--- a/scheduler/earlycancel_test.go
+++ b/scheduler/earlycancel_test.go
@@ -83,6 +83,8 @@
 	b.Sweep()
 	must.Zero(t, b.earlyCancels)
 	b.cancelUnknown(t, "more", "")
+	// Its caller sends the cancellation again before the first is stored.
+	b.cancelUnknown(t, "more", "")
 	b.DropUnsent(errors.New("the store is away"))
 	must.Zero(t, b.earlyCancels)
 	must.False(t, b.HasJob("more"))
--- a/scheduler/retention.go
+++ b/scheduler/retention.go
@@ -35,8 +35,11 @@
 	return j.phase.final() && j.storedPhase.final() && j.deposits == 0 && !j.hasRuns() && len(j.stale) == 0
 }
 
-// forget removes a job from what is known.
+// forget removes a job from what is known, if it is.
 func (s *Scheduler) forget(j *job) {
+	if s.jobs[j.spec.ID] != j {
+		return
+	}
 	delete(s.jobs, j.spec.ID)
 	if j.unsubmitted {
 		s.earlyCancels--
