scheduler: log which resource a long-running task waits for, and who overtakes it

GE6067 said that no worker has room, but not which resource is short, what holds it and for whom workers are reserved, so that an order without age, free room in pieces, a reservation that does not come and a retry delay all looked alike. The line has these now, and GE6069 counts the starts on workers that had room for a task with a longer wait.

--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -65,6 +65,8 @@
 	if finite < 0 {
 		finite = len(ds)
 	}
+	s.waits.demands = ds[:finite]
+	defer func() { s.waits.demands = nil }()
 	s.placeAll(ds[:finite], r)
 	if finite < len(ds) && s.startsLeft > 0 {
 		s.placeHolders(ds[finite:], now)
@@ -259,11 +261,11 @@
 	}
 	slices.SortStableFunc(cs, func(a, b candidate) int { return cmp.Compare(a.shortage, b.shortage) })
 	s.reserveCap(t, min(len(cs), len(ts)))
-	for _, c := range cs[:min(len(cs), len(ts))] {
+	for i, c := range cs[:min(len(cs), len(ts))] {
 		if r := c.worker.reservation; r != nil {
 			s.dropReservation(r, "long-running", s.now())
 		}
-		c.worker.reservedIn, c.worker.reserved, c.worker.leaving = s.round, step.held(), resourceSize{}
+		c.worker.reserveFor(ts[i], s.round, s.now())
 	}
 	return slices.DeleteFunc(slices.Clone(ws), s.isReservedForLasting)
 }
@@ -271,6 +273,7 @@
 // assign creates a new run of a task on a worker. Its record and its order are part of
 // the next batch.
 func (s *Scheduler) assign(t *task, w *worker, now clock.Millis) {
+	s.noteLastingStart(t, w)
 	t.attempt++
 	s.startsLeft--
 	w.removeTask(t)
--- a/scheduler/waiting.go
+++ b/scheduler/waiting.go
@@ -21,6 +21,10 @@
 		withoutRun int
 		// logged has the tasks in the last summary line, by state.
 		logged [waitStateCount]int
+		// starts counts the starts since that line.
+		starts lastingStarts
+		// demands are those of the current round of placing that are long-running.
+		demands []demand
 	}
 
 	// waitSummary is the result of one check.
@@ -30,6 +34,8 @@
 		// overdue has the tasks that have waited for maxTimeWithoutRun, by state.
 		overdue [waitStateCount]int
 		longest clock.Millis
+		// unplacedCPU is what the tasks without a worker need, in thousandths of a core.
+		unplacedCPU int64
 		// due are the tasks whose wait is to be logged, resumed those that have a run
 		// after such a wait.
 		due     []*task
@@ -161,6 +167,9 @@
 		return
 	}
 	s.waits.withoutRun++
+	if state == waitUnplaced {
+		sum.unplacedCPU += t.spec().CPU
+	}
 	if t.withoutRunSince == 0 {
 		t.withoutRunSince = t.waitStart(now)
 		t.nextWaitLine = t.withoutRunSince + maxTimeWithoutRun
@@ -178,7 +187,7 @@
 
 // logWaits logs the result of a check.
 func (s *Scheduler) logWaits(sum *waitSummary, now clock.Millis) {
-	counts := map[waitGroup]*[exclusionCount]int{}
+	counts := map[waitGroup]*waitCounts{}
 	lines := selectWaitLines(sum.due)
 	for _, t := range lines {
 		s.logWait(t, counts, now)
@@ -199,9 +208,13 @@
 		return
 	}
 	s.waits.logged = sum.overdue
+	c := &s.waits.starts
 	s.emit(logger.TasksWaiting, logger.Int(waitUnheard.String(), int64(sum.overdue[waitUnheard])),
 		logger.Int(waitUnconfirmed.String(), int64(sum.overdue[waitUnconfirmed])), logger.Int(waitUnplaced.String(), int64(sum.overdue[waitUnplaced])),
-		logger.Int("longest-ms", int64(sum.longest)), logger.Int("resumed", int64(len(sum.resumed))), logger.Int("not-logged", int64(len(sum.due)-len(lines))))
+		logger.Int("longest-ms", int64(sum.longest)), logger.Int("resumed", int64(len(sum.resumed))), logger.Int("not-logged", int64(len(sum.due)-len(lines))),
+		logger.Int("first-runs", int64(c.first)), logger.Int("restarts", int64(c.again)), logger.Int("overtaking", int64(c.overtaking)),
+		logger.Int("unplaced-millicores", sum.unplacedCPU), logger.Int("free-millicores", s.freeCPU(now)))
+	*c = lastingStarts{}
 }
 
 // selectWaitLines returns up to maxWaitLines of the tasks whose wait is to be logged: those that
@@ -247,9 +260,9 @@
 		cmp.Compare(t.step, o.step), cmp.Compare(t.index, o.index))
 }
 
-// logWait logs the wait of one task. counts has the excluded workers by step; they are counted
+// logWait logs the wait of one task. counts has the counted workers by step; they are counted
 // once for all of its tasks.
-func (s *Scheduler) logWait(t *task, counts map[waitGroup]*[exclusionCount]int, now clock.Millis) {
+func (s *Scheduler) logWait(t *task, counts map[waitGroup]*waitCounts, now clock.Millis) {
 	state := t.waitState()
 	fields := []logger.Field{
 		logger.String("task", t.name().String()), logger.Int("attempt", int64(t.attempt)), logger.Int("waited-ms", int64(now-t.withoutRunSince)),
@@ -270,14 +283,15 @@
 	case waitUnplaced:
 		g := t.waitGroup()
 		if counts[g] == nil {
-			counts[g] = s.countExclusions(t, now)
+			counts[g] = &waitCounts{exclusions: *s.countExclusions(t, now), room: s.countRoom(t, now)}
 		}
 		fields = append(fields, logger.Int("workers", int64(len(s.workers))), logger.Text("over-cap", !s.admitsStart(t.job().spec.Tenant, t.spec().startSize())))
-		for e, n := range counts[g] {
+		for e, n := range counts[g].exclusions {
 			if n > 0 || exclusion(e) == notExcluded {
 				fields = append(fields, logger.Int("workers-"+exclusion(e).String(), int64(n)))
 			}
 		}
+		fields = append(fields, counts[g].room.fields(t, now)...)
 	}
 	s.emit(logger.TaskWaiting, fields...)
 }
--- a/scheduler/waiting_test.go
+++ b/scheduler/waiting_test.go
@@ -450,6 +450,7 @@
 	last := sums[len(sums)-1]
 	must.Eq(t, map[string]any{
 		"event": logger.TasksWaiting.String(), "unheard": 0.0, "unconfirmed": 0.0, "unplaced": 0.0, "longest-ms": 0.0, "resumed": 1.0, "not-logged": 0.0,
+		"first-runs": 0.0, "restarts": 1.0, "overtaking": 0.0, "unplaced-millicores": 0.0, "free-millicores": 7000.0,
 	}, last)
 }
 
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -104,6 +104,10 @@
 		// reserved are the resources of that task, leaving those of the runs that are forecast to
 		// end before it starts.
 		reserved, leaving resourceSize
+		// reservedFor is the step of the long-running task for which the worker was last reserved,
+		// reservedSince since when it has been in each round.
+		reservedFor   waitGroup
+		reservedSince clock.Millis
 		// reservation is kept for a task that ends by itself; nil if there is none, or the worker
 		// is reserved for a long-running task.
 		reservation *reservation
@@ -234,6 +238,15 @@
 	return w.cpu+s.CPU <= w.info.CPU
 }
 
+// reserveFor reserves the worker for a long-running task in a round of placing.
+func (w *worker) reserveFor(t *task, round int, now clock.Millis) {
+	g := waitGroup{occurrence: t.occurrence, step: t.step}
+	if w.reservedFor != g || w.reservedIn < round-1 {
+		w.reservedFor, w.reservedSince = g, now
+	}
+	w.reservedIn, w.reserved, w.leaving = round, t.spec().held(), resourceSize{}
+}
+
 // isOlderThan reports whether an entry was written before another one of the same process. A clock
 // that is further behind than a write can be late shows that the other one was false.
 func (i WorkerInfo) isOlderThan(o WorkerInfo) bool {
