scheduler: of long-running tasks the one that has waited longest goes first

Cause: long-running jobs are ordered by work per value only, that is the smaller job first. Whatever room opens goes to smaller or newer jobs; nothing in this bounds the wait of a task.

Change: among long-running tasks of one priority the longest wait goes first, in periods of a second. The tasks of a step are split by the periods in which they began to wait, so that one that waits long takes no others with it. Reservations follow the order, as each demand reserves in its turn.

--- a/scheduler/lastingroom.go
+++ b/scheduler/lastingroom.go
@@ -12,7 +12,7 @@
 	lastingStarts struct {
 		// first counts first runs, again those of tasks that have lost one.
 		first, again int
-		// overtaking counts those on workers that had room for a task with a longer wait.
+		// overtaking counts those on workers that had room for a task that has waited since an earlier period.
 		overtaking int
 	}
 
@@ -54,11 +54,12 @@
 	}
 }
 
-// overtakes reports whether a worker has room for another long-running task that has waited longer.
+// overtakes reports whether a worker has room for another long-running task of at least the priority that
+// has waited since an earlier period.
 func (s *Scheduler) overtakes(t *task, w *worker) bool {
 	return slices.ContainsFunc(s.waits.demands, func(d demand) bool {
 		first := d.firstWaiting()
-		return first != nil && first.waitingSince < t.waitingSince && !first.spec().Gang && s.canRun(first, first.spec(), w, s.tolerance(first))
+		return first != nil && d.rank.priority <= t.job().spec.Queue.Priority && first.waitPeriod() < t.waitPeriod() && !first.spec().Gang && s.canRun(first, first.spec(), w, s.tolerance(first))
 	})
 }
 
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -151,6 +151,10 @@
 					r, idle = &n, n.lateness == uselessLateness && !j.hasRuns()
 				}
 				d.rank = *r
+				if r.finite == 0 {
+					ds = append(ds, d.splitByWait()...)
+					continue
+				}
 				if idle && !j.spec.Steps[i].Gang {
 					first, rest := d.splitFirst()
 					ds, d = append(ds, first), rest
@@ -177,6 +181,32 @@
 	return first, rest
 }
 
+// splitByWait splits a demand of a long-running job by the wait periods of its tasks. A gang is not split.
+func (d demand) splitByWait() []demand {
+	if d.occurrence.job.spec.Steps[d.step].Gang {
+		d.rank.waitPeriod = slices.MinFunc(d.tasks, compareWaitPeriods).waitPeriod()
+		return []demand{d}
+	}
+	slices.SortStableFunc(d.tasks, compareWaitPeriods)
+	var ds []demand
+	for rest := d.tasks; len(rest) > 0; {
+		part := d
+		part.rank.waitPeriod = rest[0].waitPeriod()
+		n := 1
+		for n < len(rest) && rest[n].waitPeriod() == part.rank.waitPeriod {
+			n++
+		}
+		part.tasks, rest = rest[:n:n], rest[n:]
+		ds = append(ds, part)
+	}
+	return ds
+}
+
+// waitPeriod returns the wait period in which a task began to wait for a worker, 0 if it does not wait.
+func (t *task) waitPeriod() clock.Millis { return t.waitingSince / waitPeriodLength }
+
+func compareWaitPeriods(a, b *task) int { return cmp.Compare(a.waitPeriod(), b.waitPeriod()) }
+
 func (s *Scheduler) demandOf(o *occurrence, i int, now clock.Millis) (demand, bool) {
 	if o.done[i]+o.runs[i] >= o.job.spec.Steps[i].Count || !o.ready(i) {
 		return demand{}, false
--- a/scheduler/ranking.go
+++ b/scheduler/ranking.go
@@ -18,6 +18,10 @@
 		// lateness is 0 for jobs that may still meet their objective, 1 for late ones,
 		// and 2 for those that are too late to be of use.
 		lateness int
+		// waitPeriod is the wait period in which the tasks of a long-running job began to wait, 0 for
+		// jobs that end by themselves. The longest wait goes first, so that a task which has lost its run
+		// does not wait for as long as new jobs come.
+		waitPeriod clock.Millis
 		// begun is 0 for the first task of each step of a job that is too late to be of use and has
 		// nothing running, 1 otherwise: the order within a lateness that earns nothing any more may
 		// not keep some of these jobs from ever starting.
@@ -39,6 +43,9 @@
 	// The value of a job is partly fixed and partly proportional to its work.
 	// fixedValueShare is the fixed share for a job with the mean work of its queue.
 	fixedValueShare = 0.3
+	// waitPeriodLength is the length of a wait period. Tasks that lose their runs by one fault begin to wait
+	// within it, but it is short beside the time in which they have to run again.
+	waitPeriodLength = clock.Second
 	// meanWeight is the weight of the newest job in the exponential moving average of the
 	// work of a queue, which covers about fifty jobs.
 	meanWeight = 0.02
@@ -70,7 +77,7 @@
 // before r.
 func (r rank) compare(o rank) int {
 	return cmp.Or(cmp.Compare(r.finite, o.finite), cmp.Compare(r.priority, o.priority), cmp.Compare(r.lateness, o.lateness),
-		cmp.Compare(r.begun, o.begun), cmp.Compare(r.idleSince, o.idleSince), cmp.Compare(r.workPerValue, o.workPerValue))
+		cmp.Compare(r.waitPeriod, o.waitPeriod), cmp.Compare(r.begun, o.begun), cmp.Compare(r.idleSince, o.idleSince), cmp.Compare(r.workPerValue, o.workPerValue))
 }
 
 // Objective returns the objective for the time from the acceptance of the job to its end.
