--- a/scheduler/fullfleet_test.go
+++ b/scheduler/fullfleet_test.go
@@ -76,7 +76,7 @@
 		}
 		f.Sweep()
 		f.noteWaits(now)
-		f.carryOut(append(f.TakeImmediateOrders(), f.placeAndStore()...), now)
+		f.carryOut(append(f.TakeImmediateOrders(), f.placeAndStore()...))
 	}
 }
 
@@ -102,7 +102,7 @@
 	}
 }
 
-func (f *fullFleet) carryOut(os []Order, now clock.Millis) {
+func (f *fullFleet) carryOut(os []Order) {
 	for _, o := range os {
 		if o.Kind == Stop {
 			f.end(o)
