placer: hold a worker that can take the task

What callers see: a large batch task waited without a bound, while smaller ones that came later started, although another worker would have had room for it in time.

Cause: hold took the worker with the most free processors whose capacity is enough, even if services or watch jobs, which don't end, hold the room there, or if the task's job has failed there. The hold stayed on that worker and kept it from other batch tasks.

Change: a worker is held only if it accepts the task once all but services and watch jobs has ended there. A hold on a worker where that is no longer so moves to another.

Evidence: the tests failed before: TestHeldWorkerCanTakeTask/a_service_stays_on_the_emptiest_worker: expected condition to be true; is false TestHeldWorkerCanTakeTask/a_watch_job_stays_on_the_emptiest_worker: the same TestHeldWorkerCanTakeTask/the_job_has_failed_on_the_emptiest_worker: the same TestHoldLeavesTakenWorker: heldWorker["large"]: - "y" + "x" go test ./placer passes.

--- a/placer/entry.go
+++ b/placer/entry.go
@@ -16,9 +16,11 @@
 		// bucketPosition is the position in the worker's bucket of the index.
 		bucketPosition int
 		free           sizer.Size
-		loads          []classLoad
-		replicaCounts  []replicaCount
-		teamGrants     []teamGrant
+		// standing is the size of the tasks that run continuously: services and watch jobs.
+		standing      sizer.Size
+		loads         []classLoad
+		replicaCounts []replicaCount
+		teamGrants    []teamGrant
 	}
 
 	// classLoad is the total of the tasks of one class on a worker: their cores, the number
@@ -55,6 +57,9 @@
 func (e *indexedWorker) addTask(t Task, class int) {
 	e.teamGrants = append(e.teamGrants, teamGrant{team: t.team, size: t.size})
 	e.addLoad(t, class)
+	if t.kind == Service || t.kind == Watch {
+		e.standing = e.standing.Add(t.size)
+	}
 	if t.kind == Service {
 		e.addReplica(t.work)
 	}
--- a/placer/hold.go
+++ b/placer/hold.go
@@ -16,15 +16,21 @@
 // Without a hold, smaller tasks would keep taking the room as it becomes free and starve
 // a large one.
 func (p *Placer) hold(now clock.Millis, w *pendingTask) {
-	if !p.mechanisms.has(Holding) || now-w.task.submitted < holdAfter || p.heldWorker[w.task.id] != "" {
+	if !p.mechanisms.has(Holding) || now-w.task.submitted < holdAfter {
 		return
 	}
+	if name := p.heldWorker[w.task.id]; name != "" {
+		if p.canTakeLater(now, w, p.index.byName[name]) {
+			return
+		}
+		p.releaseHold(w.task.id)
+	}
 	if len(p.heldWorker) >= max(len(p.index.byName)/heldWorkersDivisor, 1) {
 		return
 	}
 	var best *indexedWorker
 	for _, e := range p.index.byName {
-		if e.worker.closed || !w.need.Fits(e.worker.capacity) || p.heldFor[e.worker.name] != "" {
+		if p.heldFor[e.worker.name] != "" || !p.canTakeLater(now, w, e) {
 			continue
 		}
 		if best == nil || hasMoreFreeCores(e, best) {
@@ -37,6 +43,18 @@
 	}
 }
 
+// canTakeLater reports whether a worker accepts a task once all that ends by itself has ended there.
+func (p *Placer) canTakeLater(now clock.Millis, w *pendingTask, e *indexedWorker) bool {
+	if e.worker.closed || p.mechanisms.has(Quarantine) && !p.quarantineAdmits(now, w, e) {
+		return false
+	}
+	need := w.need
+	if p.mechanisms.has(Reserve) {
+		need = w.requiredFree(e.worker.capacity)
+	}
+	return need.Fits(e.worker.capacity.Sub(e.standing))
+}
+
 // hasMoreFreeCores reports whether e has more free processors than other, or as many and a
 // lower name, so that the result does not depend on the order of the comparisons.
 func hasMoreFreeCores(e, other *indexedWorker) bool {
--- a/placer/sync.go
+++ b/placer/sync.go
@@ -1,6 +1,10 @@
 package placer
 
-import "slices"
+import (
+	"slices"
+
+	"galenawharf.example/galenawharf/sizer"
+)
 
 // sync brings the index up to date with the current workers.
 func (p *Placer) sync(workers []Worker) {
@@ -72,6 +76,7 @@
 		p.removeReplicas(domainKey{e.worker.rack, w.work}, w.count)
 		p.removeReplicas(domainKey{e.worker.dataCentre, w.work}, w.count)
 	}
+	e.standing = sizer.Size{}
 	e.loads = e.loads[:0]
 	e.replicaCounts = e.replicaCounts[:0]
 	e.teamGrants = e.teamGrants[:0]
--- /dev/null
+++ b/placer/wait_test.go
@@ -0,0 +1,91 @@
+package placer
+
+import (
+	"strconv"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"galenawharf.example/galenawharf/clock"
+	"galenawharf.example/galenawharf/coder"
+)
+
+// startsWhile reports whether a task that comes to two full workers of 16 cores runs within two hours.
+// Standing tasks stay on the workers, and smaller tasks of a kind arrive all the time, of which one
+// ends every 10 s. The deadline of a running small task is the time at which it ends.
+func startsWhile(p *Placer, large Task, small Kind, standing map[string][]Task) bool {
+	capacity := sizeGiB(16, 60, 0)
+	running := map[string][]Task{}
+	next, lastEnd := 0, clock.Minute
+	for now := clock.Second; now < 2*clock.Hour; now += 10 * clock.Second {
+		var waiting []Task
+		if now > large.submitted {
+			waiting = append(waiting, large)
+		}
+		for range 10 {
+			next++
+			id := strconv.Itoa(next)
+			waiting = append(waiting, NewTask(id, "team", "job-"+id, "batch", small, sizeGiB(3, 4, 0), WithSubmitted(now)))
+		}
+		var workers []Worker
+		for _, name := range []string{"x", "y"} {
+			left := append([]Task(nil), standing[name]...)
+			for _, t := range running[name] {
+				if now < t.deadline {
+					left = append(left, t)
+				}
+			}
+			running[name] = left[len(standing[name]):]
+			workers = append(workers, workerOf(name, "r", capacity, left...))
+		}
+		for _, d := range p.Place(now, waiting, workers) {
+			if d.Task() == large.id {
+				return true
+			}
+			lastEnd = max(lastEnd+10*clock.Second, now+clock.Minute)
+			running[d.Worker()] = append(running[d.Worker()], NewTask(d.Task(), "team", "job-"+d.Task(), "batch", small, d.Size(), WithDeadline(lastEnd)))
+		}
+	}
+	return false
+}
+
+// TestHeldWorkerCanTakeTask guards against a hold on a worker that can never take the task, which
+// then waits without a bound behind smaller tasks.
+func TestHeldWorkerCanTakeTask(t *testing.T) {
+	failOn := func(p *Placer, large Task, worker string) {
+		p.Started(0, large, worker)
+		p.Ended(0, large.id, Failed, clock.Second, coder.Failed, "exit 1")
+	}
+	tests := map[string]struct {
+		memory   int64
+		standing Task
+		failed   bool
+	}{
+		"a service stays on the emptiest worker":    {memory: 20, standing: serviceOf("s", sizeGiB(1, 50, 0))},
+		"a watch job stays on the emptiest worker":  {memory: 20, standing: NewTask("w", "team", "w", "w", Watch, sizeGiB(1, 50, 0))},
+		"the job has failed on the emptiest worker": {memory: 2, standing: serviceOf("s", sizeGiB(1, 50, 0)), failed: true},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := newPlacer(t)
+			large := batchOf("large", sizeGiB(8, tc.memory, 0), WithSubmitted(5*clock.Minute))
+			if tc.failed {
+				failOn(p, large, "x")
+			}
+			must.True(t, startsWhile(p, large, Batch, map[string][]Task{"x": {tc.standing}}))
+		})
+	}
+}
+
+// TestHoldLeavesTakenWorker guards against a hold that stays on a worker after a service has taken the
+// room there for good.
+func TestHoldLeavesTakenWorker(t *testing.T) {
+	p := newPlacer(t)
+	capacity := sizeGiB(16, 60, 0)
+	large := batchOf("large", sizeGiB(12, 20, 0), WithSubmitted(1))
+	full := workerOf("y", "r", capacity, batchOf("b", sizeGiB(15, 10, 0)))
+	p.Place(clock.Hour, []Task{large}, []Worker{workerOf("x", "r", capacity, batchOf("a", sizeGiB(10, 10, 0))), full})
+	must.Eq(t, "x", p.heldWorker["large"])
+	p.Place(clock.Hour+1, []Task{large}, []Worker{workerOf("x", "r", capacity, serviceOf("s", sizeGiB(10, 10, 0))), full})
+	must.Eq(t, "y", p.heldWorker["large"])
+}
