placer: holds go to the longest wait

Cause: holds were given in the order of the turns, in which the work left of a job and the share of its team come before the wait. A task that was skipped because a smaller one had found no room in the round was not considered at all.

Change: at the end of a round holds go to all batch tasks without room, by the priority with the wait in it and then by the longest wait. sharer.Sharer.Priority returns that priority.

The tables of docs/design/placement.md were not run again.

--- a/placer/hold.go
+++ b/placer/hold.go
@@ -1,7 +1,11 @@
 package placer
 
 import (
+	"cmp"
+	"slices"
+
 	"galenawharf.example/galenawharf/clock"
+	"galenawharf.example/galenawharf/sharer"
 )
 
 const (
@@ -12,13 +16,32 @@
 	heldWorkersDivisor = 20
 )
 
+// addUnplaced notes that a task found no room, if it has waited long enough for a worker to be held.
+func (p *Placer) addUnplaced(r *round, w *pendingTask, q sharer.Request) {
+	if p.mechanisms.has(Holding) && r.now-w.task.submitted >= holdAfter {
+		r.unplaced = append(r.unplaced, unplacedTask{pending: w, priority: p.sharer.Priority(r.now, q)})
+	}
+}
+
+// holdWorkers holds workers for the tasks that found no room in a round. Unlike the order in which
+// they were tried, that of the holds doesn't depend on shares and on the work left, so that the
+// holds reach each task as its wait grows.
+func (p *Placer) holdWorkers(r *round) {
+	slices.SortStableFunc(r.unplaced, func(a, b unplacedTask) int {
+		return cmp.Or(
+			cmp.Compare(b.priority, a.priority),
+			cmp.Compare(a.pending.task.submitted, b.pending.task.submitted),
+			cmp.Compare(a.pending.task.id, b.pending.task.id))
+	})
+	for _, u := range r.unplaced {
+		p.hold(r.now, u.pending)
+	}
+}
+
 // hold keeps other batch tasks off one worker until the long-waiting task w fits there.
 // Without a hold, smaller tasks would keep taking the room as it becomes free and starve
 // a large one.
 func (p *Placer) hold(now clock.Millis, w *pendingTask) {
-	if !p.mechanisms.has(Holding) || now-w.task.submitted < holdAfter {
-		return
-	}
 	if name := p.heldWorker[w.task.id]; name != "" {
 		if p.canTakeLater(now, w, p.index.byName[name]) {
 			return
--- a/placer/place.go
+++ b/placer/place.go
@@ -36,6 +36,14 @@
 		out         []Decision
 		scratch     []*indexedWorker
 		preemptions int
+		// unplaced holds the batch tasks that found no room, for which a worker may be held.
+		unplaced []unplacedTask
+	}
+
+	// unplacedTask is a task that found no room, with its priority raised by its wait.
+	unplacedTask struct {
+		pending  *pendingTask
+		priority float64
 	}
 )
 
@@ -63,12 +71,14 @@
 		for i := range pending {
 			p.placeOne(r, &pending[i], requests[i])
 		}
+		p.holdWorkers(r)
 		return r.out
 	}
 	turns := p.sharer.Order(now, requests)
 	for i, more := turns.Next(); more; i, more = turns.Next() {
 		p.placeOne(r, &pending[i], requests[i])
 	}
+	p.holdWorkers(r)
 	return r.out
 }
 
@@ -129,6 +139,7 @@
 		return
 	}
 	if !w.task.urgent() && r.alreadyFailed(w) {
+		p.addUnplaced(r, w, q)
 		return
 	}
 	e, foundRoom := p.bestWorker(r, w)
@@ -145,7 +156,7 @@
 	}
 	if !w.task.urgent() {
 		r.recordFailure(w, foundRoom)
-		p.hold(r.now, w)
+		p.addUnplaced(r, w, q)
 	}
 }
 
--- a/placer/wait_test.go
+++ b/placer/wait_test.go
@@ -89,3 +89,31 @@
 	p.Place(clock.Hour+1, []Task{large}, []Worker{workerOf("x", "r", capacity, serviceOf("s", sizeGiB(10, 10, 0))), full})
 	must.Eq(t, "y", p.heldWorker["large"])
 }
+
+// TestHoldGoesToLongestWait guards against holds that go to whichever task has its turn first, so that
+// one with more work left waits for longer than holdAfter without a hold.
+func TestHoldGoesToLongestWait(t *testing.T) {
+	const now = clock.Hour
+	tests := map[string][]Task{
+		"a smaller task found no room before": {
+			batchOf("new", sizeGiB(3, 4, 0), WithSubmitted(now), WithRunTime(clock.Minute)),
+			batchOf("old", sizeGiB(12, 40, 0), WithSubmitted(now-15*clock.Minute), WithRunTime(clock.Hour)),
+		},
+		"a job with less work left waits too": {
+			batchOf("later", sizeGiB(12, 40, 0), WithSubmitted(now-3*clock.Minute), WithRunTime(clock.Minute)),
+			batchOf("old", sizeGiB(12, 40, 0), WithSubmitted(now-15*clock.Minute), WithRunTime(clock.Hour)),
+		},
+		"a wait beyond that of a higher priority": {
+			batchOf("later", sizeGiB(12, 40, 0), WithSubmitted(now-3*clock.Minute), WithPriority(9), WithRunTime(clock.Minute)),
+			batchOf("old", sizeGiB(12, 40, 0), WithSubmitted(now-25*clock.Minute), WithPriority(0), WithRunTime(clock.Hour)),
+		},
+	}
+	for name, waiting := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := newPlacer(t)
+			full := workerOf("x", "r", sizeGiB(16, 60, 0), batchOf("running", sizeGiB(16, 60, 0)))
+			must.SliceEmpty(t, p.Place(now, waiting, []Worker{full}))
+			must.Eq(t, "old", p.heldFor["x"])
+		})
+	}
+}
--- a/sharer/order.go
+++ b/sharer/order.go
@@ -55,7 +55,7 @@
 			byTeam[r.team] = q
 			t.queues = append(t.queues, q)
 		}
-		p := s.effectivePriority(now, r)
+		p := s.Priority(now, r)
 		q.items = append(q.items, ranked{request: r, index: i, priority: p, band: int(p) / bandWidth})
 	}
 	for _, q := range t.queues {
@@ -101,9 +101,9 @@
 	return s.Admits(r.team, r.size) || s.borrowing && r.tier == TierBatch
 }
 
-// effectivePriority returns the priority raised by the time waited, and by up to
+// Priority returns the priority of a request raised by the time waited, and by up to
 // deadlineBoost as the latest start that meets the deadline approaches.
-func (s *Sharer) effectivePriority(now clock.Millis, r Request) float64 {
+func (s *Sharer) Priority(now clock.Millis, r Request) float64 {
 	p := float64(r.priority)
 	p += float64(max(now-r.submitted, 0)) / float64(s.ageStep)
 	if r.deadline == clock.Never {
