placer: large urgent tasks are not starved

What callers see: a large service replica, watch job or exclusive task waited without a bound on workers without enough batch work to evict, while smaller urgent tasks that came later took all room as it became free.

Cause: only batch tasks got a worker held for them, and only batch tasks were kept off a worker that is held.

Change: all tasks that wait for 2 minutes without room get a worker held. A hold keeps off tasks of the same tier and of later ones, but no services. Workers held for urgent tasks count apart from those held for batch tasks, so that neither waits for the other's holds, and urgent tasks evict nothing on a worker that is held for another.

Evidence: TestLargeUrgentTaskIsNotStarved failed before in 3 of 3 cases (service, exclusive, watch: "expected condition to be true; is false", no start in two hours of virtual time), as did TestHeldRoomIsNotPreempted and 5 of 7 cases of TestHeldWorkerServesHigherTiers. go test ./placer passes.

--- a/placer/hold.go
+++ b/placer/hold.go
@@ -8,11 +8,17 @@
 	"galenawharf.example/galenawharf/sharer"
 )
 
+// hold is the task for which a worker is held, with its tier.
+type hold struct {
+	task string
+	tier sharer.Tier
+}
+
 const (
-	// holdAfter is how long a batch task waits before a worker is held for it.
+	// holdAfter is how long a task waits before a worker is held for it.
 	holdAfter = 2 * clock.Minute
-	// heldWorkersDivisor limits the held workers to 1/heldWorkersDivisor of all workers; one
-	// may always be held.
+	// heldWorkersDivisor limits the workers that are held for batch tasks, and those held for
+	// urgent ones, to 1/heldWorkersDivisor of all workers each; one may always be held.
 	heldWorkersDivisor = 20
 )
 
@@ -29,31 +35,32 @@
 func (p *Placer) holdWorkers(r *round) {
 	slices.SortStableFunc(r.unplaced, func(a, b unplacedTask) int {
 		return cmp.Or(
+			cmp.Compare(tierOf(a.pending.task), tierOf(b.pending.task)),
 			cmp.Compare(b.priority, a.priority),
 			cmp.Compare(a.pending.task.submitted, b.pending.task.submitted),
 			cmp.Compare(a.pending.task.id, b.pending.task.id))
 	})
 	for _, u := range r.unplaced {
-		p.hold(r.now, u.pending)
+		p.holdWorker(r.now, u.pending)
 	}
 }
 
-// hold keeps other batch tasks off one worker until the long-waiting task w fits there.
+// holdWorker keeps other tasks off one worker until the long-waiting task w fits there.
 // Without a hold, smaller tasks would keep taking the room as it becomes free and starve
 // a large one.
-func (p *Placer) hold(now clock.Millis, w *pendingTask) {
+func (p *Placer) holdWorker(now clock.Millis, w *pendingTask) {
 	if name := p.heldWorker[w.task.id]; name != "" {
 		if p.canTakeLater(now, w, p.index.byName[name]) {
 			return
 		}
 		p.releaseHold(w.task.id)
 	}
-	if len(p.heldWorker) >= max(len(p.index.byName)/heldWorkersDivisor, 1) {
+	if p.holds(w.task.urgent()) >= max(len(p.index.byName)/heldWorkersDivisor, 1) {
 		return
 	}
 	var best *indexedWorker
 	for _, e := range p.index.byName {
-		if p.heldFor[e.worker.name] != "" || !p.canTakeLater(now, w, e) {
+		if p.heldFor[e.worker.name].task != "" || !p.canTakeLater(now, w, e) {
 			continue
 		}
 		if best == nil || hasMoreFreeCores(e, best) {
@@ -62,8 +69,26 @@
 	}
 	if best != nil {
 		p.heldWorker[w.task.id] = best.worker.name
-		p.heldFor[best.worker.name] = w.task.id
+		p.heldFor[best.worker.name] = hold{task: w.task.id, tier: tierOf(w.task)}
+	}
+}
+
+// holds returns the number of workers that are held for urgent tasks, or for batch tasks.
+func (p *Placer) holds(urgent bool) int {
+	n := 0
+	for _, h := range p.heldFor {
+		if urgent == (h.tier != sharer.TierBatch) {
+			n++
+		}
 	}
+	return n
+}
+
+// holdAdmits reports whether the hold on a worker, if any, lets a task start there: the task is a
+// service, or of a lower tier than the one for which the worker is held, or it is that one.
+func (p *Placer) holdAdmits(w *pendingTask, e *indexedWorker) bool {
+	h, held := p.heldFor[e.worker.name]
+	return !held || h.task == w.task.id || w.task.kind == Service || tierOf(w.task) < h.tier
 }
 
 // canTakeLater reports whether a worker accepts a task once all that ends by itself has ended there.
@@ -72,7 +97,7 @@
 		return false
 	}
 	need := w.need
-	if p.mechanisms.has(Reserve) {
+	if !w.task.urgent() && p.mechanisms.has(Reserve) {
 		need = w.requiredFree(e.worker.capacity)
 	}
 	return need.Fits(e.worker.capacity.Sub(e.standing))
--- a/placer/place.go
+++ b/placer/place.go
@@ -36,7 +36,7 @@
 		out         []Decision
 		scratch     []*indexedWorker
 		preemptions int
-		// unplaced holds the batch tasks that found no room, for which a worker may be held.
+		// unplaced holds the tasks that found no room, for which a worker may be held.
 		unplaced []unplacedTask
 	}
 
@@ -156,8 +156,8 @@
 	}
 	if !w.task.urgent() {
 		r.recordFailure(w, foundRoom)
-		p.addUnplaced(r, w, q)
 	}
+	p.addUnplaced(r, w, q)
 }
 
 func (p *Placer) decide(r *round, w *pendingTask, e *indexedWorker, victims []string) {
@@ -221,12 +221,12 @@
 	if p.mechanisms.has(Quarantine) && !p.quarantineAdmits(now, w, e) {
 		return false
 	}
+	if !p.holdAdmits(w, e) {
+		return false
+	}
 	if w.task.urgent() {
 		return true
 	}
-	if holder := p.heldFor[e.worker.name]; holder != "" && holder != w.task.id {
-		return false
-	}
 	return !p.mechanisms.has(Reserve) || w.requiredFree(e.worker.capacity).Fits(e.free)
 }
 
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -34,9 +34,9 @@
 		// utilization is the mean processor utilization of the replicas of each class.
 		utilization [learner.MaxClasses]float64
 		// heldWorker maps a task to the worker that is held for it, heldFor the worker to
-		// the task.
+		// the hold.
 		heldWorker map[string]string
-		heldFor    map[string]string
+		heldFor    map[string]hold
 		// generation counts the calls of sync.
 		generation uint64
 		// estimates caches the estimates of one round by service or job.
@@ -75,7 +75,7 @@
 		estimates:         map[string]estimate{},
 		serviceClasses:    map[int]bool{},
 		heldWorker:        map[string]string{},
-		heldFor:           map[string]string{},
+		heldFor:           map[string]hold{},
 	}
 	for _, o := range opts {
 		o(p)
--- a/placer/preempt.go
+++ b/placer/preempt.go
@@ -36,10 +36,10 @@
 
 // victims returns the batch tasks to evict so that an urgent task fits, and the cost of
 // the evictions in core-seconds. It returns false if evicting all of them is not
-// enough, or if the worker may not get the task: it is closed or too small, or quarantine
-// refuses it.
+// enough, or if the worker may not get the task: it is closed, too small or held, or
+// quarantine refuses it.
 func (p *Placer) victims(r *round, w *pendingTask, e *indexedWorker) ([]string, float64, bool) {
-	if e.worker.closed || !w.need.Fits(e.worker.capacity) || p.mechanisms.has(Quarantine) && !p.quarantineAdmits(r.now, w, e) {
+	if e.worker.closed || !w.need.Fits(e.worker.capacity) || !p.holdAdmits(w, e) || p.mechanisms.has(Quarantine) && !p.quarantineAdmits(r.now, w, e) {
 		return nil, 0, false
 	}
 	var batch []Task
--- a/placer/wait_test.go
+++ b/placer/wait_test.go
@@ -113,7 +113,58 @@
 			p := newPlacer(t)
 			full := workerOf("x", "r", sizeGiB(16, 60, 0), batchOf("running", sizeGiB(16, 60, 0)))
 			must.SliceEmpty(t, p.Place(now, waiting, []Worker{full}))
-			must.Eq(t, "old", p.heldFor["x"])
+			must.Eq(t, "x", p.heldWorker["old"])
 		})
 	}
 }
+
+// TestLargeUrgentTaskIsNotStarved guards against urgent tasks that wait without a bound, because smaller
+// urgent ones that came later take all room as it becomes free.
+func TestLargeUrgentTaskIsNotStarved(t *testing.T) {
+	for name, kind := range map[string]Kind{"service": Service, "exclusive": Exclusive, "watch": Watch} {
+		t.Run(name, func(t *testing.T) {
+			large := NewTask("large", "team", "large", "c", kind, sizeGiB(12, 40, 0), WithSubmitted(5*clock.Minute))
+			must.True(t, startsWhile(newPlacer(t), large, Exclusive, nil))
+		})
+	}
+}
+
+// TestHeldWorkerServesHigherTiers guards against a hold that keeps services, or urgent tasks that go
+// before a batch task, off a worker.
+func TestHeldWorkerServesHigherTiers(t *testing.T) {
+	tests := map[string]struct {
+		holder, next Kind
+		placed       bool
+	}{
+		"batch task holds, service comes":        {holder: Batch, next: Service, placed: true},
+		"batch task holds, watch job comes":      {holder: Batch, next: Watch, placed: true},
+		"watch job holds, service comes":         {holder: Watch, next: Service, placed: true},
+		"service holds, another comes":           {holder: Service, next: Service, placed: true},
+		"service holds, watch job comes":         {holder: Service, next: Watch},
+		"watch job holds, exclusive task comes":  {holder: Watch, next: Exclusive},
+		"exclusive task holds, batch task comes": {holder: Exclusive, next: Batch},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := newPlacer(t)
+			x := workerOf("x", "r", sizeGiB(16, 60, 0), NewTask("e", "team", "e", "e", Exclusive, sizeGiB(10, 10, 0)))
+			large := NewTask("large", "team", "large", "c", tc.holder, sizeGiB(12, 40, 0), WithSubmitted(1))
+			must.SliceEmpty(t, p.Place(clock.Hour, []Task{large}, []Worker{x}))
+			must.Eq(t, "x", p.heldWorker["large"])
+			next := NewTask("next", "team", "next", "c", tc.next, sizeGiB(2, 2, 0), WithSubmitted(clock.Hour))
+			must.Eq(t, tc.placed, len(p.Place(clock.Hour+1, []Task{large, next}, []Worker{x})) == 1)
+		})
+	}
+}
+
+// TestHeldRoomIsNotPreempted guards against an urgent task that evicts batch tasks on a worker that is
+// held for another urgent task, and so takes the room for which that one waits.
+func TestHeldRoomIsNotPreempted(t *testing.T) {
+	p := newPlacer(t)
+	x := workerOf("x", "r", sizeGiB(16, 60, 0), NewTask("e", "team", "e", "e", Exclusive, sizeGiB(10, 10, 0)), batchOf("b", sizeGiB(6, 10, 0)))
+	large := NewTask("large", "team", "large", "c", Watch, sizeGiB(12, 40, 0), WithSubmitted(1))
+	must.SliceEmpty(t, p.Place(clock.Hour, []Task{large}, []Worker{x}))
+	must.Eq(t, "x", p.heldWorker["large"])
+	next := NewTask("next", "team", "next", "c", Exclusive, sizeGiB(2, 2, 0), WithSubmitted(clock.Hour))
+	must.SliceEmpty(t, p.Place(clock.Hour+1, []Task{large, next}, []Worker{x}))
+}
