placer: a hold ends once the team's quota refuses the task

What callers see: batch tasks of other teams waited although a worker had room for them, for as long as the team of a waiting task held its quota.

Cause: a task that is refused by its team's quota kept the worker that was held for it, which it could not use.

Change: the hold ends when the quota refuses the task. Within its quota again, the task gets a worker held at the end of the next round without room.

Evidence: TestHoldEndsOverQuota failed before: expected slice to be different length, len(slice): 0, expected: 1. go test ./placer passes.

--- a/placer/place.go
+++ b/placer/place.go
@@ -136,6 +136,7 @@
 
 func (p *Placer) placeOne(r *round, w *pendingTask, q sharer.Request) {
 	if p.mechanisms.has(Fairness) && !p.sharer.AdmitsRequest(q) {
+		p.releaseHold(w.task.id)
 		return
 	}
 	if !w.task.urgent() && r.alreadyFailed(w) {
--- a/placer/wait_test.go
+++ b/placer/wait_test.go
@@ -168,3 +168,18 @@
 	next := NewTask("next", "team", "next", "c", Exclusive, sizeGiB(2, 2, 0), WithSubmitted(clock.Hour))
 	must.SliceEmpty(t, p.Place(clock.Hour+1, []Task{large, next}, []Worker{x}))
 }
+
+// TestHoldEndsOverQuota guards against a hold for a task that its team's quota refuses, which keeps
+// other teams' tasks off the worker for as long as the team holds its quota.
+func TestHoldEndsOverQuota(t *testing.T) {
+	p := newPlacer(t)
+	capacity := sizeGiB(16, 60, 0)
+	large := batchOf("large", sizeGiB(12, 40, 0), WithSubmitted(1))
+	other := NewTask("other", "others", "other", "c", Batch, sizeGiB(4, 4, 0), WithSubmitted(clock.Hour))
+	x := workerOf("x", "r", capacity, batchOf("a", sizeGiB(8, 10, 0)))
+	must.SliceEmpty(t, p.Place(clock.Hour, []Task{large}, []Worker{x}))
+	must.Eq(t, "x", p.heldWorker["large"])
+	p.SetQuota("team", sizeGiB(16, 60, 0))
+	p.Place(clock.Hour+1, []Task{large}, []Worker{x})
+	must.Len(t, 1, p.Place(clock.Hour+2, []Task{large, other}, []Worker{x}))
+}
