keeper: a wait counts where a quota or an exclusive key admits only some tasks

What callers see: a task of a team that holds its quota, or of an exclusive key, waited without a bound while tasks with a higher priority that came later ran. A watch job of such a team waited as long as exclusive tasks of any age and priority came.

Cause: the keeper offers the placer only the tasks that fit the quotas, one for each exclusive key, and chose them by kind and declared priority. The wait, which raises the priority in package sharer, counted only among those that were offered.

Change: the keeper chooses by tier, in which watch jobs and exclusive tasks are alike, then by the priority raised by 1 for each sharer.DefaultAgeStep of waiting, then by the time of submission. placer.Kind.Tier returns the tier.

--- a/keeper/placing.go
+++ b/keeper/placing.go
@@ -63,8 +63,9 @@
 	k.parkOversized(candidates)
 }
 
-// candidates returns the waiting tasks that may start now, in order of kind, priority and
-// time of submission: at most one per exclusive key, within the quotas of their teams.
+// candidates returns the waiting tasks that may start now, in order of tier, priority with
+// the wait, and time of submission: at most one per exclusive key, within the quotas of
+// their teams.
 func (k *Keeper) candidates() []*task {
 	keysTaken := map[string]bool{}
 	used := k.usedByTeam()
@@ -76,8 +77,8 @@
 	}
 	slices.SortStableFunc(all, func(a, b *task) int {
 		return cmp.Or(
-			cmp.Compare(a.spec.kind, b.spec.kind),
-			cmp.Compare(b.spec.priority, a.spec.priority),
+			cmp.Compare(a.spec.kind.Tier(), b.spec.kind.Tier()),
+			cmp.Compare(a.agedRank(), b.agedRank()),
 			cmp.Compare(a.submittedAt, b.submittedAt))
 	})
 	return slices.DeleteFunc(all, func(t *task) bool {
--- a/keeper/task.go
+++ b/keeper/task.go
@@ -8,6 +8,7 @@
 	"galenawharf.example/galenawharf/placer"
 	"galenawharf.example/galenawharf/provider"
 	"galenawharf.example/galenawharf/schema"
+	"galenawharf.example/galenawharf/sharer"
 	"galenawharf.example/galenawharf/sizer"
 )
 
@@ -122,6 +123,12 @@
 	return clock.Never
 }
 
+// agedRank returns the rank of a task by priority, lowest first. As in package sharer, a wait of
+// DefaultAgeStep makes up for one priority, so that no task waits behind later ones without a bound.
+func (t *task) agedRank() clock.Millis {
+	return t.submittedAt - clock.Millis(t.spec.priority)*sharer.DefaultAgeStep
+}
+
 // placerTask returns the task as a placer.Task.
 func (t *task) placerTask() placer.Task {
 	opts := []placer.TaskOption{
--- /dev/null
+++ b/keeper/wait_test.go
@@ -0,0 +1,58 @@
+package keeper
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"galenawharf.example/galenawharf/clock"
+	"galenawharf.example/galenawharf/declarer"
+	"galenawharf.example/galenawharf/placer"
+	"galenawharf.example/galenawharf/schema"
+	"galenawharf.example/galenawharf/sizer"
+)
+
+// TestLongWaitReachesPlacer guards against a task that never reaches the placer, because tasks of a
+// higher priority or of another kind that came later take its team's quota or its exclusive key.
+func TestLongWaitReachesPlacer(t *testing.T) {
+	tests := map[string]struct {
+		old, later string
+		wait       clock.Millis
+		key        string
+		want       string
+	}{
+		"batch task, quota":                           {old: "low", later: "high", wait: 199 * clock.Minute, want: "old"},
+		"exclusive task, quota":                       {old: "low-once", later: "high-once", wait: 199 * clock.Minute, want: "old"},
+		"exclusive task, key":                         {old: "low-once", later: "high-once", wait: 199 * clock.Minute, key: "ledger", want: "old"},
+		"watch job behind exclusive tasks":            {old: "feed", later: "low-once", wait: clock.Minute, want: "old"},
+		"priority counts before the wait makes up":    {old: "low", later: "high", wait: 197 * clock.Minute, want: "later"},
+		"exclusive tasks go before batch tasks still": {old: "low", later: "low-once", wait: clock.Day, want: "later"},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newCluster(1, sizer.New(4000, 8*sizer.GiB, 0))
+			w.declareDefaults(t)
+			w.change(t, declarer.KindTeam, "tight", `{"name":"tight","quota":{"processors":1,"memory":"1GiB"}}`)
+			w.change(t, declarer.KindBatchJob, "low", `{"name":"low","team":"tight","size":{"processors":1,"memory":"1GiB"},"run-time":"20s","idempotent":true,"priority":1}`)
+			w.change(t, declarer.KindBatchJob, "high", `{"name":"high","team":"tight","size":{"processors":1,"memory":"1GiB"},"run-time":"20s","idempotent":true,"priority":100}`)
+			w.change(t, declarer.KindBatchJob, "low-once", `{"name":"low-once","team":"tight","size":{"processors":1,"memory":"1GiB"},"run-time":"20s","priority":1}`)
+			w.change(t, declarer.KindBatchJob, "high-once", `{"name":"high-once","team":"tight","size":{"processors":1,"memory":"1GiB"},"run-time":"20s","priority":100}`)
+			w.change(t, declarer.KindWatchJob, "feed", `{"name":"feed","team":"tight","size":{"processors":1,"memory":"1GiB"},"period":"1m","tracks":"news","priority":1}`)
+			n := w.addNode("d1")
+			var offered []string
+			n.keeper.place = func(_ clock.Millis, waiting []placer.Task, _ []placer.Worker) []placer.Decision {
+				for _, task := range waiting {
+					offered = append(offered, task.ID())
+				}
+				return nil
+			}
+			set := func(i *schema.Intent) { i.ExclusiveKey = tc.key }
+			must.NoError(t, w.submit("old", tc.old, set))
+			w.clock.Advance(tc.wait)
+			must.NoError(t, w.submit("later", tc.later, set))
+			must.NoError(t, n.claim(clock.Minute))
+			n.step()
+			must.Eq(t, []string{tc.want}, offered)
+		})
+	}
+}
--- a/placer/hold.go
+++ b/placer/hold.go
@@ -35,7 +35,7 @@
 func (p *Placer) holdWorkers(r *round) {
 	slices.SortStableFunc(r.unplaced, func(a, b unplacedTask) int {
 		return cmp.Or(
-			cmp.Compare(tierOf(a.pending.task), tierOf(b.pending.task)),
+			cmp.Compare(a.pending.task.kind.Tier(), b.pending.task.kind.Tier()),
 			cmp.Compare(b.priority, a.priority),
 			cmp.Compare(a.pending.task.submitted, b.pending.task.submitted),
 			cmp.Compare(a.pending.task.id, b.pending.task.id))
@@ -69,7 +69,7 @@
 	}
 	if best != nil {
 		p.heldWorker[w.task.id] = best.worker.name
-		p.heldFor[best.worker.name] = hold{task: w.task.id, tier: tierOf(w.task)}
+		p.heldFor[best.worker.name] = hold{task: w.task.id, tier: w.task.kind.Tier()}
 	}
 }
 
@@ -88,7 +88,7 @@
 // service, or of a lower tier than the one for which the worker is held, or it is that one.
 func (p *Placer) holdAdmits(w *pendingTask, e *indexedWorker) bool {
 	h, held := p.heldFor[e.worker.name]
-	return !held || h.task == w.task.id || w.task.kind == Service || tierOf(w.task) < h.tier
+	return !held || h.task == w.task.id || w.task.kind == Service || w.task.kind.Tier() < h.tier
 }
 
 // canTakeLater reports whether a worker accepts a task once all that ends by itself has ended there.
--- a/placer/place.go
+++ b/placer/place.go
@@ -96,7 +96,7 @@
 			need = t.size
 		}
 		pending = append(pending, pendingTask{task: t, class: p.learner.Class(t.class), need: need, seed: xxhash.Sum64String(t.id)})
-		requests = append(requests, sharer.NewRequest(t.id, t.team, t.work, tierOf(t), need, t.priority, t.submitted, t.deadline, p.runTime(now, t), remaining[t.Group()]))
+		requests = append(requests, sharer.NewRequest(t.id, t.team, t.work, t.kind.Tier(), need, t.priority, t.submitted, t.deadline, p.runTime(now, t), remaining[t.Group()]))
 	}
 	return pending, requests
 }
@@ -124,16 +124,6 @@
 	return left
 }
 
-func tierOf(t Task) sharer.Tier {
-	switch t.kind {
-	case Service:
-		return sharer.TierService
-	case Batch:
-		return sharer.TierBatch
-	}
-	return sharer.TierUrgent
-}
-
 func (p *Placer) placeOne(r *round, w *pendingTask, q sharer.Request) {
 	if p.mechanisms.has(Fairness) && !p.sharer.AdmitsRequest(q) {
 		p.releaseHold(w.task.id)
--- a/placer/task.go
+++ b/placer/task.go
@@ -9,6 +9,7 @@
 
 import (
 	"galenawharf.example/galenawharf/clock"
+	"galenawharf.example/galenawharf/sharer"
 	"galenawharf.example/galenawharf/sizer"
 )
 
@@ -88,6 +89,17 @@
 // latency target: 0.25 if requests may take a quarter longer than when it runs alone.
 func WithTolerance(slowdown float64) TaskOption { return func(t *Task) { t.tolerance = slowdown } }
 
+// Tier returns the tier of the kind of work, in the order of which tasks are placed.
+func (k Kind) Tier() sharer.Tier {
+	switch k {
+	case Service:
+		return sharer.TierService
+	case Batch:
+		return sharer.TierBatch
+	}
+	return sharer.TierUrgent
+}
+
 // ID returns the unique id.
 func (t Task) ID() string { return t.id }
 
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -40,13 +40,16 @@
 )
 
 const (
-	defaultAgeStep        = 2 * clock.Minute
+	// DefaultAgeStep is the waiting time that raises the priority by 1, unless WithAgeStep sets
+	// another.
+	DefaultAgeStep = 2 * clock.Minute
+
 	defaultDeadlineWindow = 30 * clock.Minute
 )
 
 // New returns a Sharer without quotas. It returns an error if a duration is below 1 ms.
 func New(opts ...Option) (*Sharer, error) {
-	s := &Sharer{teams: map[string]*account{}, ageStep: defaultAgeStep, deadlineWindow: defaultDeadlineWindow, jobOrder: true}
+	s := &Sharer{teams: map[string]*account{}, ageStep: DefaultAgeStep, deadlineWindow: defaultDeadlineWindow, jobOrder: true}
 	for _, o := range opts {
 		o(s)
 	}
