--- a/keeper/wait_test.go
+++ b/keeper/wait_test.go
@@ -8,6 +8,7 @@
 	"galenawharf.example/galenawharf/clock"
 	"galenawharf.example/galenawharf/declarer"
 	"galenawharf.example/galenawharf/placer"
+	"galenawharf.example/galenawharf/provider"
 	"galenawharf.example/galenawharf/schema"
 	"galenawharf.example/galenawharf/sizer"
 )
@@ -56,3 +57,29 @@
 		})
 	}
 }
+
+// TestBackoffDoesNotBeginAnew guards against a daemon that reads the failure of a run late, for example
+// after its own restart, and makes the task wait for the whole backoff again.
+func TestBackoffDoesNotBeginAnew(t *testing.T) {
+	w := newCluster(1, sizer.New(4000, 8*sizer.GiB, 0))
+	w.declareDefaults(t)
+	must.NoError(t, w.submit("k", "roster", nil))
+	stream := provider.StreamOf(testCentre)
+	epoch, err := w.put(stream, &schema.Record{Body: &schema.Record_Claim{Claim: &schema.Claim{Shard: testShard}}})
+	must.NoError(t, err)
+	const failures = 8
+	for n := range int64(failures) {
+		for _, s := range []schema.TaskState{schema.TaskState_TASK_STATE_STARTING, schema.TaskState_TASK_STATE_RETRYING} {
+			e := &schema.TaskEvent{Task: "k", Shard: testShard, Epoch: int64(epoch), IntentsNext: 1, Incarnation: n + 1, State: s, Worker: "south-w0000"}
+			_, err := w.put(stream, &schema.Record{Body: &schema.Record_Task{Task: e}})
+			must.NoError(t, err)
+		}
+	}
+	w.clock.Advance(backoff(failures) + 1)
+	n := w.addNode("d1")
+	n.stepKeeper()
+	n.tailIntents()
+	must.NoError(t, n.claim(clock.Minute))
+	w.run(2*clock.Second, 100)
+	must.Eq(t, 1, w.startCount("k"))
+}
