keeper: start orders of a worker go by the age of the lease

What callers see: on a worker with many short tasks, the start order of a run could wait as long as leases with a lower name came, while it held its room.

Cause: a worker has one order in flight, and of the leases that are ready for their start order the one with the lowest name went first.

Change: the oldest lease goes first, then the lowest name.

--- a/keeper/ordering.go
+++ b/keeper/ordering.go
@@ -1,6 +1,9 @@
 package keeper
 
 import (
+	"cmp"
+	"slices"
+
 	"galenawharf.example/galenawharf/clock"
 	"galenawharf.example/galenawharf/provider"
 	"galenawharf.example/galenawharf/sizer"
@@ -61,8 +64,8 @@
 	if k.sendThrottle(h, all) {
 		return true
 	}
-	for _, l := range all {
-		if l.phase == phaseReady && k.sendStart(h, l) {
+	for _, l := range readyByWait(all) {
+		if k.sendStart(h, l) {
 			return true
 		}
 	}
@@ -75,6 +78,18 @@
 	return false
 }
 
+// readyByWait returns the leases whose start order may be sent, the oldest first.
+func readyByWait(all []*lease) []*lease {
+	var ready []*lease
+	for _, l := range all {
+		if l.phase == phaseReady {
+			ready = append(ready, l)
+		}
+	}
+	slices.SortStableFunc(ready, func(a, b *lease) int { return cmp.Compare(a.addedAt, b.addedAt) })
+	return ready
+}
+
 func (k *Keeper) sendTaskOrder(h *host, kind OrderKind, l *lease) {
 	k.send(h, &Order{kind: kind, task: provider.TaskOrder{Incarnation: l.incarnation}})
 }
--- a/keeper/wait_test.go
+++ b/keeper/wait_test.go
@@ -83,3 +83,24 @@
 	w.run(2*clock.Second, 100)
 	must.Eq(t, 1, w.startCount("k"))
 }
+
+// TestStartOrdersGoByWait guards against a run whose start order is never sent, because later ones on
+// the worker have lower names.
+func TestStartOrdersGoByWait(t *testing.T) {
+	w := newCluster(1, sizer.New(4000, 8*sizer.GiB, 0))
+	w.declareDefaults(t)
+	n := w.addNode("d1")
+	must.NoError(t, n.claim(clock.Minute))
+	n.step()
+	h := n.keeper.host("south-w0000")
+	h.inflight = &Order{worker: h.name, sent: w.clock.Now()}
+	for _, key := range []string{"z", "a"} {
+		must.NoError(t, w.submit(key, "roster", nil))
+		w.clock.Advance(clock.Second)
+		n.step()
+	}
+	h.inflight = nil
+	orders := n.stepKeeper()
+	must.Len(t, 1, orders)
+	must.Eq(t, "z", orders[0].Incarnation().Task)
+}
