keeper: failing test of a wait that begins anew with each owner

What callers see: a task that must not run twice, whose worker is silent, has no result, and the next task of its exclusive key doesn't start, as long as the shard gets a new owner more often than every 10 minutes.

Cause: unresolvedSince is known to one owner only; each new one waits for the whole unresolvedTimeout.

Evidence: TestSilentHolderFreesExclusiveKeyOverTakeovers fails (expected condition to be true; is false: no start in an hour of virtual time, owners change every 5 minutes); TestSilentHolderFreesExclusiveKey, in which they change every 20 minutes, passes.

--- a/keeper/wait_test.go
+++ b/keeper/wait_test.go
@@ -7,6 +7,7 @@
 
 	"galenawharf.example/galenawharf/clock"
 	"galenawharf.example/galenawharf/declarer"
+	"galenawharf.example/galenawharf/imitator"
 	"galenawharf.example/galenawharf/placer"
 	"galenawharf.example/galenawharf/provider"
 	"galenawharf.example/galenawharf/schema"
@@ -104,3 +105,33 @@
 	must.Len(t, 1, orders)
 	must.Eq(t, "z", orders[0].Incarnation().Task)
 }
+
+// startsAfterSilence reports whether a task starts within an hour whose exclusive key another one holds
+// that must not run twice and whose worker is silent, while the shard changes its owner at an interval.
+func startsAfterSilence(t *testing.T, interval clock.Millis) bool {
+	w := newCluster(2, sizer.New(4000, 8*sizer.GiB, 0))
+	w.declareDefaults(t)
+	nodes := []*node{w.addNode("a"), w.addNode("b")}
+	must.NoError(t, nodes[0].claim(20*clock.Second))
+	set := func(i *schema.Intent) { i.ExclusiveKey = "ledger" }
+	must.NoError(t, w.submit("silent", "invoice", set))
+	w.run(5*clock.Second, clock.Second/10)
+	w.workerOf(t, "silent").SetFaults(imitator.WorkerFaults{Down: true})
+	must.NoError(t, w.submit("next", "invoice", set))
+	for n := 1; clock.Millis(n)*interval <= clock.Hour; n++ {
+		w.run(interval, clock.Second)
+		must.NoError(t, nodes[n%2].claim(20*clock.Second))
+	}
+	return w.startCount("next") == 1
+}
+
+// TestSilentHolderFreesExclusiveKey guards against tasks that wait for an exclusive key without a bound.
+func TestSilentHolderFreesExclusiveKey(t *testing.T) {
+	must.True(t, startsAfterSilence(t, 20*clock.Minute))
+}
+
+// TestSilentHolderFreesExclusiveKeyOverTakeovers guards against a wait for a silent worker's report that
+// begins anew with each owner of the shard.
+func TestSilentHolderFreesExclusiveKeyOverTakeovers(t *testing.T) {
+	must.True(t, startsAfterSilence(t, 5*clock.Minute))
+}
