--- a/placer/place.go
+++ b/placer/place.go
@@ -36,6 +36,14 @@
 		out         []Decision
 		scratch     []*indexedWorker
 		preemptions int
+		// unplaced holds the tasks that found no room, for which a worker may be held.
+		unplaced []unplacedTask
+	}
+
+	// unplacedTask is a task that found no room, with its priority raised by its wait.
+	unplacedTask struct {
+		pending  *pendingTask
+		priority float64
 	}
 )
 
@@ -63,12 +71,14 @@
 		for i := range pending {
 			p.placeOne(r, &pending[i], requests[i])
 		}
+		p.holdWorkers(r)
 		return r.out
 	}
 	turns := p.sharer.Order(now, requests)
 	for i, more := turns.Next(); more; i, more = turns.Next() {
 		p.placeOne(r, &pending[i], requests[i])
 	}
+	p.holdWorkers(r)
 	return r.out
 }
 
@@ -86,7 +96,7 @@
 			need = t.size
 		}
 		pending = append(pending, pendingTask{task: t, class: p.learner.Class(t.class), need: need, seed: xxhash.Sum64String(t.id)})
-		requests = append(requests, sharer.NewRequest(t.id, t.team, t.work, tierOf(t), need, t.priority, t.submitted, t.deadline, p.runTime(now, t), remaining[t.Group()]))
+		requests = append(requests, sharer.NewRequest(t.id, t.team, t.work, t.kind.Tier(), need, t.priority, t.submitted, t.deadline, p.runTime(now, t), remaining[t.Group()]))
 	}
 	return pending, requests
 }
@@ -114,21 +124,13 @@
 	return left
 }
 
-func tierOf(t Task) sharer.Tier {
-	switch t.kind {
-	case Service:
-		return sharer.TierService
-	case Batch:
-		return sharer.TierBatch
-	}
-	return sharer.TierUrgent
-}
-
 func (p *Placer) placeOne(r *round, w *pendingTask, q sharer.Request) {
 	if p.mechanisms.has(Fairness) && !p.sharer.AdmitsRequest(q) {
+		p.releaseHold(w.task.id)
 		return
 	}
 	if !w.task.urgent() && r.alreadyFailed(w) {
+		p.addUnplaced(r, w, q)
 		return
 	}
 	e, foundRoom := p.bestWorker(r, w)
@@ -145,8 +147,8 @@
 	}
 	if !w.task.urgent() {
 		r.recordFailure(w, foundRoom)
-		p.hold(r.now, w)
 	}
+	p.addUnplaced(r, w, q)
 }
 
 func (p *Placer) decide(r *round, w *pendingTask, e *indexedWorker, victims []string) {
@@ -210,12 +212,12 @@
 	if p.mechanisms.has(Quarantine) && !p.quarantineAdmits(now, w, e) {
 		return false
 	}
+	if !p.holdAdmits(w, e) {
+		return false
+	}
 	if w.task.urgent() {
 		return true
 	}
-	if holder := p.heldFor[e.worker.name]; holder != "" && holder != w.task.id {
-		return false
-	}
 	return !p.mechanisms.has(Reserve) || w.requiredFree(e.worker.capacity).Fits(e.free)
 }
 
