scheduler: count rejections of a task from its last run that began

A task that several workers had rejected as malformed over hours, with runs in between that others had confirmed, waited for up to 30 s before its next try, with room on all workers. A long-running task has to run again within 9 s.

Cause: the delay doubles with each rejection in the whole term of the leader. Change: a run that its worker has confirmed, or that has ended by itself, shows that the task is not malformed, so the count starts again. This holds for tasks that end by themselves too.

Evidence: TestFormerRejectionsDoNotDelayTask failed in 4 of 4 cases before: "expected 1970-01-01T00:00:09.600Z <= 1970-01-01T00:00:09.000Z: rejections before the last run delay the task"; it passes now.

--- a/scheduler/ending.go
+++ b/scheduler/ending.go
@@ -26,6 +26,7 @@
 	}
 	if how == EndDone || how == EndFailed {
 		s.clearSuspicion(t)
+		t.rejections = 0
 	}
 	if how == EndDone {
 		s.learnRunTime(t)
--- a/scheduler/reporting.go
+++ b/scheduler/reporting.go
@@ -175,7 +175,7 @@
 }
 
 func (s *Scheduler) confirmRun(t *task) {
-	t.state, t.confirmedAt = running, s.now()
+	t.state, t.confirmedAt, t.rejections = running, s.now(), 0
 	if t.spec().Filler && t.worker.serving > 0 {
 		_, paces := s.fillerPaces(t.worker)
 		s.setPace(t, paces[t])
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -88,7 +88,8 @@
 		// waitingSince is when the task became ready to start; 0 while it has a worker.
 		// waitedSince is waitingSince from before the newest run.
 		waitingSince, waitedSince clock.Millis
-		// rejections is the number of runs that workers have rejected as malformed, to this leader.
+		// rejections is the number of runs that workers have rejected as malformed, to this leader, since
+		// one has begun: a task that has run is not malformed.
 		rejections int
 		// reservation keeps room for the task; nil if there is none. noRoomIn is the last round of
 		// placing in which the task fitted on no worker after a wait of roomWait.
