scheduler: let the rejection of a repeated order pass once its run has begun

A start without an answer is sent again. If the first order was carried out and the repetition was rejected, the running task got a delay of up to 30 s, which a task whose run ended soon after had to wait for.

Cause: the delay was set without a look at the state of the run. Change: only the rejection of a run that is not confirmed counts.

Evidence: TestRejectedResendDoesNotDelayNextRun failed before: "len(slice): 0, expected: 1: the task waits for a delay after a rejected repetition"; it passes now.

--- a/scheduler/answering.go
+++ b/scheduler/answering.go
@@ -86,6 +86,10 @@
 		w.blockedUntil = now + refusalBackoff
 		s.withdraw(t)
 	case Rejected:
+		if t.state != placed {
+			// It was a repetition of an order whose run has begun.
+			return
+		}
 		// The next worker is likely to reject the task too, and this one to accept others.
 		t.retryAt = now + min(refusalBackoff<<min(t.rejections, maxBackoffDoublings), maxRejectionDelay)
 		t.rejections++
--- a/scheduler/rejection_test.go
+++ b/scheduler/rejection_test.go
@@ -67,3 +67,20 @@
 		})
 	}
 }
+
+// TestRejectedResendDoesNotDelayNextRun guards against a rejected repetition of an order whose run has
+// begun, and that delays the next run.
+func TestRejectedResendDoesNotDelayNextRun(t *testing.T) {
+	b := newHarness(1)
+	b.submit(t, "job", Step{Count: 1, CPU: 100, LongRunning: true})
+	o := b.placeAndStore()[0]
+	b.OrderAnswered(o, Unclear)
+	b.report("w0", activeRuns(o))
+	for range 10 {
+		b.OrderAnswered(o, Rejected)
+	}
+	b.clock.Advance(100)
+	b.report("w0", nil, endedRun(1, o, EndDone))
+	b.clock.Advance(100)
+	must.SliceLen(t, 1, b.placeAndStore(), must.Sprint("the task waits for a delay after a rejected repetition"))
+}
