scheduler: bound the delay of long-running tasks that workers reject

A long-running task that all workers rejected for a while, 20 s say, waited for 18 s more after they had begun to accept it: its delay grows up to 30 s, where it has to run within 9 s of its last run.

Cause: the bound of the delay was that of tasks that end by themselves. Change: the delay of a long-running task grows up to 2 s: the lease of its last run may take 6.3 s of the nine, and the next start has to be stored and sent. So that a malformed job with many tasks does not take the leader's time, a step is tried 40 times a second at most, half of the starts at the peak; for steps of more than 80 rejected tasks the bound grows with their number, to 30 s at most.

Evidence: TestTaskRejectedByAllStartsOnceAccepted failed in 4 of 4 cases before, for example "expected 1970-01-01T00:00:18.100Z <= 1970-01-01T00:00:03.000Z: the task waits although workers accept it". TestWideRejectedStepIsTriedAtBoundedRate fails with the bound of 2 s alone. Both pass now.

--- a/scheduler/answering.go
+++ b/scheduler/answering.go
@@ -12,6 +12,14 @@
 	// maxRejectionDelay bounds the delay of a task that workers reject as malformed, which doubles
 	// with each rejection.
 	maxRejectionDelay = 30 * clock.Second
+	// maxLastingRejectionDelay is the same for a long-running task, which has to run again within nine
+	// seconds: the lease of its last run may take 6.3 s of these, and the next start has to be stored and
+	// sent.
+	maxLastingRejectionDelay = 2 * clock.Second
+	// rejectionInterval bounds the tries of a step that workers reject to 40 a second, half of the starts
+	// of a leader at the peak. The bound of the delay grows with it from 80 tasks on, the customers' widest
+	// step.
+	rejectionInterval = 25 * clock.Millis(1)
 	// maxBackoffDoublings bounds how often a delay is doubled, below the limit of its type.
 	maxBackoffDoublings = 10
 )
@@ -91,8 +99,8 @@
 			return
 		}
 		// The next worker is likely to reject the task too, and this one to accept others.
-		t.retryAt = now + min(refusalBackoff<<min(t.rejections, maxBackoffDoublings), maxRejectionDelay)
 		t.rejections++
+		t.retryAt = now + t.rejectionDelay()
 		s.withdraw(t)
 	case NotSent, ConnectionRefused:
 		w.blockedUntil = now + refusalBackoff
@@ -115,6 +123,21 @@
 	}
 }
 
+// rejectionDelay returns the time from the last rejection of a task to its next run.
+func (t *task) rejectionDelay() clock.Millis {
+	limit := maxRejectionDelay
+	if t.spec().LongRunning {
+		rejected := clock.Millis(0)
+		for _, o := range t.occurrence.steps[t.step] {
+			if o.rejections > 0 {
+				rejected++
+			}
+		}
+		limit = min(limit, max(maxLastingRejectionDelay, rejected*rejectionInterval))
+	}
+	return min(refusalBackoff<<min(t.rejections-1, maxBackoffDoublings), limit)
+}
+
 // withdraw takes back a run that the worker refused or never received. If an earlier
 // order to start it was not answered, a stop has to be confirmed first.
 func (s *Scheduler) withdraw(t *task) {
--- a/scheduler/rejection_test.go
+++ b/scheduler/rejection_test.go
@@ -8,6 +8,44 @@
 	"galenawharf.example/galenawharf/clock"
 )
 
+// untilStarted passes time until a start of a task is confirmed, with the outcome that outcome returns for
+// each start, and reports of all workers. It returns the order, how long that took, and the number of
+// starts, or fails after limit.
+func (b *harness) untilStarted(t *testing.T, limit clock.Millis, outcome func(Order) Outcome) (started Order, waited clock.Millis, starts int) {
+	t.Helper()
+	for since := b.clock.Now(); b.clock.Now()-since <= limit; b.clock.Advance(100) {
+		for _, w := range b.sortedWorkers() {
+			b.report(w.info.ID, runsOf(w))
+			b.Lease(w.info.ID, w.info.Born)
+		}
+		for _, o := range append(b.TakeImmediateOrders(), b.placeAndStore()...) {
+			out := Done
+			if o.Kind == Start {
+				out = outcome(o)
+				starts++
+			}
+			b.OrderAnswered(o, out)
+			if o.Kind == Start && out == Done {
+				return o, b.clock.Now() - since, starts
+			}
+		}
+		b.Sweep()
+	}
+	must.Unreachable(t, must.Sprintf("no run after %d starts in %d ms", starts, limit))
+	return
+}
+
+// runsOf returns the confirmed runs of a worker as its report lists them.
+func runsOf(w *worker) []ActiveRun {
+	var as []ActiveRun
+	for _, t := range w.tasks {
+		if t.state == running {
+			as = append(as, ActiveRun{Task: t.name().String(), Attempt: t.attempt, Percent: 100})
+		}
+	}
+	return as
+}
+
 // TestFormerRejectionsDoNotDelayTask guards against a task that waits for half a minute with room
 // everywhere because workers have rejected it hours ago, before runs that others have confirmed.
 func TestFormerRejectionsDoNotDelayTask(t *testing.T) {
@@ -84,3 +122,47 @@
 	b.clock.Advance(100)
 	must.SliceLen(t, 1, b.placeAndStore(), must.Sprint("the task waits for a delay after a rejected repetition"))
 }
+
+// TestTaskRejectedByAllStartsOnceAccepted guards against a task that lasts and waits on although workers
+// have begun to accept it, and against one that is tried at full speed until they do.
+func TestTaskRejectedByAllStartsOnceAccepted(t *testing.T) {
+	tests := map[string]clock.Millis{
+		"after seconds":   5 * clock.Second,
+		"after doublings": 20 * clock.Second,
+		"at the limit":    2 * clock.Minute,
+		"after minutes":   10*clock.Minute + 700,
+	}
+	for name, rejecting := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := newHarness(4)
+			b.submit(t, "job", Step{Count: 1, CPU: 100, LongRunning: true})
+			acceptedFrom := b.clock.Now() + rejecting
+			_, waited, starts := b.untilStarted(t, rejecting+clock.Minute, func(Order) Outcome {
+				if b.clock.Now() < acceptedFrom {
+					return Rejected
+				}
+				return Done
+			})
+			must.LessEq(t, maxTimeWithoutRun, waited-rejecting, must.Sprint("the task waits although workers accept it"))
+			must.LessEq(t, 5+int(rejecting/(1500*clock.Millis(1))), starts, must.Sprint("a task that all workers reject is tried too often"))
+		})
+	}
+}
+
+// TestWideRejectedStepIsTriedAtBoundedRate guards against a malformed job with many tasks that last, whose
+// tries take the leader's time.
+func TestWideRejectedStepIsTriedAtBoundedRate(t *testing.T) {
+	// The delay grows for seven tries of each task.
+	const tasks, minutes, growing = 800, 5, 7
+	b := newHarness(4)
+	b.submit(t, "job", Step{Count: tasks, CPU: 10, LongRunning: true})
+	starts := 0
+	for range minutes * clock.Minute / 100 {
+		for _, o := range b.placeAndStore() {
+			starts++
+			b.OrderAnswered(o, Rejected)
+		}
+		b.clock.Advance(100)
+	}
+	must.Between(t, tasks*10, starts, int(minutes*clock.Minute/rejectionInterval)+growing*tasks)
+}
