scheduler: try workers that have rejected a task after all others

A worker that rejects tasks stays empty, looks best, and was tried again and again for the same task: three such workers of six kept a long-running task without a run until the test ended after a minute, with room on the other three.

Cause: a rejection left no trace of the worker in the choice of the next one. Change: a task remembers which worker processes have rejected it, and is sent to others first; once all have rejected it, each has another turn. The same holds for a task on trial.

Evidence: before, TestRejectingWorkersAreAvoided failed in 3 of 3 cases: "no run after 32 starts in 60000 ms", and TestRejectingWorkersAreTriedInTurn with "no run after 62 starts in 120000 ms". Both pass now.

--- a/scheduler/answering.go
+++ b/scheduler/answering.go
@@ -100,6 +100,7 @@
 		}
 		// The next worker is likely to reject the task too, and this one to accept others.
 		t.rejections++
+		t.noteRefusal(w)
 		t.retryAt = now + t.rejectionDelay()
 		s.withdraw(t)
 	case NotSent, ConnectionRefused:
@@ -123,6 +124,20 @@
 	}
 }
 
+// noteRefusal remembers that a worker has refused a run of the task. One that is tried again was the
+// best of workers that have all refused it, so that each has another turn.
+func (t *task) noteRefusal(w *worker) {
+	if t.refusedBy == nil || t.wasRefusedBy(w) {
+		t.refusedBy = map[string]int64{}
+	}
+	t.refusedBy[w.info.ID] = w.info.Born
+}
+
+func (t *task) wasRefusedBy(w *worker) bool {
+	born, ok := t.refusedBy[w.info.ID]
+	return ok && born == w.info.Born
+}
+
 // rejectionDelay returns the time from the last rejection of a task to its next run.
 func (t *task) rejectionDelay() clock.Millis {
 	limit := maxRejectionDelay
--- a/scheduler/rejection_test.go
+++ b/scheduler/rejection_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -39,7 +40,7 @@
 func runsOf(w *worker) []ActiveRun {
 	var as []ActiveRun
 	for _, t := range w.tasks {
-		if t.state == running {
+		if t.state == running && !t.stopping {
 			as = append(as, ActiveRun{Task: t.name().String(), Attempt: t.attempt, Percent: 100})
 		}
 	}
@@ -166,3 +167,60 @@
 	}
 	must.Between(t, tasks*10, starts, int(minutes*clock.Minute/rejectionInterval)+growing*tasks)
 }
+
+// TestRejectingWorkersAreAvoided guards against a task that is sent again and again to workers which
+// reject it, as these stay empty and look best, while others have room.
+func TestRejectingWorkersAreAvoided(t *testing.T) {
+	tests := map[string]struct {
+		step    Step
+		suspect bool
+	}{
+		"lasts":          {step: Step{Count: 1, CPU: 100, LongRunning: true}},
+		"ends by itself": {step: Step{Count: 1, CPU: 100}},
+		"suspect":        {step: Step{Count: 1, CPU: 100, LongRunning: true}, suspect: true},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := newHarness(6)
+			// The others are half full.
+			b.submit(t, "others", Step{Count: 3, CPU: 4000, PerWorker: 1, LongRunning: true})
+			rejecting := map[string]bool{}
+			for i := range 6 {
+				rejecting[fmt.Sprintf("w%d", i)] = true
+			}
+			for _, o := range b.start() {
+				delete(rejecting, o.Worker)
+			}
+			must.MapLen(t, 3, rejecting)
+			b.submit(t, "job", tc.step)
+			if tc.suspect {
+				b.findTask("job.0.0.0").suspicion = isolationSuspicion
+			}
+			_, waited, starts := b.untilStarted(t, clock.Minute, func(o Order) Outcome {
+				if rejecting[o.Worker] {
+					return Rejected
+				}
+				return Done
+			})
+			must.LessEq(t, maxLastingGap, waited)
+			must.LessEq(t, 4, starts, must.Sprint("a worker that has rejected the task is tried again before others"))
+		})
+	}
+}
+
+// TestRejectingWorkersAreTriedInTurn guards against a task that is sent to the one best worker of those
+// which have rejected it, although another would accept it by now.
+func TestRejectingWorkersAreTriedInTurn(t *testing.T) {
+	b := newHarness(3)
+	b.submit(t, "other", Step{Count: 1, CPU: 4000, LongRunning: true})
+	busy := b.start()[0].Worker
+	b.submit(t, "job", Step{Count: 1, CPU: 100, LongRunning: true})
+	acceptedFrom := b.clock.Now() + clock.Minute
+	_, waited, _ := b.untilStarted(t, 2*clock.Minute, func(o Order) Outcome {
+		if o.Worker != busy || b.clock.Now() < acceptedFrom {
+			return Rejected
+		}
+		return Done
+	})
+	must.LessEq(t, maxLastingGap, waited-clock.Minute)
+}
--- a/scheduler/scoring.go
+++ b/scheduler/scoring.go
@@ -14,6 +14,9 @@
 	remotePenalty  = 1.0
 	failurePenalty = 0.5
 	avoidPenalty   = 1.0
+	// refusedPenalty is for a worker that has refused the task. It exceeds all others, as a worker that
+	// rejects tasks stays empty and looks best.
+	refusedPenalty = 100.0
 	// interferencePenalty is the factor by which the interference of a filler lowers the
 	// score.
 	interferencePenalty = 4.0
@@ -105,6 +108,9 @@
 	if t.avoidWorker == w.info.ID {
 		free -= avoidPenalty
 	}
+	if t.wasRefusedBy(w) {
+		free -= refusedPenalty
+	}
 	return free
 }
 
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -91,6 +91,9 @@
 		// rejections is the number of runs that workers have rejected as malformed, to this leader, since
 		// one has begun: a task that has run is not malformed.
 		rejections int
+		// refusedBy has the worker processes that have refused a run of the task, by ID with their
+		// start times, since each worker with room for it was tried.
+		refusedBy map[string]int64
 		// reservation keeps room for the task; nil if there is none. noRoomIn is the last round of
 		// placing in which the task fitted on no worker after a wait of roomWait.
 		reservation *reservation
--- a/scheduler/trial.go
+++ b/scheduler/trial.go
@@ -23,6 +23,8 @@
 	flappingCost = 6
 	// unsettledRunCost is the cost of a run that would make the result of a trial unclear.
 	unsettledRunCost = 100
+	// refusedCost is the cost of a worker that has refused the suspect, which is tried after all others.
+	refusedCost = 1_000_000
 )
 
 // isOnTrial reports whether a suspect has a worker for itself, or is to get it.
@@ -120,6 +122,9 @@
 		if s.hasCrashedLately(w, now) {
 			c += flappingCost
 		}
+		if t.wasRefusedBy(w) {
+			c += refusedCost
+		}
 		if best == nil || c < lowest {
 			best, lowest = w, c
 		}
