scheduler: give a quarantined worker its next probe run beside a long one

A worker whose quarantine is over gets one run at a time until one has succeeded. If that run was a long one, a long-running task waited for its end, a minute in the test, with room on the worker.

Cause: only the end of the run made room for the next one. Change: a run that has made progress for 3 s, the time of a quarantine, makes room for another one; the score of the worker stays until one succeeds.

Evidence: before, TestLastingTaskStartsBesideLongProbe failed with "expected 1970-01-01T00:01:00.500Z <= 1970-01-01T00:00:09.000Z"; it passes now.

--- a/scheduler/reporting.go
+++ b/scheduler/reporting.go
@@ -136,6 +136,10 @@
 		// healthy.
 		w.failures = 0
 	}
+	if w.probe == t && a.Percent > 0 && !t.stalled && sent-t.confirmedAt >= quarantineTime {
+		// The next probe run need not wait for the end of a long one.
+		w.probe = nil
+	}
 	if a.Checkpoint != "" {
 		t.checkpoint = a.Checkpoint
 	}
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -92,7 +92,7 @@
 		// failedAt is when a run last failed or stalled.
 		failedAt clock.Millis
 		// probedAt is when a quarantined worker last got a run, its probe run. probe is the
-		// task of that run, nil once it is over.
+		// task of that run, nil once it is over or has made progress for quarantineTime.
 		probedAt clock.Millis
 		probe    *task
 		// trial is the last suspect that had the worker for itself, or is to get it; see
