--- a/scheduler/rejection_test.go
+++ b/scheduler/rejection_test.go
@@ -33,7 +33,7 @@
 		b.Sweep()
 	}
 	must.Unreachable(t, must.Sprintf("no run after %d starts in %d ms", starts, limit))
-	return
+	return Order{}, 0, 0
 }
 
 // runsOf returns the confirmed runs of a worker as its report lists them.
