scheduler: ask the policy once for a step that waits in parts

The tasks of a long-running step are placed in parts by when they began to wait, and each part that found no worker queued a consultation that asked the same: one step with twenty periods used all places of the queue, so that others were not asked.

--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -135,6 +135,11 @@
 	if now < p.nextConsultation || len(s.consultations) >= maxConsultations {
 		return
 	}
+	name := d.occurrence.stepName(d.step)
+	if slices.ContainsFunc(s.consultations, func(c Consultation) bool { return c.Step == name }) {
+		// Another part of the step has asked.
+		return
+	}
 	t := d.tasks[len(d.tasks)-1]
 	step, tolerance := t.spec(), s.tolerance(t)
 	var expired, notConsulted []*worker
@@ -149,7 +154,7 @@
 		}
 	}
 	slices.SortStableFunc(notConsulted, func(a, b *worker) int { return cmp.Compare(s.score(t, step, b), s.score(t, step, a)) })
-	c := Consultation{Step: d.occurrence.stepName(d.step)}
+	c := Consultation{Step: name}
 	for _, w := range append(expired, notConsulted...) {
 		if len(c.Workers) == maxConsultedWorkers {
 			break
