scheduler: ask the policy about workers that are reserved for the task itself

A long-running task that lost its run reserved the workers with room for it, and these were then left out of the question to its policy. While an older ticket was valid, the task waited until it expired, with room on two workers. TestRestartGetsTicketForReservedWorker: 0 of 2 tasks ran within 6 s on, both do now.

--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -121,7 +121,8 @@
 		r.unplaced.add(spec, d.step)
 	}
 	if spec.Queue.Advice != nil {
-		s.queueConsultation(d, remaining, r.now)
+		// The policy also has to admit the tasks to the workers that this demand has reserved.
+		s.queueConsultation(d, ws, r.now)
 	}
 	return false
 }
@@ -203,7 +204,9 @@
 }
 
 // waitPeriod returns the wait period in which a task began to wait for a worker, 0 if it does not wait.
-func (t *task) waitPeriod() clock.Millis { return t.waitingSince / waitPeriodLength }
+func (t *task) waitPeriod() clock.Millis {
+	return t.waitingSince / waitPeriodLength
+}
 
 func compareWaitPeriods(a, b *task) int { return cmp.Compare(a.waitPeriod(), b.waitPeriod()) }
 
