scheduler: a long-running task that has lost its run goes before newer waits for first runs

With the longest wait first, a backlog of first runs kept a task that had lost its run waiting for more than the nine seconds in which it has to run again, and larger first runs reserved workers on which it would have fitted.

Change: a task that has had a run counts as waiting for nine seconds longer, the time that it has. First runs that wait longer than that go first, so that none waits without a bound.

TestFullFleetStartsLongestWaits reported constant progress, so that runs counted as stalled, and brought back other workers than it had lost; both are mended, and it also checks that no task waits after a round in which a worker has room for it.

--- a/scheduler/fullfleet_test.go
+++ b/scheduler/fullfleet_test.go
@@ -22,9 +22,13 @@
 	numbers   map[string]int64
 	since     map[TaskName]clock.Millis
 	cancelAt  map[string]clock.Millis
-	// overtakings are the starts on workers with room for a task that has waited over a second longer.
+	// turn is by when a waiting task goes before others: since when it waits, or earlier if it has had a
+	// run.
+	turn map[TaskName]clock.Millis
+	// overtakings are the starts on workers with room for a task that is over a second ahead of them.
 	overtakings []string
-	longest     clock.Millis
+	// leftOut are the tasks that wait after a round although a worker has room for them.
+	leftOut []string
 }
 
 const (
@@ -39,7 +43,7 @@
 func newFullFleet(seed uint64) *fullFleet {
 	f := &fullFleet{
 		harness: newHarness(0), random: rand.New(rand.NewPCG(seed, 1)), runs: map[string][]Order{}, numbers: map[string]int64{},
-		since: map[TaskName]clock.Millis{}, cancelAt: map[string]clock.Millis{},
+		since: map[TaskName]clock.Millis{}, turn: map[TaskName]clock.Millis{}, cancelAt: map[string]clock.Millis{},
 	}
 	for i := range fullFleetWorkers {
 		f.UpdateWorker(f.worker(i, 1))
@@ -81,7 +85,16 @@
 }
 
 func (f *fullFleet) reportWorker(w *worker) {
-	f.Report(Report{Worker: w.info.ID, Born: w.info.Born, Clock: f.clock.Now(), Sent: f.clock.Now(), Active: activeRuns(f.runs[w.info.ID]...)})
+	f.Report(Report{Worker: w.info.ID, Born: w.info.Born, Clock: f.clock.Now(), Sent: f.clock.Now(), Active: f.activeOn(w.info.ID)})
+}
+
+// activeOn returns the runs of a worker, which are at work.
+func (f *fullFleet) activeOn(worker string) []ActiveRun {
+	as := activeRuns(f.runs[worker]...)
+	for i := range as {
+		as[i].Percent = 100
+	}
+	return as
 }
 
 // noteWaits notes since when tasks wait.
@@ -89,25 +102,21 @@
 	for j := range f.active {
 		j.eachTask(func(o *task) {
 			if _, ok := f.since[o.name()]; !ok && o.state == pending {
-				f.since[o.name()] = now
+				f.since[o.name()], f.turn[o.name()] = now, now
+				if o.attempt > 0 {
+					f.turn[o.name()] -= restartLead
+				}
 			}
 		})
 	}
-	for n, since := range f.since {
+	for n := range f.since {
 		if f.findTask(n.String()) == nil || f.jobs[n.Job].phase.final() {
 			delete(f.since, n)
-			continue
 		}
-		f.longest = max(f.longest, now-since)
 	}
 }
 
 func (f *fullFleet) carryOut(os []Order) {
-	for _, o := range os {
-		if o.Kind == Stop {
-			f.end(o)
-		}
-	}
 	for _, o := range os {
 		f.OrderAnswered(o, Done)
 		if o.Kind != Start {
@@ -117,6 +126,33 @@
 		delete(f.since, o.Task)
 		f.runs[o.Worker] = append(f.runs[o.Worker], o)
 	}
+	f.noteRoom()
+	for _, o := range os {
+		if o.Kind == Stop {
+			f.end(o)
+		}
+	}
+}
+
+// noteRoom notes tasks that wait after a round although a worker has room for them.
+func (f *fullFleet) noteRoom() {
+	for _, w := range f.availableWorkers(f.clock.Now()) {
+		free := f.freeOn(w.info.ID)
+		for n := range f.since {
+			if o := f.findTask(n.String()); o.state == pending && f.cpuOf(n) <= free {
+				f.leftOut = append(f.leftOut, fmt.Sprintf("%v waits with room on %s", n, w.info.ID))
+				return
+			}
+		}
+	}
+}
+
+func (f *fullFleet) freeOn(worker string) int64 {
+	free := int64(fullFleetCPU)
+	for _, r := range f.runs[worker] {
+		free -= f.cpuOf(r.Task)
+	}
+	return free
 }
 
 func (f *fullFleet) end(stop Order) {
@@ -129,19 +165,16 @@
 	f.numbers[stop.Worker]++
 	w := f.workers[stop.Worker]
 	f.Report(Report{
-		Worker: stop.Worker, Born: w.info.Born, Clock: f.clock.Now(), Sent: f.clock.Now(), Active: activeRuns(f.runs[stop.Worker]...),
+		Worker: stop.Worker, Born: w.info.Born, Clock: f.clock.Now(), Sent: f.clock.Now(), Active: f.activeOn(stop.Worker),
 		Ended: []EndedRun{endedRun(f.numbers[stop.Worker], stop, EndStopped)},
 	})
 }
 
 func (f *fullFleet) noteOvertaking(o Order) {
-	free := int64(fullFleetCPU)
-	for _, r := range f.runs[o.Worker] {
-		free -= f.cpuOf(r.Task)
-	}
-	for n, since := range f.since {
-		if since+clock.Second < f.since[o.Task] && f.cpuOf(n) <= free {
-			f.overtakings = append(f.overtakings, fmt.Sprintf("%v goes before %v, which has waited %d ms longer", o.Task, n, f.since[o.Task]-since))
+	free := f.freeOn(o.Worker)
+	for n := range f.since {
+		if ahead := f.turn[o.Task] - f.turn[n]; ahead > clock.Second && f.cpuOf(n) <= free {
+			f.overtakings = append(f.overtakings, fmt.Sprintf("%v starts where %v fits, whose turn was %d ms before", o.Task, n, ahead))
 			return
 		}
 	}
@@ -152,11 +185,12 @@
 // loseWorkers replaces a third of the worker processes, which lose their runs.
 func (f *fullFleet) loseWorkers() {
 	for i := range fullFleetWorkers / 3 {
-		id := fmt.Sprint("w", 3*i+f.random.IntN(3))
+		n := 3*i + f.random.IntN(3)
+		id := fmt.Sprint("w", n)
 		f.runs[id], f.numbers[id] = nil, 0
 		f.RemoveWorker(id)
 		f.CallFailed(id, f.workers[id].info.Born, true)
 		f.dropWorker(f.workers[id], "lost")
-		f.UpdateWorker(f.worker(3*i, 2))
+		f.UpdateWorker(f.worker(n, 2))
 	}
 }
--- a/scheduler/lastingorder_test.go
+++ b/scheduler/lastingorder_test.go
@@ -110,7 +110,7 @@
 	b.clock.Advance(5 * clock.Second)
 	b.submit(t, "single", Step{Count: 2, CPU: 8000, LongRunning: true})
 	must.SliceEmpty(t, b.placeAndStore())
-	b.clock.Advance(5 * clock.Second)
+	b.clock.Advance(restartLead + 5*clock.Second)
 	// The task of the pair that runs loses its run and waits from now on.
 	w := testWorker(0)
 	w.Draining = true
@@ -148,7 +148,8 @@
 			f.play(t, 15*clock.Second)
 			f.SetEvacuated(nil)
 			f.play(t, 10*clock.Second)
-			must.SliceEmpty(t, f.overtakings, must.Sprintf("the longest wait is %d ms", f.longest))
+			must.SliceEmpty(t, f.overtakings)
+			must.SliceEmpty(t, f.leftOut)
 		})
 	}
 }
--- a/scheduler/lastingroom.go
+++ b/scheduler/lastingroom.go
@@ -1,8 +1,6 @@
 package scheduler
 
 import (
-	"slices"
-
 	"galenawharf.example/galenawharf/clock"
 	"galenawharf.example/galenawharf/logger"
 )
@@ -12,7 +10,7 @@
 	lastingStarts struct {
 		// first counts first runs, again those of tasks that have lost one.
 		first, again int
-		// overtaking counts those on workers that had room for a task that has waited since an earlier period.
+		// overtaking counts those on workers that had room for a task of an earlier period.
 		overtaking int
 	}
 
@@ -54,13 +52,24 @@
 	}
 }
 
-// overtakes reports whether a worker has room for another long-running task of at least the priority that
-// has waited since an earlier period.
+// overtakes reports whether a worker has room for another long-running task, of an earlier period and no
+// lower priority.
 func (s *Scheduler) overtakes(t *task, w *worker) bool {
-	return slices.ContainsFunc(s.waits.demands, func(d demand) bool {
-		first := d.firstWaiting()
-		return first != nil && d.rank.priority <= t.job().spec.Queue.Priority && first.waitPeriod() < t.waitPeriod() && !first.spec().Gang && s.canRun(first, first.spec(), w, s.tolerance(first))
-	})
+	period, priority := t.waitPeriod(), t.job().spec.Queue.Priority
+	for i := range s.waits.demands {
+		d := &s.waits.demands[i]
+		if d.rank.priority > priority || d.rank.priority == priority && d.rank.waitPeriod >= period {
+			return false
+		}
+		// The tasks of a demand are placed in their order, so that one waits if the last one does.
+		if d.rank.waitPeriod >= period || len(d.tasks) == 0 || d.tasks[len(d.tasks)-1].state != pending {
+			continue
+		}
+		if o := d.tasks[len(d.tasks)-1]; !o.spec().Gang && s.canRun(o, o.spec(), w, s.tolerance(o)) {
+			return true
+		}
+	}
+	return false
 }
 
 // countRoom counts the available workers by the room that they lack for a long-running task.
--- a/scheduler/lastingroom_test.go
+++ b/scheduler/lastingroom_test.go
@@ -6,7 +6,6 @@
 	"github.com/shoenig/test/must"
 
 	"galenawharf.example/galenawharf/clock"
-	"galenawharf.example/galenawharf/logger"
 )
 
 // TestWaitNamesMissingRoom guards against a line that says that no worker has room for a long-running
@@ -72,15 +71,39 @@
 	first := h.placeAndStore()
 	must.Len(t, 1, first)
 	h.OrderAnswered(first[0], Done)
-	h.run(clock.Second)
-	sums := h.lines(t, logger.TasksWaiting)
-	must.SliceEmpty(t, sums)
-	h.report("w0", nil, endedRun(1, first[0], EndFailed))
-	h.waits.demands = []demand{{occurrence: h.jobs["old"].occurrences[0], tasks: h.jobs["old"].occurrences[0].steps[0]}}
-	h.jobs["old"].occurrences[0].steps[0][0].waitingSince = 1
-	h.submit(t, "new", Step{Count: 1, CPU: 1000, LongRunning: true})
-	w, o := h.workers["w0"], h.jobs["new"].occurrences[0].steps[0][0]
-	o.waitingSince = h.clock.Now()
-	h.assign(o, w, h.clock.Now())
-	must.Eq(t, lastingStarts{first: 2, overtaking: 1}, h.waits.starts)
+	must.Eq(t, lastingStarts{first: 1}, h.waits.starts)
+	h.report("w0", nil, endedRun(1, first[0], EndStopped))
+	must.Len(t, 1, h.placeAndStore())
+	must.Eq(t, lastingStarts{first: 1, again: 1}, h.waits.starts)
+}
+
+// TestOvertakingIsCounted guards against a summary that does not tell that tasks take the room of others
+// whose turn was before.
+func TestOvertakingIsCounted(t *testing.T) {
+	tests := map[string]struct {
+		waiting Step
+		// later is how much later the task that starts began to wait.
+		later clock.Millis
+		want  bool
+	}{
+		"room for it":        {waiting: Step{CPU: 8000}, later: 2 * clock.Second, want: true},
+		"no room for it":     {waiting: Step{CPU: 8001}, later: 2 * clock.Second},
+		"its turn was later": {waiting: Step{CPU: 8000}, later: -2 * clock.Second},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(1)
+			tc.waiting.Count, tc.waiting.LongRunning = 1, true
+			h.submit(t, "waiting", tc.waiting)
+			h.submit(t, "starts", Step{Count: 1, CPU: 1000, LongRunning: true})
+			now := h.clock.Now()
+			h.findTask("waiting.0.0.0").waitingSince, h.findTask("starts.0.0.0").waitingSince = now, now+tc.later
+			for _, d := range h.demands(now) {
+				if d.occurrence.job.spec.ID == "waiting" {
+					h.waits.demands = append(h.waits.demands, d)
+				}
+			}
+			must.Eq(t, tc.want, h.overtakes(h.findTask("starts.0.0.0"), h.workers["w0"]))
+		})
+	}
 }
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -203,9 +203,14 @@
 	return ds
 }
 
-// waitPeriod returns the wait period in which a task began to wait for a worker, 0 if it does not wait.
+// waitPeriod returns the period by which a waiting task of a long-running job takes its turn: that in which
+// it began to wait, or an earlier one if it has had a run.
 func (t *task) waitPeriod() clock.Millis {
-	return t.waitingSince / waitPeriodLength
+	since := t.waitingSince
+	if t.attempt > 0 {
+		since -= restartLead
+	}
+	return since / waitPeriodLength
 }
 
 func compareWaitPeriods(a, b *task) int { return cmp.Compare(a.waitPeriod(), b.waitPeriod()) }
--- a/scheduler/ranking.go
+++ b/scheduler/ranking.go
@@ -18,9 +18,8 @@
 		// lateness is 0 for jobs that may still meet their objective, 1 for late ones,
 		// and 2 for those that are too late to be of use.
 		lateness int
-		// waitPeriod is the wait period in which the tasks of a long-running job began to wait, 0 for
-		// jobs that end by themselves. The longest wait goes first, so that a task which has lost its run
-		// does not wait for as long as new jobs come.
+		// waitPeriod is that of the tasks of a long-running job, 0 for other jobs. The longest wait goes
+		// first, so that no task waits for as long as new jobs come.
 		waitPeriod clock.Millis
 		// begun is 0 for the first task of each step of a job that is too late to be of use and has
 		// nothing running, 1 otherwise: the order within a lateness that earns nothing any more may
@@ -43,9 +42,12 @@
 	// The value of a job is partly fixed and partly proportional to its work.
 	// fixedValueShare is the fixed share for a job with the mean work of its queue.
 	fixedValueShare = 0.3
-	// waitPeriodLength is the length of a wait period. Tasks that lose their runs by one fault begin to wait
-	// within it, but it is short beside the time in which they have to run again.
+	// waitPeriodLength is short beside the time in which a task has to run again. Within a period the order
+	// is that of other jobs, which keeps the tasks of a job together.
 	waitPeriodLength = clock.Second
+	// restartLead is by how much longer a task counts as waiting that has lost its run: it has to run again
+	// within nine seconds, a first run has no such limit. First runs that wait longer than that go first.
+	restartLead = 9 * clock.Second
 	// meanWeight is the weight of the newest job in the exponential moving average of the
 	// work of a queue, which covers about fifty jobs.
 	meanWeight = 0.02
