scheduler: start long-running fillers that have waited for 2 s

Callers could submit a step with both long_running and utilization (nothing in the decoding or in Validate refuses it) and see its tasks without a run for minutes while workers had room, though a task that lasts has to run again within nine seconds of the end of its last run.

Cause: a filler is placed only where it disturbs less than it tolerates. That grows by 0.025 a second, and the interference has no such limit. mayRescue, which bounds the wait of fillers that end, leaves out those that last, and rescueFillers sees the demands of jobs that end only.

Change: after the long-running demands of a round, and before those that end, which could take the memory, long-running fillers that have waited for 2 s start where they disturb least. 2 s: of the nine seconds six may pass until the lease of a lost worker has ended, and one is left for the order and for other tasks that are due. A worker gets one such start each half a second, in which it reports what the run causes, so that paces follow. The share of the workers that bounds rescued runs does not apply, as these runs do not end; they do not use up that share either. Workers with a violated objective stay ruled out. No check of an existing test is changed.

--- a/logger/events.go
+++ b/logger/events.go
@@ -115,7 +115,7 @@
 // Waits of tasks that end by themselves.
 var (
 	FiniteTaskWaiting  = Event{6077, log.InfoLevel, "task that ends by itself waits for a worker"}
-	FillerRescued      = Event{6079, log.InfoLevel, "task starts although it disturbs serving tasks, as its job has nothing running"}
+	FillerRescued      = Event{6079, log.InfoLevel, "task starts although it disturbs serving tasks, as it or its job has waited for too long"}
 	FiniteTasksWaiting = Event{6078, log.InfoLevel, "tasks that end by themselves wait for workers"}
 )
 
--- a/rescuer/rescuer_test.go
+++ b/rescuer/rescuer_test.go
@@ -32,6 +32,23 @@
 	}
 }
 
+func TestDueLasting(t *testing.T) {
+	const d = rescuer.MaxLastingWait
+	tests := map[string]struct {
+		waits []clock.Millis
+		want  []int
+	}{
+		"none":                   {want: []int{}},
+		"shorter than the limit": {waits: []clock.Millis{0, d - 1}, want: []int{}},
+		"longest first":          {waits: []clock.Millis{d + 1, d, d + 3, 0}, want: []int{2, 0, 1}},
+		"more than MaxStarts":    {waits: []clock.Millis{d, d + 5, d + 1, d + 2, d + 3, d + 4}, want: []int{1, 5, 4, 3, 2, 0}},
+		"far below MaxIdle":      {waits: []clock.Millis{rescuer.MaxIdle / 4}, want: []int{0}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) { must.Eq(t, tc.want, rescuer.DueLasting(tc.waits)) })
+	}
+}
+
 func TestChoose(t *testing.T) {
 	tests := map[string]struct {
 		offers []rescuer.Offer
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -68,6 +68,7 @@
 	s.waits.demands = ds[:finite]
 	defer func() { s.waits.demands = nil }()
 	s.placeAll(ds[:finite], r)
+	s.rescueLastingFillers(ds[:finite], r.workers, now)
 	if finite < len(ds) && s.startsLeft > 0 {
 		s.placeHolders(ds[finite:], now)
 		s.placeAll(ds[finite:], r)
