--- a/scheduler/lastinggang_test.go
+++ b/scheduler/lastinggang_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -108,3 +109,55 @@
 	}
 	return nil
 }
+
+// TestLastingGangGetsRoomOfTasksThatEnd guards against a gang that lasts and waits for as long as tasks come
+// that end by themselves, which take the room of each worker before that of the others is free too.
+func TestLastingGangGetsRoomOfTasksThatEnd(t *testing.T) {
+	waitForGang(t, Step{Count: 1, CPU: 6000, Estimate: 1500}, EndDone)
+}
+
+// TestLastingGangGetsRoomOfLastingTasks guards against the same beside long-running tasks that are cancelled
+// one after the other.
+func TestLastingGangGetsRoomOfLastingTasks(t *testing.T) {
+	waitForGang(t, Step{Count: 1, CPU: 6000, LongRunning: true}, EndStopped)
+}
+
+// waitForGang plays a gang that needs each worker beside tasks of a step, each of which fills one.
+func waitForGang(t *testing.T, step Step, how Ending) {
+	t.Helper()
+	const (
+		workers = 3
+		// interval is the time between the ends of two of the tasks.
+		interval = 500 * clock.Millis(1)
+		maxWait  = 3 * maxLastingGap
+	)
+	f := newLastingFillers(t, workers, harmlessWeight)
+	submitted, ended := 0, 0
+	submit := func() {
+		f.submit(t, fmt.Sprint("other", submitted), step)
+		submitted++
+	}
+	for range 2 * workers {
+		submit()
+	}
+	f.play(interval)
+	f.submit(t, "gang", Step{Count: workers, CPU: 6000, Gang: true, LongRunning: true})
+	for waited := clock.Millis(0); f.running("gang") < workers; waited += interval {
+		must.Less(t, maxWait, waited, must.Sprintf("the gang does not run, %d others have ended", ended))
+		// The one that has run for longest ends, and another comes.
+		for i := range submitted {
+			id := fmt.Sprint("other", i)
+			if f.running(id) == 0 {
+				continue
+			}
+			if step.LongRunning {
+				must.NoError(t, f.Cancel(id, "", func(error) {}))
+			}
+			f.end(id, how)
+			ended++
+			break
+		}
+		submit()
+		f.play(interval)
+	}
+}
