keeper: take back the backoff that counts from another host's time of day

With a writer whose clock is behind by the backoff, up to 5 minutes, the delay is gone and a failing task is tried again at once.

--- a/keeper/apply.go
+++ b/keeper/apply.go
@@ -198,7 +198,7 @@
 	case ended(next):
 		k.applyEnd(t, rec, e)
 	default:
-		k.returnToWaiting(t, rec, e)
+		k.returnToWaiting(t, e)
 	}
 }
 
@@ -247,9 +247,8 @@
 	}
 }
 
-// returnToWaiting makes a task wait again whose run was evicted, was lost or failed. The backoff after
-// a failure counts from the record of it, however late that is read.
-func (k *Keeper) returnToWaiting(t *task, rec *schema.Record, e *schema.TaskEvent) {
+// returnToWaiting makes a task wait again whose run was evicted, was lost or failed.
+func (k *Keeper) returnToWaiting(t *task, e *schema.TaskEvent) {
 	t.checkpoint = e.GetCheckpoint()
 	t.worker = ""
 	if e.GetNotStarted() && t.incarnation == 1 {
@@ -257,7 +256,7 @@
 	}
 	if e.GetState() == schema.TaskState_TASK_STATE_RETRYING {
 		t.failures++
-		t.notBefore = min(k.now, clock.Millis(rec.GetAtMillis())) + backoff(t.failures)
+		t.notBefore = k.now + backoff(t.failures)
 	}
 	k.detachLease(t)
 	k.waiting[t.id] = t
